--- /dev/null
+++ b/charter/errors.go
@@ -0,0 +1,31 @@
+package charter
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Kind classifies an [Error].
+type Kind int
+
+const (
+	// KindRead marks a file that cannot be read.
+	KindRead Kind = iota + 1
+	// KindSyntax marks text that is not JSON, or has an unknown field.
+	KindSyntax
+	// KindInvalid marks values out of their bounds.
+	KindInvalid
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op     string
+	Kind   Kind
+	File   string
+	Faults []string
+}
+
+// Error implements the error interface with one fault a line.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s %s:\n  %s", e.Op, e.File, strings.Join(e.Faults, "\n  "))
+}
--- /dev/null
+++ b/charter/example.go
@@ -0,0 +1,25 @@
+package charter
+
+import (
+	"embed"
+	"os"
+)
+
+//go:embed examples/*.json
+var examples embed.FS
+
+// Names of the example settings in the folder examples.
+const (
+	ExampleTerminal   = "terminal"
+	ExampleHiloChapin = "hilo_chapin"
+)
+
+// Example returns one of the example settings.
+func Example(name string) (*Settings, error) {
+	file := "examples/" + name + ".json"
+	text, err := examples.ReadFile(file)
+	if err != nil {
+		return nil, &Error{Op: "read settings", Kind: KindRead, File: file, Faults: []string{os.ErrNotExist.Error()}}
+	}
+	return Parse(file, text)
+}
--- /dev/null
+++ b/charter/load.go
@@ -0,0 +1,156 @@
+package charter
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// Load reads and checks the settings in file.
+func Load(file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &Error{Op: "read settings", Kind: KindRead, File: file, Faults: []string{err.Error()}}
+	}
+	return Parse(file, text)
+}
+
+// Parse reads and checks settings; file is used in errors only.
+func Parse(file string, text []byte) (*Settings, error) {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	var s Settings
+	if err := decoder.Decode(&s); err != nil {
+		return nil, &Error{
+			Op:     "parse settings",
+			Kind:   KindSyntax,
+			File:   file,
+			Faults: []string{positioned(text, decoder.InputOffset(), err)},
+		}
+	}
+	if faults := s.Check(); len(faults) > 0 {
+		return nil, &Error{Op: "check settings", Kind: KindInvalid, File: file, Faults: faults}
+	}
+	return &s, nil
+}
+
+// positioned prefixes a decoding error with its line.
+func positioned(text []byte, offset int64, err error) string {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		offset = syntax.Offset
+	}
+	offset = min(offset, int64(len(text)))
+	line := 1 + bytes.Count(text[:offset], []byte("\n"))
+	return fmt.Sprintf("line %d: %v", line, err)
+}
+
+// Check returns every fault of the settings, by field.
+func (s *Settings) Check() []string {
+	check := validator.New(validator.WithRequiredStructEnabled())
+	check.RegisterTagNameFunc(jsonName)
+	var faults []string
+	var invalid validator.ValidationErrors
+	if errors.As(check.Struct(s), &invalid) {
+		for _, fault := range invalid {
+			faults = append(faults, describe(fault))
+		}
+	}
+	faults = append(faults, s.checkServices()...)
+	faults = append(faults, s.checkDomains()...)
+	return append(faults, s.checkTiming()...)
+}
+
+func jsonName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	return name
+}
+
+// describe says what is wrong with a field; its name carries the unit.
+func describe(fault validator.FieldError) string {
+	path := strings.TrimPrefix(fault.Namespace(), "Settings.")
+	switch fault.Tag() {
+	case "required":
+		return path + ": is missing"
+	case "min":
+		return fmt.Sprintf("%s: is %v, at least %s is required", path, fault.Value(), fault.Param())
+	case "max":
+		return fmt.Sprintf("%s: is %v, at most %s is allowed", path, fault.Value(), fault.Param())
+	case "oneof":
+		return fmt.Sprintf("%s: is %q, one of %s is required", path, fault.Value(), fault.Param())
+	case "hostname_port":
+		return fmt.Sprintf("%s: is %q, an address of the form host:port is required", path, fault.Value())
+	default:
+		return fmt.Sprintf("%s: is %v, which breaks rule %s", path, fault.Value(), fault.Tag())
+	}
+}
+
+func (s *Settings) checkServices() []string {
+	var faults []string
+	seen := make(map[string]bool)
+	for i, service := range s.Services {
+		path := fmt.Sprintf("services[%d]", i)
+		if seen[string(service.ID)] {
+			faults = append(faults, fmt.Sprintf("%s.id: %q is listed twice", path, service.ID))
+		}
+		seen[string(service.ID)] = true
+		if service.DividedByKey && service.Shards == 0 {
+			faults = append(faults, path+".shards: is 0, a service divided by key needs at least 1")
+		}
+		if !service.DividedByKey && service.Shards != 0 {
+			faults = append(faults, path+".shards: is set, but the service is not divided by key")
+		}
+		if service.Repeat == "never" && service.Resumable {
+			faults = append(faults, path+".resumable: a service with repeat \"never\" cannot be resumed")
+		}
+	}
+	return faults
+}
+
+func (s *Settings) checkDomains() []string {
+	var faults []string
+	found := false
+	for _, domain := range s.Domains {
+		found = found || domain.ID == s.Host.Domain
+	}
+	if !found && s.Host.Domain != "" {
+		faults = append(faults, fmt.Sprintf("host.domain: %q is not one of domains", s.Host.Domain))
+	}
+	return faults
+}
+
+// confirmationsPerLease is the least number of confirmations that fit into a
+// route lease, so that one lost message does not stop a host.
+const confirmationsPerLease = 3
+
+func (s *Settings) checkTiming() []string {
+	var faults []string
+	t := s.Timing
+	if t.ConfirmIntervalMS*confirmationsPerLease > t.RouteLeaseMS {
+		faults = append(faults, fmt.Sprintf(
+			"timing.confirm_interval_ms: is %d, at most a third of timing.route_lease_ms (%d) is allowed",
+			t.ConfirmIntervalMS, t.RouteLeaseMS))
+	}
+	if t.ProbeIntervalMS*confirmationsPerLease > t.GrantTTLMS {
+		faults = append(faults, fmt.Sprintf(
+			"timing.probe_interval_ms: is %d, at most a third of timing.grant_ttl_ms (%d) is allowed",
+			t.ProbeIntervalMS, t.GrantTTLMS))
+	}
+	if t.HostTimeoutMS < t.ConfirmIntervalMS*confirmationsPerLease {
+		faults = append(faults, fmt.Sprintf(
+			"timing.host_timeout_ms: is %d, at least three times timing.confirm_interval_ms (%d) is required",
+			t.HostTimeoutMS, t.ConfirmIntervalMS))
+	}
+	if t.GrantTTLMS > t.RouteLeaseMS {
+		faults = append(faults, fmt.Sprintf(
+			"timing.grant_ttl_ms: is %d, at most timing.route_lease_ms (%d) is allowed",
+			t.GrantTTLMS, t.RouteLeaseMS))
+	}
+	return faults
+}
--- /dev/null
+++ b/charter/settings.go
@@ -0,0 +1,127 @@
+package charter
+
+import (
+	"time"
+
+	"hornbeamwinch.example/berth"
+	"hornbeamwinch.example/manifest"
+)
+
+// Millis is a duration in milliseconds.
+type Millis int64
+
+// Duration returns m as a time.Duration.
+func (m Millis) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// Settings are the settings of one entry host.
+type Settings struct {
+	Host     HostSettings      `json:"host"`
+	Platform PlatformSettings  `json:"platform"`
+	Domains  []DomainSettings  `json:"domains" validate:"required,min=1,dive"`
+	Services []ServiceSettings `json:"services" validate:"required,min=1,dive"`
+	Timing   TimingSettings    `json:"timing"`
+	Limits   LimitSettings     `json:"limits"`
+	Log      LogSettings       `json:"log"`
+}
+
+// HostSettings identify the entry host.
+type HostSettings struct {
+	ID     berth.HostID   `json:"id" validate:"required"`
+	Domain berth.DomainID `json:"domain" validate:"required"`
+	// CallerAddress serves callers, PeerAddress the other entry hosts, and
+	// AdminAddress operators and the balancer's probes.
+	CallerAddress string `json:"caller_address" validate:"required,hostname_port"`
+	PeerAddress   string `json:"peer_address" validate:"required,hostname_port"`
+	AdminAddress  string `json:"admin_address" validate:"required,hostname_port"`
+}
+
+// PlatformSettings locate the platform's key-value service.
+type PlatformSettings struct {
+	Address   string `json:"address" validate:"required,hostname_port"`
+	TimeoutMS Millis `json:"timeout_ms" validate:"min=50,max=10000"`
+}
+
+// DomainSettings name a failure domain and some of its entry hosts, through
+// which a new host finds the others.
+type DomainSettings struct {
+	ID    berth.DomainID `json:"id" validate:"required"`
+	Peers []string       `json:"peers" validate:"dive,hostname_port"`
+}
+
+// ServiceSettings describe a service.
+type ServiceSettings struct {
+	ID berth.ServiceID `json:"id" validate:"required"`
+	// DividedByKey says that each key has one owning backend server.
+	DividedByKey bool   `json:"divided_by_key"`
+	Shards       uint32 `json:"shards" validate:"max=65536"`
+	// Repeat is "safe" or "never".
+	Repeat            string         `json:"repeat" validate:"oneof=safe never"`
+	TimeoutMS         Millis         `json:"timeout_ms" validate:"min=10,max=3600000"`
+	SilentAfterMS     Millis         `json:"silent_after_ms" validate:"min=10,max=60000"`
+	ProgressTimeoutMS Millis         `json:"progress_timeout_ms" validate:"min=10,max=60000"`
+	Resumable         bool           `json:"resumable"`
+	QueueLimit        int            `json:"queue_limit" validate:"min=1,max=10000"`
+	Placement         PolicySettings `json:"placement"`
+}
+
+// PolicySettings weigh availability against churn.
+type PolicySettings struct {
+	// ReturnGraceMS is how long the keys of a lost server wait for its return.
+	ReturnGraceMS Millis `json:"return_grace_ms" validate:"min=0,max=600000"`
+	// ImbalanceTolerance is the share by which the busiest server may exceed
+	// the mean; zero turns balancing off.
+	ImbalanceTolerance float64 `json:"imbalance_tolerance" validate:"min=0,max=100"`
+	MovesPerRound      int     `json:"moves_per_round" validate:"min=0,max=1000"`
+	RoundIntervalMS    Millis  `json:"round_interval_ms" validate:"min=0,max=86400000"`
+	MaxHotKeys         int     `json:"max_hot_keys" validate:"min=0,max=400"`
+	HotShare           float64 `json:"hot_share" validate:"min=0,max=10"`
+}
+
+// TimingSettings hold the leases and intervals. All entry hosts of a
+// deployment must have the same ones.
+type TimingSettings struct {
+	RouteLeaseMS      Millis `json:"route_lease_ms" validate:"min=200,max=60000"`
+	GrantTTLMS        Millis `json:"grant_ttl_ms" validate:"min=200,max=60000"`
+	DriftMarginMS     Millis `json:"drift_margin_ms" validate:"min=10,max=10000"`
+	ConfirmIntervalMS Millis `json:"confirm_interval_ms" validate:"min=20,max=10000"`
+	ProbeIntervalMS   Millis `json:"probe_interval_ms" validate:"min=20,max=10000"`
+	SuspectAfterMS    Millis `json:"suspect_after_ms" validate:"min=50,max=60000"`
+	PlacerLeaseMS     Millis `json:"placer_lease_ms" validate:"min=200,max=60000"`
+	HostTimeoutMS     Millis `json:"host_timeout_ms" validate:"min=500,max=600000"`
+	ListIntervalMS    Millis `json:"list_interval_ms" validate:"min=100,max=60000"`
+	BalancerWaitMS    Millis `json:"balancer_wait_ms" validate:"min=0,max=60000"`
+	DrainLimitMS      Millis `json:"drain_limit_ms" validate:"min=0,max=3600000"`
+	ClaimRetentionMS  Millis `json:"claim_retention_ms" validate:"min=60000"`
+}
+
+// LimitSettings bound what the host accepts and connects to.
+type LimitSettings struct {
+	MaxRequestBodyBytes int64 `json:"max_request_body_bytes" validate:"min=1024,max=67108864"`
+	// FrontSetSize is the number of entry hosts that connect to one backend
+	// server; zero means all hosts of the failure domain.
+	FrontSetSize int `json:"front_set_size" validate:"min=0,max=64"`
+}
+
+// LogSettings control the log.
+type LogSettings struct {
+	Level string `json:"level" validate:"oneof=debug info warn error"`
+	// Routing writes a line for each routing decision.
+	Routing bool `json:"routing"`
+}
+
+// Catalogue returns the names that a rules file may use.
+func (s *Settings) Catalogue() manifest.Catalogue {
+	c := manifest.Catalogue{
+		Divided: make(map[manifest.ServiceID]bool, len(s.Services)),
+		Domains: make(map[manifest.DomainID]bool, len(s.Domains)),
+	}
+	for _, service := range s.Services {
+		c.Divided[service.ID] = service.DividedByKey
+	}
+	for _, domain := range s.Domains {
+		c.Domains[domain.ID] = true
+	}
+	return c
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,34 @@
+// Standin runs stand-ins for the outside of the system: the platform's
+// key-value service, a backend server, and callers. Its demo command runs the
+// whole path in one process.
+//
+// # Usage
+//
+//	standin demo
+//	standin platform --listen 127.0.0.1:7000
+//	standin backend --listen 127.0.0.1:8001 --id w1 --service tank_readings
+//	standin caller --host 127.0.0.1:7101 --service tank_readings
+package main
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// options holds the commands.
+type options struct {
+	Platform platformCommand `command:"platform" description:"run the platform's key-value service"`
+	Backend  backendCommand  `command:"backend" description:"run one backend server"`
+	Caller   callerCommand   `command:"caller" description:"send requests and print the outcomes"`
+	Demo     demoCommand     `command:"demo" description:"run the whole path in one process"`
+}
+
+func main() {
+	if _, err := flags.Parse(&options{}); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/drydock/client.go
@@ -0,0 +1,119 @@
+package drydock
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"hornbeamwinch.example/harbor"
+)
+
+// clientTimeout bounds a call to a stand-in or to an entry host's admin
+// address.
+const clientTimeout = 5 * time.Second
+
+// Call sends body as JSON to an address and decodes the JSON answer into
+// into, unless it is nil.
+func Call(ctx context.Context, method, address, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return &Error{Op: "encode call", Kind: KindCall, Err: err}
+		}
+		reader = bytes.NewReader(data)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
+	if err != nil {
+		return &Error{Op: "call " + path, Kind: KindCall, Err: err}
+	}
+	r.Header.Set("Content-Type", "application/json")
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return &Error{Op: "call " + path, Kind: KindCall, Err: err}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	data, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return &Error{Op: "call " + path, Kind: KindCall, Err: err}
+	}
+	if answer.StatusCode >= http.StatusBadRequest {
+		return &Error{Op: "call " + path, Kind: KindCall, Err: fmt.Errorf("status %d: %s", answer.StatusCode, data)}
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return &Error{Op: "call " + path, Kind: KindCall, Err: err}
+	}
+	return nil
+}
+
+var errNotInTime = errors.New("did not come about in time")
+
+// waitPoll is the interval at which conditions are checked.
+const waitPoll = 20 * time.Millisecond
+
+// WaitFor checks condition until it holds or the limit has passed.
+func WaitFor(ctx context.Context, what string, limit time.Duration, condition func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return &Error{Op: "wait for " + what, Kind: KindCall, Err: errNotInTime}
+		case <-time.After(waitPoll):
+		}
+	}
+	return nil
+}
+
+// ApplyRules applies text as the successor of the accepted rules through the
+// entry host with the given admin address.
+func ApplyRules(ctx context.Context, admin, text, by string) (harbor.RulesRecord, error) {
+	var current, applied harbor.RulesRecord
+	if err := Call(ctx, http.MethodGet, admin, "/v1/rules", nil, &current); err != nil {
+		return applied, err
+	}
+	request := harbor.ApplyRequest{Base: current.Revision, Text: text, By: by}
+	err := Call(ctx, http.MethodPost, admin, "/v1/rules", request, &applied)
+	return applied, err
+}
+
+// StatusOf returns the view of the entry host with the given admin address.
+func StatusOf(ctx context.Context, admin string) (harbor.Status, error) {
+	var status harbor.Status
+	err := Call(ctx, http.MethodGet, admin, "/v1/status", nil, &status)
+	return status, err
+}
+
+// Settled reports whether the entry host follows a table whose shards are all
+// placed on live servers, with at least the given rules opened.
+func Settled(status harbor.Status, rules harbor.RulesStatus) bool {
+	if !status.Confirmed || status.Rules.Opened < rules.Opened {
+		return false
+	}
+	placed := 0
+	for _, server := range status.Servers {
+		if server.Moving > 0 {
+			return false
+		}
+		if server.State != "live" && server.Shards > 0 {
+			return false
+		}
+		placed += server.Shards
+	}
+	for _, host := range status.Hosts {
+		if host.State != "active" {
+			return false
+		}
+	}
+	return placed > 0
+}
--- /dev/null
+++ b/drydock/fleet.go
@@ -0,0 +1,135 @@
+package drydock
+
+import (
+	"fmt"
+	"net"
+
+	"hornbeamwinch.example/berth"
+	"hornbeamwinch.example/charter"
+	"hornbeamwinch.example/ledger"
+)
+
+// FleetConfig describes a deployment on this machine.
+type FleetConfig struct {
+	// Example names the settings to start from.
+	Example string
+	// HostsPerDomain is the number of entry hosts in each failure domain.
+	HostsPerDomain int
+	// ServersPerDomain is the number of backend servers of each service in
+	// each failure domain.
+	ServersPerDomain int
+	// PlatformAddress is the address of the platform's service.
+	PlatformAddress string
+	// Unchecked makes the servers of divided services ignore grants.
+	Unchecked bool
+	Slots     uint32
+	// Connections is the connection limit of each backend server.
+	Connections uint32
+}
+
+// Fleet is a deployment with addresses on the loopback interface.
+type Fleet struct {
+	Hosts    []*charter.Settings
+	Backends []ledger.Backend
+	Divided  map[berth.ServiceID]bool
+}
+
+// NewFleet assigns addresses and derives the settings of every entry host.
+func NewFleet(cfg FleetConfig) (*Fleet, error) {
+	base, err := charter.Example(cfg.Example)
+	if err != nil {
+		return nil, err
+	}
+	fleet := &Fleet{Divided: make(map[berth.ServiceID]bool)}
+	for _, service := range base.Services {
+		fleet.Divided[service.ID] = service.DividedByKey
+	}
+	ports := &portSource{}
+	for i := range base.Domains {
+		base.Domains[i].Peers = nil
+		fleet.addHosts(cfg, base, i, ports)
+		fleet.addBackends(cfg, base, i, ports)
+	}
+	for _, settings := range fleet.Hosts {
+		settings.Domains = base.Domains
+	}
+	return fleet, ports.err
+}
+
+func (f *Fleet) addHosts(cfg FleetConfig, base *charter.Settings, domain int, ports *portSource) {
+	for n := range cfg.HostsPerDomain {
+		settings := *base
+		id := base.Domains[domain].ID
+		settings.Host = charter.HostSettings{
+			ID:            berth.HostID(fmt.Sprintf("%s_host_%d", id, n+1)),
+			Domain:        id,
+			CallerAddress: ports.next(),
+			PeerAddress:   ports.next(),
+			AdminAddress:  ports.next(),
+		}
+		settings.Platform.Address = cfg.PlatformAddress
+		settings.Timing.BalancerWaitMS = 100
+		base.Domains[domain].Peers = append(base.Domains[domain].Peers, settings.Host.PeerAddress)
+		f.Hosts = append(f.Hosts, &settings)
+	}
+}
+
+func (f *Fleet) addBackends(cfg FleetConfig, base *charter.Settings, domain int, ports *portSource) {
+	for _, service := range base.Services {
+		for n := range cfg.ServersPerDomain {
+			f.Backends = append(f.Backends, ledger.Backend{
+				ID:           fmt.Sprintf("%s_%s_%d", base.Domains[domain].ID, service.ID, n+1),
+				Address:      ports.next(),
+				Service:      string(service.ID),
+				Domain:       string(base.Domains[domain].ID),
+				State:        ledger.BackendLive,
+				ChecksGrants: service.DividedByKey && !cfg.Unchecked,
+				Slots:        cfg.Slots,
+				Connections:  cfg.Connections,
+			})
+		}
+	}
+}
+
+// CallerAddresses returns where callers reach the entry hosts.
+func (f *Fleet) CallerAddresses() []string {
+	addresses := make([]string, 0, len(f.Hosts))
+	for _, settings := range f.Hosts {
+		addresses = append(addresses, settings.Host.CallerAddress)
+	}
+	return addresses
+}
+
+// Rules returns a rules file that spreads the keys of divided services over
+// the failure domains by prefix, and serves the rest anywhere.
+func (f *Fleet) Rules() string {
+	settings := f.Hosts[0]
+	text := ""
+	for _, service := range settings.Services {
+		if !service.DividedByKey {
+			text += fmt.Sprintf("route %s * to any # demo: any server will do\n", service.ID)
+			continue
+		}
+		text += fmt.Sprintf("route %s * to %s # demo: default home\n", service.ID, settings.Domains[0].ID)
+		for i, domain := range settings.Domains[1:] {
+			text += fmt.Sprintf("route %s key-%d* to %s # demo: spread\n", service.ID, i+1, domain.ID)
+		}
+	}
+	return text
+}
+
+// portSource hands out free ports of the loopback interface.
+type portSource struct {
+	err error
+}
+
+// next returns an address that was free a moment ago.
+func (p *portSource) next() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.err = &Error{Op: "find a port", Kind: KindListen, Err: err}
+		return "127.0.0.1:0"
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/drydock/judge.go
@@ -0,0 +1,93 @@
+package drydock
+
+import (
+	"fmt"
+	"sort"
+
+	"hornbeamwinch.example/berth"
+)
+
+// Verdict is what the records of the backend servers show.
+type Verdict struct {
+	Executions int `json:"executions"`
+	// DuplicateRuns counts executions of a request that must not be repeated
+	// beyond its first. It must be zero.
+	DuplicateRuns int `json:"duplicate_runs"`
+	// Overlaps counts pairs of executions of one key that overlapped in time
+	// on two servers of a service divided by key. It must be zero.
+	Overlaps int `json:"overlaps"`
+	// OverLimit lists servers that ran more than their slots at once.
+	OverLimit []string `json:"over_limit,omitempty"`
+	// Examples describe some of the faults.
+	Examples []string `json:"examples,omitempty"`
+}
+
+// Broken reports whether a promise was broken.
+func (v Verdict) Broken() bool {
+	return v.DuplicateRuns > 0 || v.Overlaps > 0 || len(v.OverLimit) > 0
+}
+
+// maxExamples bounds the faults that are described.
+const maxExamples = 10
+
+// Judge examines the records of all backend servers. The services in divided
+// must never run one key on two servers at the same time.
+func Judge(records []BackendRecords, divided map[berth.ServiceID]bool, slots int) Verdict {
+	var v Verdict
+	byKey := make(map[string][]Execution)
+	runs := make(map[string]int)
+	for _, r := range records {
+		v.Executions += len(r.Executions)
+		if slots > 0 && r.MaxConcurrent > slots {
+			v.OverLimit = append(v.OverLimit, fmt.Sprintf("%s ran %d at once", r.Server, r.MaxConcurrent))
+		}
+		for _, e := range r.Executions {
+			if divided[e.Service] {
+				id := string(e.Service) + "/" + e.Key
+				byKey[id] = append(byKey[id], e)
+			}
+			if e.IdempotencyKey != "" {
+				v.countRun(runs, e)
+			}
+		}
+	}
+	for _, executions := range byKey {
+		v.findOverlaps(executions)
+	}
+	return v
+}
+
+func (v *Verdict) countRun(runs map[string]int, e Execution) {
+	id := string(e.Service) + "/" + e.IdempotencyKey
+	runs[id]++
+	if runs[id] > 1 {
+		v.DuplicateRuns++
+		v.describe("%s ran %d times", id, runs[id])
+	}
+}
+
+// findOverlaps compares each execution with the latest end on any other
+// server.
+func (v *Verdict) findOverlaps(executions []Execution) {
+	sort.Slice(executions, func(i, j int) bool { return executions[i].BeganNS < executions[j].BeganNS })
+	latest := make(map[string]Execution)
+	for _, e := range executions {
+		for server, other := range latest {
+			if server != e.Server && other.EndedNS > e.BeganNS {
+				v.Overlaps++
+				v.describe("%s/%s ran on %s (token %s) and %s (token %s), %d us together",
+					e.Service, e.Key, other.Server, other.Token, e.Server, e.Token,
+					(min(other.EndedNS, e.EndedNS)-e.BeganNS)/1000)
+			}
+		}
+		if e.EndedNS > latest[e.Server].EndedNS {
+			latest[e.Server] = e
+		}
+	}
+}
+
+func (v *Verdict) describe(format string, args ...any) {
+	if len(v.Examples) < maxExamples {
+		v.Examples = append(v.Examples, fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/harbor/daemon.go
@@ -0,0 +1,264 @@
+package harbor
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"google.golang.org/grpc"
+
+	"hornbeamwinch.example/berth"
+	"hornbeamwinch.example/charter"
+	"hornbeamwinch.example/ledger"
+	"hornbeamwinch.example/quay"
+	"hornbeamwinch.example/roster"
+	"hornbeamwinch.example/signal"
+)
+
+// Config holds the parameters of a [Daemon].
+type Config struct {
+	Settings *charter.Settings
+	// Store is the platform's store; nil selects the HTTP client at the
+	// address from the settings.
+	Store ledger.Store
+	// Logger is where log lines go; nil selects JSON on standard error.
+	Logger *log.Logger
+}
+
+// Daemon is one entry host.
+type Daemon struct {
+	settings    *charter.Settings
+	store       ledger.Store
+	logs        *logs
+	metrics     *metrics
+	incarnation berth.Incarnation
+
+	gate      *roster.Gate
+	book      *RuleBook
+	directory *Directory
+	router    *quay.Router
+	control   *peerClients
+	data      *peerClients
+	follower  *follower
+	elector   *elector
+	placement *placement
+	warden    *warden
+	ingress   *ingress
+	admin     *admin
+
+	grpcServer *grpc.Server
+	servers    []*http.Server
+	group      sync.WaitGroup
+	cancel     context.CancelFunc
+}
+
+// New builds a daemon. It opens no connection and no listener yet.
+func New(cfg Config) (*Daemon, error) {
+	s := cfg.Settings
+	d := &Daemon{
+		settings:    s,
+		store:       cfg.Store,
+		incarnation: berth.Incarnation(randomNonce()),
+		book:        NewRuleBook(),
+		control:     newPeerClients(),
+		data:        newPeerClients(),
+		metrics:     newMetrics(),
+		logs:        newLogs(s, cfg.Logger),
+	}
+	if d.store == nil {
+		d.store = ledger.NewHTTP(ledger.HTTPConfig{
+			Address: s.Platform.Address,
+			Timeout: s.Platform.TimeoutMS.Duration(),
+		})
+	}
+	d.gate = roster.NewGate(roster.GateConfig{
+		Domain: s.Host.Domain,
+		Follower: roster.FollowerConfig{
+			Host:        s.Host.ID,
+			Incarnation: d.incarnation,
+			RouteLease:  s.Timing.RouteLeaseMS.Duration(),
+		},
+		Now: time.Now,
+	})
+	d.directory = NewDirectory(s.Host.Domain, d.gate)
+	d.router = d.newRouter()
+	d.placement = newPlacement(d)
+	d.elector = newElector(d)
+	d.warden = newWarden(d)
+	d.follower = newFollower(d)
+	d.ingress = newIngress(d)
+	d.admin = newAdmin(d)
+	return d, nil
+}
+
+func (d *Daemon) newRouter() *quay.Router {
+	return quay.NewRouter(quay.RouterConfig{
+		Host:     d.settings.Host.ID,
+		Domain:   d.settings.Host.Domain,
+		Gate:     d.gate,
+		Services: serviceConfigs(d.settings),
+		Claims: quay.NewClaims(quay.ClaimsConfig{
+			Store:     d.store,
+			Host:      d.settings.Host.ID,
+			Retention: d.settings.Timing.ClaimRetentionMS.Duration(),
+			Now:       time.Now,
+			Nonce:     randomNonce,
+		}),
+		Forwarder:    &forwarder{clients: d.data},
+		Directory:    d.directory,
+		FrontSetSize: d.settings.Limits.FrontSetSize,
+		Metrics:      d.metrics.scope,
+		Decisions:    d.logs,
+		Home:         d.book.Home,
+	})
+}
+
+func serviceConfigs(s *charter.Settings) []quay.ServiceConfig {
+	configs := make([]quay.ServiceConfig, 0, len(s.Services))
+	for _, service := range s.Services {
+		configs = append(configs, quay.ServiceConfig{
+			ID:              service.ID,
+			Divided:         service.DividedByKey,
+			Repeat:          quay.Repeat(service.Repeat),
+			Timeout:         service.TimeoutMS.Duration(),
+			SilentAfter:     service.SilentAfterMS.Duration(),
+			ProgressTimeout: service.ProgressTimeoutMS.Duration(),
+			Resumable:       service.Resumable,
+			QueueLimit:      service.QueueLimit,
+		})
+	}
+	return configs
+}
+
+// Start opens the listeners and starts the loops. It returns once the daemon
+// listens; readiness is reported at the admin address.
+func (d *Daemon) Start(context.Context) error {
+	listeners, err := d.listen()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	d.grpcServer = grpc.NewServer()
+	signal.RegisterPeersServer(d.grpcServer, &peers{daemon: d})
+	d.launch(func() { _ = d.grpcServer.Serve(listeners.peer) })
+	d.serveHTTP(listeners.caller, d.ingress.handler())
+	d.serveHTTP(listeners.admin, d.admin.handler())
+	d.launch(func() { d.placement.run(ctx) })
+	d.launch(func() { d.elector.run(ctx) })
+	d.launch(func() { d.warden.run(ctx) })
+	d.launch(func() { d.follower.run(ctx) })
+	d.logs.started(d)
+	return nil
+}
+
+// launch runs a loop until Stop.
+func (d *Daemon) launch(loop func()) {
+	d.group.Go(loop)
+}
+
+// listeners are the open sockets of a daemon.
+type listeners struct {
+	caller net.Listener
+	peer   net.Listener
+	admin  net.Listener
+}
+
+func (d *Daemon) listen() (listeners, error) {
+	var l listeners
+	var err error
+	host := d.settings.Host
+	if l.caller, err = net.Listen("tcp", host.CallerAddress); err != nil {
+		return l, newError("listen for callers", KindListen, err)
+	}
+	if l.peer, err = net.Listen("tcp", host.PeerAddress); err != nil {
+		_ = l.caller.Close()
+		return l, newError("listen for peers", KindListen, err)
+	}
+	if l.admin, err = net.Listen("tcp", host.AdminAddress); err != nil {
+		_ = l.caller.Close()
+		_ = l.peer.Close()
+		return l, newError("listen for operators", KindListen, err)
+	}
+	return l, nil
+}
+
+// readHeaderTimeout bounds the reading of a request's head.
+const readHeaderTimeout = 10 * time.Second
+
+func (d *Daemon) serveHTTP(l net.Listener, handler http.Handler) {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ErrorLog:          d.logs.standard(),
+	}
+	d.servers = append(d.servers, server)
+	d.launch(func() { _ = server.Serve(l) })
+}
+
+// Stop shuts down gracefully: it reports unready, waits for the balancer to
+// notice, finishes the requests in flight, gives up the placer's lease, and
+// closes the peer listener last.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.admin.setDraining()
+	sleep(ctx, d.settings.Timing.BalancerWaitMS.Duration())
+	d.gate.Leave()
+	drainCtx, cancel := context.WithTimeout(ctx, d.settings.Timing.DrainLimitMS.Duration())
+	defer cancel()
+	d.drainRequests(drainCtx)
+	d.follower.leave(drainCtx)
+	d.elector.resign(drainCtx)
+	d.cancel()
+	stopGRPC(drainCtx, d.grpcServer)
+	for _, server := range d.servers {
+		_ = server.Close()
+	}
+	d.group.Wait()
+	d.control.close()
+	d.data.close()
+	d.logs.stopped()
+	return nil
+}
+
+// drainRequests waits until no caller's request is in flight on this host.
+func (d *Daemon) drainRequests(ctx context.Context) {
+	for _, server := range d.servers {
+		server.SetKeepAlivesEnabled(false)
+	}
+	const poll = 10 * time.Millisecond
+	for ctx.Err() == nil {
+		if d.ingress.inFlight() == 0 && d.gate.View().InFlight == 0 {
+			return
+		}
+		sleep(ctx, poll)
+	}
+}
+
+// stopGRPC lets running calls finish until ctx ends.
+func stopGRPC(ctx context.Context, server *grpc.Server) {
+	stop := context.AfterFunc(ctx, server.Stop)
+	defer stop()
+	server.GracefulStop()
+}
+
+// sleep waits for the given time or until ctx ends.
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// randomNonce returns a random number other than zero.
+func randomNonce() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:]) | 1
+}
--- /dev/null
+++ b/harbor/directory.go
@@ -0,0 +1,136 @@
+package harbor
+
+import (
+	"slices"
+	"sync"
+
+	"hornbeamwinch.example/berth"
+	"hornbeamwinch.example/manifest"
+	"hornbeamwinch.example/roster"
+	"hornbeamwinch.example/signal"
+)
+
+// DomainRoster lists the entry hosts of one failure domain.
+type DomainRoster struct {
+	Domain      berth.DomainID
+	Epoch       berth.Epoch
+	Version     berth.Version
+	RulesClosed berth.RulesRevision
+	Hosts       []berth.Host
+}
+
+// Directory knows the entry hosts of every failure domain. What it knows of
+// other domains may be stale: a request that reaches the wrong host is refused
+// or forwarded there. It is safe for concurrent use.
+type Directory struct {
+	domain berth.DomainID
+	gate   *roster.Gate
+
+	mu      sync.Mutex
+	rosters map[berth.DomainID]DomainRoster
+}
+
+// NewDirectory returns a directory that knows only the gate's own domain.
+func NewDirectory(domain berth.DomainID, gate *roster.Gate) *Directory {
+	return &Directory{domain: domain, gate: gate, rosters: make(map[berth.DomainID]DomainRoster)}
+}
+
+// Hosts implements quay.Directory. For the domain "any" it returns the hosts
+// of all other domains.
+func (d *Directory) Hosts(domain berth.DomainID) []berth.Host {
+	if domain == d.domain {
+		return d.own()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if domain != manifest.AnyDomain {
+		return activeHosts(d.rosters[domain].Hosts)
+	}
+	var hosts []berth.Host
+	for _, r := range d.rosters {
+		hosts = append(hosts, activeHosts(r.Hosts)...)
+	}
+	return hosts
+}
+
+func (d *Directory) own() []berth.Host {
+	table := d.gate.View().Table
+	if table == nil {
+		return nil
+	}
+	return activeHosts(table.Hosts)
+}
+
+func activeHosts(hosts []berth.Host) []berth.Host {
+	var active []berth.Host
+	for _, h := range hosts {
+		if h.State == berth.HostActive {
+			active = append(active, h)
+		}
+	}
+	return active
+}
+
+// Learn keeps a roster if it is newer than the known one.
+func (d *Directory) Learn(r DomainRoster) {
+	if r.Domain == d.domain {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known, ok := d.rosters[r.Domain]; ok && known.Version >= r.Version {
+		return
+	}
+	d.rosters[r.Domain] = r
+}
+
+// Rosters returns the known rosters by domain.
+func (d *Directory) Rosters() []DomainRoster {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rosters := make([]DomainRoster, 0, len(d.rosters))
+	for _, r := range d.rosters {
+		rosters = append(rosters, r)
+	}
+	slices.SortFunc(rosters, func(a, b DomainRoster) int {
+		if a.Domain < b.Domain {
+			return -1
+		}
+		return 1
+	})
+	return rosters
+}
+
+func rosterOf(t *berth.Table) DomainRoster {
+	return DomainRoster{
+		Domain:      t.Domain,
+		Epoch:       t.Epoch,
+		Version:     t.Version,
+		RulesClosed: t.Rules.Closed,
+		Hosts:       t.Hosts,
+	}
+}
+
+func encodeRosters(rosters []DomainRoster) []*signal.DomainRoster {
+	records := make([]*signal.DomainRoster, 0, len(rosters))
+	for _, r := range rosters {
+		records = append(records, &signal.DomainRoster{
+			Domain:      string(r.Domain),
+			Epoch:       uint64(r.Epoch),
+			Version:     uint64(r.Version),
+			RulesClosed: uint64(r.RulesClosed),
+			Hosts:       berth.EncodeHosts(r.Hosts),
+		})
+	}
+	return records
+}
+
+func decodeRoster(r *signal.DomainRoster) DomainRoster {
+	return DomainRoster{
+		Domain:      berth.DomainID(r.GetDomain()),
+		Epoch:       berth.Epoch(r.GetEpoch()),
+		Version:     berth.Version(r.GetVersion()),
+		RulesClosed: berth.RulesRevision(r.GetRulesClosed()),
+		Hosts:       berth.DecodeHosts(r.GetHosts()),
+	}
+}
--- /dev/null
+++ b/harbor/forwarder.go
@@ -0,0 +1,139 @@
+package harbor
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"google.golang.org/grpc/connectivity"
+
+	"hornbeamwinch.example/berth"
+	"hornbeamwinch.example/quay"
+	"hornbeamwinch.example/signal"
+)
+
+const (
+	// connectTimeout bounds the wait for a connection to another entry host.
+	connectTimeout = 300 * time.Millisecond
+	// hopMargin is taken off the timeout for each hop, so that the nearer
+	// host still has time to answer its caller.
+	hopMargin = 5 * time.Millisecond
+)
+
+// forwarder implements quay.Forwarder over gRPC.
+type forwarder struct {
+	clients *peerClients
+}
+
+// Forward implements quay.Forwarder.
+func (f *forwarder) Forward(ctx context.Context, host berth.Host, r *quay.Request, sink quay.Sink) (quay.Outcome, error) {
+	client, err := f.connected(ctx, host.Address)
+	if err != nil {
+		return nil, &quay.Error{Op: "forward", Kind: quay.KindNotRun, Err: err}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := client.Forward(ctx, forwardMessage(ctx, r))
+	if err != nil {
+		f.dropIfSilent(ctx, host.Address)
+		return nil, &quay.Error{Op: "forward", Kind: quay.KindMayHaveRun, Err: err}
+	}
+	outcome, err := relay(stream, sink)
+	if err != nil {
+		f.dropIfSilent(ctx, host.Address)
+		return nil, &quay.Error{Op: "forward", Kind: quay.KindMayHaveRun, Err: err}
+	}
+	return outcome, nil
+}
+
+var errNotConnected = errors.New("entry host cannot be reached")
+
+// connected returns a client whose connection is established. Without one no
+// byte of the request is sent.
+func (f *forwarder) connected(ctx context.Context, address string) (signal.PeersClient, error) {
+	client, err := f.clients.client(address)
+	if err != nil {
+		return nil, err
+	}
+	conn := f.clients.conn(address)
+	if conn == nil {
+		return nil, errNotConnected
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn.Connect()
+	for {
+		state := conn.GetState()
+		if state == connectivity.Ready {
+			return client, nil
+		}
+		if state == connectivity.TransientFailure || state == connectivity.Shutdown {
+			return nil, errNotConnected
+		}
+		if !conn.WaitForStateChange(ctx, state) {
+			return nil, errNotConnected
+		}
+	}
+}
+
+// dropIfSilent replaces a connection on which a call has run out of time.
+func (f *forwarder) dropIfSilent(ctx context.Context, address string) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		f.clients.drop(address)
+	}
+}
+
+func forwardMessage(ctx context.Context, r *quay.Request) *signal.ForwardRequest {
+	message := &signal.ForwardRequest{
+		RequestId: r.ID,
+		Service:   string(r.Service),
+		Key:       r.Key,
+		Method:    r.Method,
+		Path:      r.Path,
+		Query:     r.Query,
+		Headers:   encodeHeader(r.Header),
+		Body:      r.Body,
+		Hops:      uint32(r.Hops),
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline)-hopMargin, time.Millisecond)
+		message.TimeoutMicros = uint64(left.Microseconds())
+	}
+	return message
+}
+
+var errStreamCut = errors.New("stream ended without an outcome")
+
+// relay passes the chunks of an answer to sink.
+func relay(stream signal.Peers_ForwardClient, sink quay.Sink) (quay.Outcome, error) {
+	for {
+		chunk, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil, errStreamCut
+		}
+		if err != nil {
+			return nil, err
+		}
+		switch part := chunk.GetPart().(type) {
+		case *signal.ForwardChunk_Head:
+			err = sink.Head(int(part.Head.GetStatus()), decodeHeader(part.Head.GetHeaders()))
+		case *signal.ForwardChunk_Data:
+			_, err = sink.Write(part.Data)
+		case *signal.ForwardChunk_End:
+			return decodeOutcome(part.End), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+func decodeHeader(headers []*signal.Header) http.Header {
+	header := make(http.Header, len(headers))
+	for _, h := range headers {
+		header.Add(h.GetName(), h.GetValue())
+	}
+	return header
+}
--- /dev/null
+++ b/harbor/ingress.go
@@ -0,0 +1,199 @@
+package harbor
+
+import (
+	"context"
+	"encoding/hex"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"hornbeamwinch.example/berth"
+	"hornbeamwinch.example/quay"
+)
+
+// maxCallerTimeout bounds the timeout that a caller may ask for.
+const maxCallerTimeout = time.Hour
+
+// ingress serves callers. A request for a key of a service has the path
+// /s/SERVICE/KEY, with any further path and query after the key.
+type ingress struct {
+	d       *Daemon
+	running atomic.Int64
+}
+
+func newIngress(d *Daemon) *ingress {
+	return &ingress{d: d}
+}
+
+func (i *ingress) inFlight() int64 {
+	return i.running.Load()
+}
+
+func (i *ingress) handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.Any("/s/:service/:key", i.serve)
+	engine.Any("/s/:service/:key/*rest", i.serve)
+	return engine
+}
+
+// serve routes one request.
+func (i *ingress) serve(c *gin.Context) {
+	i.running.Add(1)
+	defer i.running.Add(-1)
+	began := time.Now()
+	request, invalid := i.request(c)
+	if invalid != nil {
+		writeInvalid(c.Writer, request.ID, *invalid)
+		return
+	}
+	ctx := c.Request.Context()
+	if timeout, ok := callerTimeout(c.Request); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	outcome := i.d.router.Route(ctx, request, &httpSink{w: c.Writer, requestID: request.ID})
+	i.d.logs.answered(request, outcome, time.Since(began))
+	i.d.metrics.latency(request.Service, time.Since(began))
+	writeOutcome(c.Writer, request.ID, outcome)
+}
+
+// request reads the caller's request. The whole body is read before anything
+// is sent to a backend server.
+func (i *ingress) request(c *gin.Context) (*quay.Request, *quay.Invalid) {
+	r := &quay.Request{
+		ID:      c.GetHeader(quay.HeaderRequestID),
+		Service: berth.ServiceID(c.Param("service")),
+		Key:     c.Param("key"),
+		Method:  c.Request.Method,
+		Path:    strings.TrimSuffix(c.Param("rest"), "/"),
+		Query:   c.Request.URL.RawQuery,
+		Header:  quay.EndToEnd(c.Request.Header),
+	}
+	if r.ID == "" {
+		r.ID = strconv.FormatUint(randomNonce(), 16)
+	}
+	limit := i.d.settings.Limits.MaxRequestBodyBytes
+	body, err := io.ReadAll(io.LimitReader(c.Request.Body, limit+1))
+	if err != nil {
+		return r, &quay.Invalid{Status: http.StatusBadRequest, Reason: quay.ReasonBodyUnreadable}
+	}
+	if int64(len(body)) > limit {
+		return r, &quay.Invalid{Status: http.StatusRequestEntityTooLarge, Reason: quay.ReasonBodyTooLarge}
+	}
+	r.Body = body
+	return r, nil
+}
+
+// callerTimeout reads the time that the caller is willing to wait.
+func callerTimeout(r *http.Request) (time.Duration, bool) {
+	millis, err := strconv.ParseInt(r.Header.Get(quay.HeaderTimeout), 10, 64)
+	if err != nil || millis <= 0 {
+		return 0, false
+	}
+	return min(time.Duration(millis)*time.Millisecond, maxCallerTimeout), true
+}
+
+// httpSink passes an answer to the caller.
+type httpSink struct {
+	w         gin.ResponseWriter
+	requestID string
+}
+
+// Head implements quay.Sink.
+func (s *httpSink) Head(status int, header http.Header) error {
+	target := s.w.Header()
+	for name, values := range header {
+		target[name] = values
+	}
+	target.Set(quay.HeaderRequestID, s.requestID)
+	target.Set(quay.HeaderOutcome, quay.OutcomeWhole)
+	s.w.WriteHeader(status)
+	return nil
+}
+
+// Write implements quay.Sink.
+func (s *httpSink) Write(data []byte) (int, error) {
+	n, err := s.w.Write(data)
+	if err == nil {
+		s.w.Flush()
+	}
+	return n, err
+}
+
+// writeOutcome completes the answer to the caller. A cut answer is aborted, so
+// that it cannot be taken for a whole one.
+func writeOutcome(w gin.ResponseWriter, requestID string, outcome quay.Outcome) {
+	switch o := outcome.(type) {
+	case quay.Whole:
+		w.WriteHeaderNow()
+	case quay.Refused:
+		writeProblem(w, requestID, http.StatusServiceUnavailable, problem{
+			Outcome: quay.OutcomeNotRun, Reason: o.Reason, RetryAfter: o.RetryAfter,
+		})
+	case quay.Unknown:
+		writeProblem(w, requestID, unknownStatus(o.Reason), problem{
+			Outcome: quay.OutcomeUnknown, Reason: o.Reason, RetryAfter: o.RetryAfter,
+		})
+	case quay.Invalid:
+		writeInvalid(w, requestID, o)
+	case quay.Cut:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func writeInvalid(w gin.ResponseWriter, requestID string, o quay.Invalid) {
+	writeProblem(w, requestID, o.Status, problem{Outcome: quay.OutcomeNotRun, Reason: o.Reason})
+}
+
+func unknownStatus(reason quay.Reason) int {
+	switch reason {
+	case quay.ReasonInProgress:
+		return http.StatusConflict
+	case quay.ReasonDeadline, quay.ReasonSilent:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// problem is an answer that the entry host gives itself.
+type problem struct {
+	Outcome    string
+	Reason     quay.Reason
+	RetryAfter time.Duration
+}
+
+func writeProblem(w gin.ResponseWriter, requestID string, status int, p problem) {
+	header := w.Header()
+	header.Set(quay.HeaderRequestID, requestID)
+	header.Set(quay.HeaderOutcome, p.Outcome)
+	header.Set(quay.HeaderReason, string(p.Reason))
+	header.Set("Content-Type", "application/json")
+	if p.RetryAfter > 0 {
+		seconds := int(math.Ceil(p.RetryAfter.Seconds()))
+		header.Set(quay.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	w.WriteHeader(status)
+	body := `{"outcome":"` + p.Outcome + `","reason":"` + string(p.Reason) +
+		`","request_id":"` + hexIfUnsafe(requestID) + "\"}\n"
+	_, _ = io.WriteString(w, body)
+}
+
+// hexIfUnsafe returns id, or its hexadecimal form if it cannot stand in a JSON
+// string as it is.
+func hexIfUnsafe(id string) string {
+	for _, c := range id {
+		if c < ' ' || c > '~' || c == '"' || c == '\\' {
+			return hex.EncodeToString([]byte(id))
+		}
+	}
+	return id
+}
--- /dev/null
+++ b/harbor/status.go
@@ -0,0 +1,227 @@
+package harbor
+
+import (
+	"encoding/json"
+
+	"hornbeamwinch.example/berth"
+	"hornbeamwinch.example/signal"
+)
+
+// Status is one entry host's view, as the operators' API gives it.
+type Status struct {
+	Host        berth.HostID    `json:"host"`
+	Domain      berth.DomainID  `json:"domain"`
+	Ready       bool            `json:"ready"`
+	Placer      bool            `json:"placer"`
+	Confirmed   bool            `json:"confirmed"`
+	Epoch       berth.Epoch     `json:"epoch"`
+	Version     berth.Version   `json:"version"`
+	Holder      berth.HostID    `json:"holder"`
+	Rules       RulesStatus     `json:"rules"`
+	InFlight    int             `json:"in_flight"`
+	Hosts       []HostStatus    `json:"hosts"`
+	Servers     []ServerSummary `json:"servers"`
+	OtherDomain []DomainSummary `json:"other_domains"`
+}
+
+// RulesStatus tells which rules a host and its failure domain use.
+type RulesStatus struct {
+	Host    berth.RulesRevision `json:"host"`
+	Closing berth.RulesRevision `json:"closing"`
+	Closed  berth.RulesRevision `json:"closed"`
+	Opened  berth.RulesRevision `json:"opened"`
+}
+
+// HostStatus is one entry host of the table.
+type HostStatus struct {
+	ID      berth.HostID `json:"id"`
+	Address string       `json:"address"`
+	State   string       `json:"state"`
+}
+
+// ServerSummary is one backend server of the table.
+type ServerSummary struct {
+	ID           berth.ServerID  `json:"id"`
+	Service      berth.ServiceID `json:"service"`
+	Address      string          `json:"address"`
+	State        string          `json:"state"`
+	ChecksGrants bool            `json:"checks_grants"`
+	Shards       int             `json:"shards"`
+	Moving       int             `json:"moving"`
+	Wardens      []berth.HostID  `json:"wardens"`
+}
+
+// DomainSummary is what a host knows of another failure domain.
+type DomainSummary struct {
+	Domain      berth.DomainID      `json:"domain"`
+	Epoch       berth.Epoch         `json:"epoch"`
+	Version     berth.Version       `json:"version"`
+	RulesClosed berth.RulesRevision `json:"rules_closed"`
+	Hosts       []HostStatus        `json:"hosts"`
+}
+
+// Explanation says where requests for one key go and why.
+type Explanation struct {
+	Service  berth.ServiceID `json:"service"`
+	Key      string          `json:"key"`
+	Rule     string          `json:"rule"`
+	RuleLine int             `json:"rule_line"`
+	Home     berth.DomainID  `json:"home"`
+	// Here says that the answering host belongs to the home domain; the rest
+	// is empty otherwise.
+	Here    bool           `json:"here"`
+	Divided bool           `json:"divided_by_key"`
+	Shard   berth.ShardID  `json:"shard"`
+	Owner   berth.ServerID `json:"owner"`
+	Next    berth.ServerID `json:"next_owner,omitempty"`
+	Token   string         `json:"token"`
+	// InPlace says that the assignment is recorded and may be dispatched to.
+	InPlace bool   `json:"in_place"`
+	Reason  string `json:"reason"`
+}
+
+// Drain is an operator's order that a backend server leaves.
+type Drain struct {
+	Server berth.ServerID `json:"server"`
+	By     string         `json:"by"`
+	Reason string         `json:"reason,omitempty"`
+}
+
+// Problem is the body of a failed operators' call.
+type Problem struct {
+	Error string `json:"error"`
+	// Current is set when rules changed since they were read.
+	Current *RulesRecord `json:"current,omitempty"`
+}
+
+// ApplyRequest asks for new rules.
+type ApplyRequest struct {
+	// Base is the revision that the operator edited.
+	Base   berth.RulesRevision `json:"base"`
+	Text   string              `json:"text"`
+	By     string              `json:"by"`
+	Reason string              `json:"reason"`
+}
+
+// status returns this host's view.
+func (d *Daemon) status() Status {
+	view := d.gate.View()
+	s := Status{
+		Host:      d.settings.Host.ID,
+		Domain:    d.settings.Host.Domain,
+		Ready:     d.admin.ready(),
+		Placer:    d.placement.isActive(),
+		Confirmed: view.Confirmed,
+		InFlight:  view.InFlight,
+		Rules:     RulesStatus{Host: d.book.Newest().Revision},
+	}
+	for _, r := range d.directory.Rosters() {
+		s.OtherDomain = append(s.OtherDomain, DomainSummary{
+			Domain: r.Domain, Epoch: r.Epoch, Version: r.Version,
+			RulesClosed: r.RulesClosed, Hosts: hostStatuses(r.Hosts),
+		})
+	}
+	if view.Table == nil {
+		return s
+	}
+	s.Epoch = view.Table.Epoch
+	s.Version = view.Table.Version
+	s.Holder = view.Table.Holder
+	s.Rules.Closing = view.Table.Rules.Closing
+	s.Rules.Closed = view.Table.Rules.Closed
+	s.Rules.Opened = view.Table.Rules.Opened
+	s.Hosts = hostStatuses(view.Table.Hosts)
+	s.Servers = serverSummaries(view.Table)
+	return s
+}
+
+func hostStatuses(hosts []berth.Host) []HostStatus {
+	statuses := make([]HostStatus, 0, len(hosts))
+	for _, h := range hosts {
+		statuses = append(statuses, HostStatus{ID: h.ID, Address: h.Address, State: h.State.String()})
+	}
+	return statuses
+}
+
+func serverSummaries(table *berth.Table) []ServerSummary {
+	placed := make(map[berth.ServerID]int)
+	moving := make(map[berth.ServerID]int)
+	for i := range table.Services {
+		for _, shard := range table.Services[i].Shards {
+			if shard.Placed() {
+				placed[shard.Owner]++
+			} else if shard.Next != "" {
+				moving[shard.Next]++
+			}
+		}
+	}
+	summaries := make([]ServerSummary, 0, len(table.Servers))
+	for _, server := range table.Servers {
+		summaries = append(summaries, ServerSummary{
+			ID: server.ID, Service: server.Service, Address: server.Address,
+			State: server.State.String(), ChecksGrants: server.ChecksGrants,
+			Shards: placed[server.ID], Moving: moving[server.ID],
+			Wardens: table.Wardens(server.ID),
+		})
+	}
+	return summaries
+}
+
+// explain says where requests for a key go.
+func (d *Daemon) explain(service berth.ServiceID, key string) Explanation {
+	e := Explanation{Service: service, Key: key}
+	file, _ := d.book.File(d.book.Newest().Revision)
+	rule, ok := file.Match(service, key)
+	if !ok {
+		e.Reason = "no rule matches the key"
+		return e
+	}
+	e.Rule = rule.String()
+	e.RuleLine = rule.Position.Line
+	e.Home = rule.Domain
+	e.Here = rule.Domain == d.settings.Host.Domain
+	config, _ := d.router.Service(service)
+	e.Divided = config.Divided
+	if !e.Divided {
+		e.Reason = "the service is not divided by key; any live server may serve the key"
+		return e
+	}
+	if !e.Here {
+		e.Reason = "the key is served in its home domain; ask an entry host there"
+		return e
+	}
+	d.explainOwner(&e)
+	return e
+}
+
+func (d *Daemon) explainOwner(e *Explanation) {
+	table := d.gate.View().Table
+	if table == nil || table.Shards(e.Service) == nil {
+		e.Reason = "the host knows no table yet"
+		return
+	}
+	shards := table.Shards(e.Service)
+	e.Shard = shards.ShardOf(e.Key)
+	row := shards.Shards[e.Shard]
+	e.Owner = row.Owner
+	e.Next = row.Next
+	e.Token = row.Token.String()
+	e.InPlace = row.Placed()
+	switch {
+	case row.Placed():
+		e.Reason = "the hash of the key selects the shard, and the table places it"
+	case row.Next != "":
+		e.Reason = "the shard is moving; it waits for proof that its former owner has released it"
+	default:
+		e.Reason = "the shard has no owner yet"
+	}
+}
+
+// peerStatus asks another entry host for its view.
+func (d *Daemon) peerStatus(reply *signal.StatusReply) (Status, error) {
+	var s Status
+	if err := json.Unmarshal(reply.GetJson(), &s); err != nil {
+		return s, newError("read status", KindPeer, err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/ledger/errors.go
@@ -0,0 +1,52 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Kind classifies an [Error].
+type Kind int
+
+const (
+	// KindNotFound marks a key or lease that does not exist.
+	KindNotFound Kind = iota + 1
+	// KindConflict marks a write whose expected revision was not current.
+	KindConflict
+	// KindUnavailable marks a call that certainly had no effect because the
+	// service could not be reached or refused it.
+	KindUnavailable
+	// KindUnknown marks a write that may or may not have taken effect.
+	KindUnknown
+	// KindTooLarge marks a value over [MaxValueBytes].
+	KindTooLarge
+	// KindProtocol marks an answer that is not of the protocol.
+	KindProtocol
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Key  string
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.Key == "" {
+		return fmt.Sprintf("%s: %v", e.Op, e.Err)
+	}
+	return fmt.Sprintf("%s %s: %v", e.Op, e.Key, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// IsKind reports whether err is an [Error] of the given kind.
+func IsKind(err error, kind Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
--- /dev/null
+++ b/ledger/store.go
@@ -0,0 +1,80 @@
+package ledger
+
+import (
+	"context"
+	"time"
+)
+
+// MaxValueBytes is the largest value that the service holds.
+const MaxValueBytes = 1 << 20
+
+// Revision is the service's number for one value of a key. It rises with every
+// write to the service. Zero stands for a key that does not exist.
+type Revision uint64
+
+// LeaseID names a lease.
+type LeaseID string
+
+// Entry is the value of one key.
+type Entry struct {
+	Key      string
+	Value    []byte
+	Revision Revision
+}
+
+// Swap is a conditional write: it takes effect only if the key is at Revision.
+// A Revision of zero requires that the key does not exist.
+type Swap struct {
+	Key      string
+	Revision Revision
+	Value    []byte
+	// Lease ties the key's life to a lease, if it is set.
+	Lease LeaseID
+}
+
+// BackendState is the platform's opinion of a backend server. It lags.
+type BackendState string
+
+// States of the platform's list.
+const (
+	BackendLive    BackendState = "live"
+	BackendLeaving BackendState = "leaving"
+)
+
+// Backend is one entry of the platform's list of backend servers.
+type Backend struct {
+	ID           string       `json:"id"`
+	Address      string       `json:"address"`
+	Service      string       `json:"service"`
+	Domain       string       `json:"domain"`
+	State        BackendState `json:"state"`
+	ChecksGrants bool         `json:"checks_grants"`
+	Slots        uint32       `json:"slots"`
+	Connections  uint32       `json:"connections"`
+}
+
+// Store is the platform's key-value service. Its methods are safe for
+// concurrent use and return errors of type [*Error].
+type Store interface {
+	// Get returns the entry of key, or an error of [KindNotFound].
+	Get(ctx context.Context, key string) (Entry, error)
+	// Unchanged reports whether key is at revision. It transfers no value.
+	Unchanged(ctx context.Context, key string, revision Revision) (bool, error)
+	// List returns the entries whose keys have the given prefix, by key.
+	List(ctx context.Context, prefix string) ([]Entry, error)
+	// Watch waits until an entry under prefix has a revision above after, or
+	// for the given time, and returns the changed entries.
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Entry, error)
+	// Swap writes a value and returns its revision.
+	Swap(ctx context.Context, swap Swap) (Revision, error)
+	// Delete removes key if it is at revision.
+	Delete(ctx context.Context, key string, revision Revision) error
+	// GrantLease creates a lease that ends after ttl unless it is renewed.
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// RenewLease starts the time to live of a lease again.
+	RenewLease(ctx context.Context, lease LeaseID) error
+	// RevokeLease ends a lease and removes the keys tied to it.
+	RevokeLease(ctx context.Context, lease LeaseID) error
+	// Backends returns the platform's list of backend servers.
+	Backends(ctx context.Context) ([]Backend, error)
+}
--- /dev/null
+++ b/quay/claim.go
@@ -0,0 +1,248 @@
+package quay
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"hornbeamwinch.example/berth"
+	"hornbeamwinch.example/ledger"
+)
+
+const (
+	// maxStoredBody is the largest answer body kept with a claim, in bytes.
+	maxStoredBody = 64 << 10
+	// claimLeaseSpan is how long one store lease collects new claims.
+	claimLeaseSpan = time.Hour
+	// settleTimeout bounds the recording of an outcome after its answer.
+	settleTimeout = 2 * time.Second
+)
+
+// ClaimState is the state of a claim in the store.
+type ClaimState string
+
+const (
+	// ClaimOpen marks a request that may have been sent to a server.
+	ClaimOpen ClaimState = "open"
+	// ClaimDone marks a request with a recorded answer.
+	ClaimDone ClaimState = "done"
+)
+
+// claimRecord is the stored form of a claim.
+type claimRecord struct {
+	State       ClaimState   `json:"state"`
+	Host        berth.HostID `json:"host"`
+	Nonce       uint64       `json:"nonce"`
+	Fingerprint string       `json:"fingerprint"`
+	Status      int          `json:"status,omitempty"`
+	Header      http.Header  `json:"header,omitempty"`
+	Body        []byte       `json:"body,omitempty"`
+	// BodyOmitted says that the answer was too large to keep.
+	BodyOmitted bool `json:"body_omitted,omitempty"`
+}
+
+// ClaimsConfig holds the parameters of [Claims].
+type ClaimsConfig struct {
+	Store ledger.Store
+	Host  berth.HostID
+	// Retention is how long a claim protects its idempotency key.
+	Retention time.Duration
+	Now       func() time.Time
+	Nonce     func() uint64
+}
+
+// Claims makes sure that requests with one idempotency key are sent to a
+// backend server at most once, through whichever entry host they come. A claim
+// is a record in the platform's store, created by compare-and-swap before the
+// request is sent. Without the store there is no claim and the request does
+// not run. It is safe for concurrent use.
+type Claims struct {
+	cfg ClaimsConfig
+
+	mu        sync.Mutex
+	lease     ledger.LeaseID
+	leaseFrom time.Time
+}
+
+// NewClaims returns a claims client.
+func NewClaims(cfg ClaimsConfig) *Claims {
+	return &Claims{cfg: cfg}
+}
+
+// Claim is the right to send one request.
+type Claim struct {
+	claims   *Claims
+	key      string
+	revision ledger.Revision
+	record   claimRecord
+}
+
+// Stored is the recorded answer to an earlier request with the same key.
+type Stored struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// ClaimResult is the result of [Claims.Open]. Exactly one field is set.
+type ClaimResult struct {
+	// Claim is set if the request may be sent now.
+	Claim *Claim
+	// Stored is set if the request ran before and its answer is known.
+	Stored *Stored
+	// InProgress is set if the request may be running, or may have run
+	// without an answer.
+	InProgress bool
+	// Reused is set if the key belongs to a different request.
+	Reused bool
+}
+
+// Open claims the idempotency key of r. An error of [KindStore] means that no
+// claim was obtained, so that the request must not be sent.
+func (c *Claims) Open(ctx context.Context, r *Request) (ClaimResult, error) {
+	lease, err := c.currentLease(ctx)
+	if err != nil {
+		return ClaimResult{}, newError("open claim", KindStore, err)
+	}
+	claim := &Claim{claims: c, key: claimKey(r), record: claimRecord{
+		State:       ClaimOpen,
+		Host:        c.cfg.Host,
+		Nonce:       c.cfg.Nonce(),
+		Fingerprint: fingerprint(r),
+	}}
+	err = claim.write(ctx, lease)
+	switch {
+	case err == nil:
+		return ClaimResult{Claim: claim}, nil
+	case ledger.IsKind(err, ledger.KindConflict), ledger.IsKind(err, ledger.KindUnknown):
+		return c.readBack(ctx, claim)
+	default:
+		c.dropLease(err)
+		return ClaimResult{}, newError("open claim", KindStore, err)
+	}
+}
+
+// readBack resolves a claim that was refused or whose write has an unknown
+// outcome: the record carries the nonce of its writer.
+func (c *Claims) readBack(ctx context.Context, claim *Claim) (ClaimResult, error) {
+	entry, err := c.cfg.Store.Get(ctx, claim.key)
+	if err != nil {
+		return ClaimResult{}, newError("read claim", KindStore, err)
+	}
+	var found claimRecord
+	if err := json.Unmarshal(entry.Value, &found); err != nil {
+		return ClaimResult{}, newError("read claim", KindStore, err)
+	}
+	switch {
+	case found.Fingerprint != claim.record.Fingerprint:
+		return ClaimResult{Reused: true}, nil
+	case found.State == ClaimDone && !found.BodyOmitted:
+		return ClaimResult{Stored: &Stored{Status: found.Status, Header: found.Header, Body: found.Body}}, nil
+	case found.Host == claim.record.Host && found.Nonce == claim.record.Nonce:
+		claim.revision = entry.Revision
+		return ClaimResult{Claim: claim}, nil
+	default:
+		return ClaimResult{InProgress: true}, nil
+	}
+}
+
+// Complete records the answer, so that a repeated request gets the same one.
+// A failure is harmless: the claim stays open and the request is never sent
+// again.
+func (c *Claim) Complete(status int, header http.Header, body []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	c.record.State = ClaimDone
+	c.record.Status = status
+	c.record.Header = header
+	c.record.Body = body
+	if len(body) > maxStoredBody {
+		c.record.Body = nil
+		c.record.BodyOmitted = true
+	}
+	lease, err := c.claims.currentLease(ctx)
+	if err != nil {
+		return newError("complete claim", KindStore, err)
+	}
+	return c.write(ctx, lease)
+}
+
+// Withdraw removes the claim of a request that did not run, so that the caller
+// may repeat it.
+func (c *Claim) Withdraw() error {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if err := c.claims.cfg.Store.Delete(ctx, c.key, c.revision); err != nil {
+		return newError("withdraw claim", KindStore, err)
+	}
+	return nil
+}
+
+// write swaps the record in at the claim's revision.
+func (c *Claim) write(ctx context.Context, lease ledger.LeaseID) error {
+	value, err := json.Marshal(c.record)
+	if err != nil {
+		return newError("encode claim", KindStore, err)
+	}
+	revision, err := c.claims.cfg.Store.Swap(ctx, ledger.Swap{
+		Key:      c.key,
+		Revision: c.revision,
+		Value:    value,
+		Lease:    lease,
+	})
+	if err != nil {
+		return err
+	}
+	c.revision = revision
+	return nil
+}
+
+// currentLease returns the store lease that bounds the life of new claims. One
+// lease collects the claims of an hour, so that leases cost next to nothing.
+func (c *Claims) currentLease(ctx context.Context) (ledger.LeaseID, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Now()
+	if c.lease != "" && now.Sub(c.leaseFrom) < claimLeaseSpan {
+		return c.lease, nil
+	}
+	lease, err := c.cfg.Store.GrantLease(ctx, c.cfg.Retention+claimLeaseSpan)
+	if err != nil {
+		return "", err
+	}
+	c.lease = lease
+	c.leaseFrom = now
+	return lease, nil
+}
+
+// dropLease forgets a lease that the store no longer knows.
+func (c *Claims) dropLease(err error) {
+	if !ledger.IsKind(err, ledger.KindNotFound) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease = ""
+}
+
+// claimKey returns the store key of a claim. The idempotency key is escaped,
+// because it is the caller's text.
+func claimKey(r *Request) string {
+	return "claims/" + string(r.Service) + "/" + url.QueryEscape(r.IdempotencyKey())
+}
+
+// fingerprint identifies the content of a request.
+func fingerprint(r *Request) string {
+	sum := sha256.New()
+	for _, part := range []string{r.Method, r.Key, r.Path, r.Query} {
+		_, _ = sum.Write([]byte(part))
+		_, _ = sum.Write([]byte{0})
+	}
+	_, _ = sum.Write(r.Body)
+	return hex.EncodeToString(sum.Sum(nil))
+}
--- /dev/null
+++ b/quay/errors.go
@@ -0,0 +1,55 @@
+package quay
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Kind classifies an [Error].
+type Kind int
+
+const (
+	// KindNotRun marks a failure before any byte reached a backend server, or
+	// one that the server itself declared as not run.
+	KindNotRun Kind = iota + 1
+	// KindMayHaveRun marks a failure after the request was written.
+	KindMayHaveRun
+	// KindCut marks an answer that broke off.
+	KindCut
+	// KindQueueFull marks a request for which there is no room.
+	KindQueueFull
+	// KindTooLate marks a request that cannot finish before its deadline.
+	KindTooLate
+	// KindStore marks a claim that could not be settled in the store.
+	KindStore
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %v", e.Op, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+func newError(op string, kind Kind, err error) *Error {
+	return &Error{Op: op, Kind: kind, Err: err}
+}
+
+// kindOf returns the kind of err, or zero.
+func kindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return 0
+}
