--- a/berth/placer.go
+++ b/berth/placer.go
@@ -120,7 +120,9 @@
 	return p.table
 }
 
-// Step applies event at time now and returns the actions to carry out.
+// Step applies event at time now and returns the actions to carry out. Events
+// that only inform the placer are taken cheaply; the next table is planned on
+// a [Tick] and when a read or write of the table has ended.
 func (p *Placer) Step(now time.Time, event Event) []Action {
 	p.out = nil
 	switch e := event.(type) {
@@ -156,7 +158,10 @@
 	case HotKeysObserved:
 		p.hot[e.Service] = e.Keys
 	}
-	p.advance(now)
+	switch event.(type) {
+	case Tick, TableRead, TableWritten:
+		p.advance(now)
+	}
 	return p.out
 }
 
--- /dev/null
+++ b/cmd/hornbeamwinch/rules_history.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"hornbeamwinch.example/harbor"
+)
+
+// rulesHistoryCommand lists the accepted revisions.
+type rulesHistoryCommand struct{}
+
+// Execute implements flags.Commander.
+func (c *rulesHistoryCommand) Execute([]string) error {
+	var records []harbor.RulesRecord
+	if err := call(http.MethodGet, "/v1/rules/history", nil, &records); err != nil {
+		return err
+	}
+	if printJSON(records) {
+		return nil
+	}
+	rows := make([]string, 0, len(records))
+	for _, r := range records {
+		rows = append(rows, fmt.Sprintf("%d\t%s\t%s\t%s", r.Revision, r.At.Format(time.RFC3339), r.By, r.Reason))
+	}
+	table("REVISION\tACCEPTED\tBY\tREASON", rows)
+	return nil
+}
--- /dev/null
+++ b/cmd/trials/fleet_test.go
@@ -0,0 +1,322 @@
+package trials_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hornbeamwinch.example/berth"
+	"hornbeamwinch.example/charter"
+	"hornbeamwinch.example/drydock"
+	"hornbeamwinch.example/harbor"
+	"hornbeamwinch.example/ledger"
+)
+
+// Bounds from the brief and the letter.
+const (
+	servedAgainWithin = 3 * time.Second
+	rulesWithin       = 13 * time.Second
+	startWithin       = 20 * time.Second
+	slots             = 6
+	connections       = 130
+)
+
+// process is one program of the fleet.
+type process struct {
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+// deployment is a fleet of separate processes on the loopback interface.
+type deployment struct {
+	fleet     *drydock.Fleet
+	platform  string
+	folder    string
+	processes map[string]*process
+	proxies   map[string]*toxiproxy.Proxy
+	// earlier holds the records of backend servers that were killed.
+	earlier []drydock.BackendRecords
+	// mend changes the settings of a host before it starts.
+	mend func(*charter.Settings)
+}
+
+// deploymentConfig varies a deployment.
+type deploymentConfig struct {
+	example          string
+	hostsPerDomain   int
+	serversPerDomain int
+	unchecked        bool
+	workTime         time.Duration
+	// platformProxies puts a proxy between each host and the platform.
+	platformProxies bool
+	// backendProxies puts a proxy in front of each backend server.
+	backendProxies bool
+	mend           func(*charter.Settings)
+}
+
+func deploy(cfg deploymentConfig) *deployment {
+	GinkgoHelper()
+	d := &deployment{
+		platform:  freeAddress(),
+		folder:    GinkgoT().TempDir(),
+		processes: make(map[string]*process),
+		proxies:   make(map[string]*toxiproxy.Proxy),
+	}
+	DeferCleanup(d.stop)
+	fleet, err := drydock.NewFleet(drydock.FleetConfig{
+		Example: cfg.example, HostsPerDomain: cfg.hostsPerDomain, ServersPerDomain: cfg.serversPerDomain,
+		PlatformAddress: d.platform, Unchecked: cfg.unchecked, Slots: slots, Connections: connections,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	d.fleet = fleet
+	d.launch("platform", "standin", "platform", "--listen", d.platform)
+	for i := range fleet.Backends {
+		d.startBackend(fleet.Backends[i], cfg.workTime)
+		if cfg.backendProxies {
+			fleet.Backends[i].Address = d.proxy(fleet.Backends[i].ID, fleet.Backends[i].Address)
+		}
+	}
+	Eventually(func() error {
+		return drydock.Call(context.Background(), http.MethodPost, d.platform, drydock.PathSetBackends, fleet.Backends, nil)
+	}, startWithin).Should(Succeed())
+	for _, settings := range fleet.Hosts {
+		if cfg.platformProxies {
+			settings.Platform.Address = d.proxy("platform-"+string(settings.Host.ID), d.platform)
+		}
+		if cfg.mend != nil {
+			cfg.mend(settings)
+		}
+		d.startHost(settings)
+	}
+	d.applyRules(fleet.Rules())
+	d.waitSettled(startWithin)
+	return d
+}
+
+func freeAddress() string {
+	GinkgoHelper()
+	fleet, err := drydock.NewFleet(drydock.FleetConfig{Example: charter.ExampleTerminal, HostsPerDomain: 1})
+	Expect(err).NotTo(HaveOccurred())
+	return fleet.Hosts[0].Host.AdminAddress
+}
+
+// proxy starts a fault-injecting proxy and returns its address.
+func (d *deployment) proxy(name, upstream string) string {
+	GinkgoHelper()
+	p := toxiproxy.NewProxy()
+	p.Name = name
+	p.Listen = freeAddress()
+	p.Upstream = upstream
+	Expect(p.Start()).To(Succeed())
+	d.proxies[name] = p
+	return p.Listen
+}
+
+// launch starts a program whose output goes to a file of the same name.
+func (d *deployment) launch(name, program string, args ...string) {
+	GinkgoHelper()
+	log, err := os.OpenFile(filepath.Join(d.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	Expect(err).NotTo(HaveOccurred())
+	command := exec.Command(filepath.Join(binaries, program), args...)
+	command.Stdout = log
+	command.Stderr = log
+	Expect(command.Start()).To(Succeed())
+	p := &process{command: command, ended: make(chan struct{})}
+	d.processes[name] = p
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(p.ended)
+	}()
+}
+
+func (d *deployment) startBackend(b ledger.Backend, workTime time.Duration) {
+	args := []string{
+		"backend", "--listen", b.Address, "--id", b.ID, "--service", b.Service,
+		"--slots", strconv.Itoa(int(b.Slots)), "--connections", strconv.Itoa(int(b.Connections)),
+		"--work-time", max(workTime, 2*time.Millisecond).String(),
+	}
+	if b.ChecksGrants {
+		args = append(args, "--checks-grants")
+	}
+	d.launch(b.ID, "standin", args...)
+}
+
+func (d *deployment) startHost(settings *charter.Settings) {
+	GinkgoHelper()
+	file := filepath.Join(d.folder, string(settings.Host.ID)+".json")
+	text, err := json.Marshal(settings)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(os.WriteFile(file, text, 0o600)).To(Succeed())
+	d.launch(string(settings.Host.ID), "hornbeamwinchd", "--settings", file)
+}
+
+// signal sends a signal to a process of this deployment.
+func (d *deployment) signal(name string, s syscall.Signal) {
+	GinkgoHelper()
+	Expect(d.processes[name].command.Process.Signal(s)).To(Succeed())
+}
+
+// kill ends a process at once.
+func (d *deployment) kill(name string) {
+	GinkgoHelper()
+	d.signal(name, syscall.SIGKILL)
+	Eventually(d.processes[name].ended, startWithin).Should(BeClosed())
+}
+
+// killBackend keeps the records of a backend server and kills it.
+func (d *deployment) killBackend(b ledger.Backend) {
+	d.earlier = append(d.earlier, d.recordsOf(b))
+	d.kill(b.ID)
+}
+
+func (d *deployment) stop() {
+	for _, p := range d.processes {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Kill()
+	}
+	for _, p := range d.processes {
+		<-p.ended
+	}
+	for _, p := range d.proxies {
+		p.Stop()
+	}
+	if CurrentSpecReport().Failed() {
+		AddReportEntry("logs", d.folder)
+	}
+}
+
+func (d *deployment) applyRules(text string) harbor.RulesRecord {
+	GinkgoHelper()
+	var record harbor.RulesRecord
+	Eventually(func() error {
+		var err error
+		record, err = drydock.ApplyRules(context.Background(), d.fleet.Hosts[0].Host.AdminAddress, text, "trials")
+		return err
+	}, startWithin).Should(Succeed())
+	return record
+}
+
+// settled returns why the deployment has not come to rest, or nil.
+func (d *deployment) settled(hosts []*charter.Settings, rules harbor.RulesStatus) error {
+	for _, settings := range hosts {
+		status, err := drydock.StatusOf(context.Background(), settings.Host.AdminAddress)
+		if err != nil {
+			return err
+		}
+		if !drydock.Settled(status, rules) {
+			return fmt.Errorf("%s is not settled: %+v", settings.Host.ID, status)
+		}
+	}
+	return nil
+}
+
+func (d *deployment) waitSettled(limit time.Duration) {
+	GinkgoHelper()
+	Eventually(func() error {
+		return d.settled(d.fleet.Hosts, harbor.RulesStatus{Opened: 1})
+	}, limit, 50*time.Millisecond).Should(Succeed())
+}
+
+func (d *deployment) recordsOf(b ledger.Backend) drydock.BackendRecords {
+	GinkgoHelper()
+	var records drydock.BackendRecords
+	Eventually(func() error {
+		return drydock.Call(context.Background(), http.MethodGet, b.Address, drydock.PathRecords, nil, &records)
+	}, startWithin).Should(Succeed())
+	return records
+}
+
+// judge examines the records of all backend servers.
+func (d *deployment) judge() drydock.Verdict {
+	GinkgoHelper()
+	records := d.earlier
+	for _, b := range d.fleet.Backends {
+		if _, running := d.processes[b.ID]; !running {
+			continue
+		}
+		select {
+		case <-d.processes[b.ID].ended:
+		default:
+			records = append(records, d.recordsOf(b))
+		}
+	}
+	return drydock.Judge(records, d.fleet.Divided, slots)
+}
+
+// owner returns the backend server that owns key.
+func (d *deployment) owner(service berth.ServiceID, key string) (harbor.Explanation, ledger.Backend) {
+	GinkgoHelper()
+	for _, settings := range d.fleet.Hosts {
+		var e harbor.Explanation
+		path := fmt.Sprintf("/v1/explain?service=%s&key=%s", service, key)
+		err := drydock.Call(context.Background(), http.MethodGet, settings.Host.AdminAddress, path, nil, &e)
+		if err != nil || !e.Here {
+			continue
+		}
+		for _, b := range d.fleet.Backends {
+			if b.ID == string(e.Owner) {
+				return e, b
+			}
+		}
+	}
+	Fail("no owner of " + key)
+	return harbor.Explanation{}, ledger.Backend{}
+}
+
+// traffic sends requests in the background until the returned function is
+// called, which returns the tallies.
+func (d *deployment) traffic(hosts []string, workloads ...drydock.Workload) (caller *drydock.Caller, end func() []drydock.Tally) {
+	caller = drydock.NewCaller(drydock.CallerConfig{Hosts: hosts, Workloads: workloads, Seed: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { caller.Run(ctx) })
+	return caller, func() []drydock.Tally {
+		cancel()
+		group.Wait()
+		return caller.Tallies()
+	}
+}
+
+// readings is the traffic of the service that is divided by key.
+func readings(workers int) drydock.Workload {
+	return drydock.Workload{
+		Service: "tank_readings", Method: http.MethodGet, Keys: 200, KeyPrefix: "key-",
+		Workers: workers, Pause: 4 * time.Millisecond, Timeout: 2 * time.Second,
+	}
+}
+
+// invoices is the traffic that must not be repeated.
+func invoices(workers int) drydock.Workload {
+	return drydock.Workload{
+		Service: "invoicing", Method: http.MethodPost, Keys: 50, KeyPrefix: "member-", Once: true,
+		Workers: workers, Pause: 10 * time.Millisecond, Timeout: 4 * time.Second,
+	}
+}
+
+// expectSound checks the judgment of the backend servers' own records.
+func (d *deployment) expectSound(tallies []drydock.Tally) {
+	GinkgoHelper()
+	verdict := d.judge()
+	GinkgoWriter.Printf("tallies %+v\nverdict %+v\n", tallies, verdict)
+	Expect(verdict.Executions).To(BeNumerically(">", 0))
+	Expect(verdict.Overlaps).To(BeZero(), "%v", verdict.Examples)
+	Expect(verdict.DuplicateRuns).To(BeZero(), "%v", verdict.Examples)
+	Expect(verdict.OverLimit).To(BeEmpty())
+	for _, t := range tallies {
+		Expect(t.Wrong).To(BeZero(), "%+v", t)
+		Expect(t.Whole).To(BeNumerically(">", 0), "%+v", t)
+	}
+}
--- /dev/null
+++ b/cmd/trials/suite_test.go
@@ -0,0 +1,31 @@
+package trials_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// binaries is the folder with the built programs.
+var binaries string
+
+func TestTrials(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Trials Suite")
+}
+
+var _ = BeforeSuite(func() {
+	folder, err := os.MkdirTemp("", "hornbeamwinch-trials-")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(os.RemoveAll, folder)
+	binaries = folder
+	for _, program := range []string{"hornbeamwinchd", "hornbeamwinch", "standin"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(folder, program), "hornbeamwinch.example/cmd/"+program)
+		output, err := build.CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(output))
+	}
+})
--- a/harbor/placement.go
+++ b/harbor/placement.go
@@ -119,6 +119,9 @@
 			return
 		case event := <-p.events:
 			p.step(ctx, event)
+			if len(p.events) == 0 {
+				p.step(ctx, berth.Tick{})
+			}
 		case <-ticker.C:
 			p.observe(ctx)
 			p.step(ctx, berth.Tick{})
