Claim again after a rogue write; keep a last member; hold abandoned slots

The rightful placer, with nothing to write, never noticed and nobody worked. Cause, found by the limits test: an entry host freed the slot of a request that it had abandoned while the server still ran it, so a server with 6 slots was sent 7 requests. The slot is now held for 250 ms.

Ruled out: a wrong majority count (the members of version 18 were complete), a lost permit in the model (all ended).

--- a/berth/event.go
+++ b/berth/event.go
@@ -39,6 +39,13 @@
 	Nonce uint64
 }
 
+// Superseded tells that a table of the given version is recorded. If it is
+// newer than the placer's own, another placer has written in between: one that
+// was paused after it won the lease and woke when the lease was already lost.
+type Superseded struct {
+	Version Version
+}
+
 // HostFollowed is the report of an entry host.
 type HostFollowed struct {
 	Host        HostID
@@ -48,7 +55,10 @@
 	// left that the version forbids.
 	Epoch   Epoch
 	Settled Version
-	Leaving bool
+	// WithinShares is the highest version of Epoch for which the host keeps
+	// within its shares of the servers' slots.
+	WithinShares Version
+	Leaving      bool
 }
 
 // HostRefused tells that the machine of an entry host refused a connection to
@@ -158,6 +168,7 @@
 func (TableWritten) event()    {}
 func (WriteConflicted) event() {}
 func (WriteUnknown) event()    {}
+func (Superseded) event()      {}
 func (HostFollowed) event()    {}
 func (HostRefused) event()     {}
 func (ServerObserved) event()  {}
--- a/berth/host.go
+++ b/berth/host.go
@@ -10,8 +10,10 @@
 	incarnation Incarnation
 	address     string
 	settled     Version
-	lastSeen    time.Time
-	leaving     bool
+	// withinShares is the highest version to whose shares the host keeps.
+	withinShares Version
+	lastSeen     time.Time
+	leaving      bool
 	// gone is the incarnation whose process is known to have ended.
 	gone Incarnation
 }
@@ -31,6 +33,7 @@
 // period in which to report.
 func (v *hostView) startTerm(now time.Time) {
 	v.settled = 0
+	v.withinShares = 0
 	v.lastSeen = now.Add(-termCredit)
 }
 
@@ -61,6 +64,7 @@
 	if view.incarnation != e.Incarnation {
 		p.noteRestart(view, e)
 		view.settled = 0
+		view.withinShares = 0
 		view.leaving = false
 	}
 	view.incarnation = e.Incarnation
@@ -69,6 +73,7 @@
 	view.leaving = view.leaving || e.Leaving
 	if p.table != nil && e.Epoch == p.table.Epoch {
 		view.settled = max(view.settled, e.Settled)
+		view.withinShares = max(view.withinShares, e.WithinShares)
 	}
 }
 
@@ -121,6 +126,10 @@
 			d.decideHost()
 			continue
 		}
+		if !d.placer.sharesFree(since.version) {
+			kept = append(kept, h)
+			continue
+		}
 		h.State = HostActive
 		d.decideHost()
 		kept = append(kept, h)
@@ -128,13 +137,32 @@
 	d.next.Hosts = kept
 }
 
+// sharesFree reports whether every active host keeps to the shares of the given
+// version, or has ended, so that a joining host may use its own share. A host
+// that has only fallen silent is no obstacle: its share stays reserved until it
+// is removed from the table.
+func (p *Placer) sharesFree(version Version) bool {
+	for _, h := range p.table.Hosts {
+		view, known := p.hosts[h.ID]
+		reports := known && view.incarnation == h.Incarnation && view.settled >= version
+		if h.State == HostActive && reports && view.withinShares < version {
+			return false
+		}
+	}
+	return true
+}
+
 func (d *draft) decideHost() {
 	d.decide(Decision{Reason: ReasonHost})
 }
 
 // dropHost marks the first host that has ended, restarted, left or fallen
-// silent as leaving.
+// silent as leaving. The last member stays until another one has joined,
+// because a table without members could never be followed by a majority.
 func (d *draft) dropHost() bool {
+	if len(membersOf(d.next)) < 2 {
+		return false
+	}
 	for i := range d.next.Hosts {
 		h := &d.next.Hosts[i]
 		if h.State == HostLeaving || !d.shouldDrop(*h) {
--- a/berth/placer.go
+++ b/berth/placer.go
@@ -139,6 +139,8 @@
 		p.writeFailed(e.Nonce)
 	case WriteUnknown:
 		p.writeFailed(e.Nonce)
+	case Superseded:
+		p.superseded(e)
 	case HostFollowed:
 		p.hostFollowed(now, e)
 	case HostRefused:
@@ -212,6 +214,16 @@
 	p.claim(now, e)
 }
 
+// superseded claims the table again after another placer has written it. The
+// lease of this term is still held, so nobody else would.
+func (p *Placer) superseded(e Superseded) {
+	if !p.Active() || p.pending != nil || p.reading || e.Version <= p.table.Version {
+		return
+	}
+	p.claimed = false
+	p.read()
+}
+
 // claim writes the recorded table with the next epoch. Until the write is
 // confirmed this host changes nothing; after it no former placer can.
 func (p *Placer) claim(now time.Time, e TableRead) {
--- a/charter/settings.go
+++ b/charter/settings.go
@@ -79,6 +79,18 @@
 	HotShare           float64 `json:"hot_share" validate:"min=0,max=10"`
 }
 
+// Policy returns the placement policy that s describes.
+func (s PolicySettings) Policy() berth.Policy {
+	return berth.Policy{
+		ReturnGrace:   s.ReturnGraceMS.Duration(),
+		Tolerance:     s.ImbalanceTolerance,
+		MovesPerRound: s.MovesPerRound,
+		RoundInterval: s.RoundIntervalMS.Duration(),
+		MaxHotKeys:    s.MaxHotKeys,
+		HotShare:      s.HotShare,
+	}
+}
+
 // TimingSettings hold the leases and intervals. All entry hosts of a
 // deployment must have the same ones.
 type TimingSettings struct {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -5,6 +5,7 @@
 // # Usage
 //
 //	standin demo
+//	standin experiment --plot policy.png
 //	standin platform --listen 127.0.0.1:7000
 //	standin backend --listen 127.0.0.1:8001 --id w1 --service tank_readings
 //	standin caller --host 127.0.0.1:7101 --service tank_readings
@@ -18,10 +19,11 @@
 
 // options holds the commands.
 type options struct {
-	Platform platformCommand `command:"platform" description:"run the platform's key-value service"`
-	Backend  backendCommand  `command:"backend" description:"run one backend server"`
-	Caller   callerCommand   `command:"caller" description:"send requests and print the outcomes"`
-	Demo     demoCommand     `command:"demo" description:"run the whole path in one process"`
+	Platform   platformCommand   `command:"platform" description:"run the platform's key-value service"`
+	Backend    backendCommand    `command:"backend" description:"run one backend server"`
+	Caller     callerCommand     `command:"caller" description:"send requests and print the outcomes"`
+	Demo       demoCommand       `command:"demo" description:"run the whole path in one process"`
+	Experiment experimentCommand `command:"experiment" description:"compare placement policies"`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/standin/plot.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"image/color"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+
+	"os"
+
+	"hornbeamwinch.example/drydock"
+)
+
+const (
+	panelWidth  = 18 * vg.Centimeter
+	panelHeight = 9 * vg.Centimeter
+	barWidth    = 0.4 * vg.Centimeter
+)
+
+// panel is one measure of the plot.
+type panel struct {
+	title string
+	value func(drydock.Measures) float64
+}
+
+var panels = []panel{
+	{title: "imbalance (max / mean load)", value: func(m drydock.Measures) float64 { return m.Imbalance }},
+	{title: "churn (keys moved of 1000)", value: func(m drydock.Measures) float64 { return m.Churn }},
+	{title: "unavailable time (key-seconds for 1000 keys)", value: func(m drydock.Measures) float64 { return m.Unavailable }},
+}
+
+var barColors = []color.Color{
+	color.RGBA{R: 0x1f, G: 0x77, B: 0xb4, A: 0xff},
+	color.RGBA{R: 0xff, G: 0x7f, B: 0x0e, A: 0xff},
+	color.RGBA{R: 0x7f, G: 0x7f, B: 0x7f, A: 0xff},
+}
+
+// plotRows draws the measures as groups of bars, one panel each.
+func plotRows(rows []row, file string) error {
+	canvas := vgimg.New(panelWidth, panelHeight*vg.Length(len(panels)))
+	whole := draw.New(canvas)
+	for i, p := range panels {
+		picture, err := p.plot(rows)
+		if err != nil {
+			return err
+		}
+		bottom := panelHeight * vg.Length(len(panels)-1-i)
+		top := panelHeight * vg.Length(i)
+		picture.Draw(draw.Crop(whole, 0, 0, bottom, -top))
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	if _, err := (vgimg.PngCanvas{Canvas: canvas}).WriteTo(f); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+// plot draws one measure.
+func (p panel) plot(rows []row) (*plot.Plot, error) {
+	picture := plot.New()
+	picture.Title.Text = p.title
+	picture.Legend.Top = true
+	for i, name := range drydock.Placements() {
+		var values plotter.Values
+		for _, r := range rows {
+			if r.Placement == name {
+				values = append(values, p.value(r.Measures))
+			}
+		}
+		bars, err := plotter.NewBarChart(values, barWidth)
+		if err != nil {
+			return nil, err
+		}
+		bars.Color = barColors[i]
+		bars.Offset = barWidth * vg.Length(i-1)
+		picture.Add(bars)
+		picture.Legend.Add(name, bars)
+	}
+	picture.NominalX(groupNames(rows)...)
+	return picture, nil
+}
+
+// groupNames labels each pair of deployment and fault once.
+func groupNames(rows []row) []string {
+	var names []string
+	for _, r := range rows {
+		if r.Placement == drydock.PlacementOwn {
+			names = append(names, r.Deployment[:4]+": "+r.Fault)
+		}
+	}
+	return names
+}
--- a/drydock/backend.go
+++ b/drydock/backend.go
@@ -67,13 +67,16 @@
 
 // BackendRecords is everything that a backend server has recorded.
 type BackendRecords struct {
-	Server         string      `json:"server"`
-	Executions     []Execution `json:"executions"`
-	MaxConcurrent  int         `json:"max_concurrent"`
-	MaxConnections int         `json:"max_connections"`
-	ShedOverload   int         `json:"shed_overload"`
-	RefusedGrant   int         `json:"refused_grant"`
-	RefusedDrain   int         `json:"refused_drain"`
+	Server        string      `json:"server"`
+	Executions    []Execution `json:"executions"`
+	MaxConcurrent int         `json:"max_concurrent"`
+	// MaxOffered is the largest number of requests that were at the server at
+	// once, counting those that it refused.
+	MaxOffered     int `json:"max_offered"`
+	MaxConnections int `json:"max_connections"`
+	ShedOverload   int `json:"shed_overload"`
+	RefusedGrant   int `json:"refused_grant"`
+	RefusedDrain   int `json:"refused_drain"`
 }
 
 // Paths by which a test program controls a backend stand-in.
@@ -92,6 +95,7 @@
 	control     BackendControl
 	grants      grantSet
 	running     int
+	offered     int
 	connections int
 	records     BackendRecords
 }
@@ -237,8 +241,10 @@
 
 // work runs one request if the server has room and the right to.
 func (b *Backend) work(w http.ResponseWriter, r *http.Request) {
+	b.arrive()
 	control, refusal := b.admit(r)
 	if refusal != "" {
+		b.leave()
 		refuseWork(w, refusal)
 		return
 	}
@@ -251,6 +257,19 @@
 	b.answer(w, r, control)
 }
 
+func (b *Backend) arrive() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.offered++
+	b.records.MaxOffered = max(b.records.MaxOffered, b.offered)
+}
+
+func (b *Backend) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.offered--
+}
+
 // Reasons of refusals.
 const (
 	refusedDraining = "draining"
@@ -345,6 +364,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running--
+	b.offered--
 	b.records.Executions = append(b.records.Executions, Execution{
 		Server:         b.cfg.ID,
 		Service:        b.cfg.Service,
--- a/drydock/judge.go
+++ b/drydock/judge.go
@@ -16,7 +16,8 @@
 	// Overlaps counts pairs of executions of one key that overlapped in time
 	// on two servers of a service divided by key. It must be zero.
 	Overlaps int `json:"overlaps"`
-	// OverLimit lists servers that ran more than their slots at once.
+	// OverLimit lists servers that were sent more requests at once than they
+	// have slots.
 	OverLimit []string `json:"over_limit,omitempty"`
 	// Examples describe some of the faults.
 	Examples []string `json:"examples,omitempty"`
@@ -38,8 +39,8 @@
 	runs := make(map[string]int)
 	for _, r := range records {
 		v.Executions += len(r.Executions)
-		if slots > 0 && r.MaxConcurrent > slots {
-			v.OverLimit = append(v.OverLimit, fmt.Sprintf("%s ran %d at once", r.Server, r.MaxConcurrent))
+		if slots > 0 && r.MaxOffered > slots {
+			v.OverLimit = append(v.OverLimit, fmt.Sprintf("%s was sent %d at once", r.Server, r.MaxOffered))
 		}
 		for _, e := range r.Executions {
 			if divided[e.Service] {
--- a/harbor/follower.go
+++ b/harbor/follower.go
@@ -130,6 +130,9 @@
 	if view.Table != nil {
 		r.Epoch = uint64(view.Table.Epoch)
 		r.Version = uint64(view.Table.Version)
+		if f.d.router.WithinShares() {
+			r.WithinShares = uint64(view.Table.Version)
+		}
 	}
 	r.HotKeys = f.d.warden.hotKeyReports()
 	return r
--- a/harbor/peers.go
+++ b/harbor/peers.go
@@ -70,12 +70,13 @@
 	}
 	host := berth.HostID(r.GetHost())
 	d.placement.post(berth.HostFollowed{
-		Host:        host,
-		Address:     r.GetAddress(),
-		Incarnation: berth.Incarnation(r.GetIncarnation()),
-		Epoch:       berth.Epoch(r.GetEpoch()),
-		Settled:     berth.Version(r.GetSettled()),
-		Leaving:     r.GetLeaving(),
+		Host:         host,
+		Address:      r.GetAddress(),
+		Incarnation:  berth.Incarnation(r.GetIncarnation()),
+		Epoch:        berth.Epoch(r.GetEpoch()),
+		Settled:      berth.Version(r.GetSettled()),
+		WithinShares: berth.Version(r.GetWithinShares()),
+		Leaving:      r.GetLeaving(),
 	})
 	for _, s := range r.GetServers() {
 		id := berth.ServerID(s.GetServer())
--- a/harbor/placement.go
+++ b/harbor/placement.go
@@ -49,14 +49,7 @@
 		specs = append(specs, berth.ServiceSpec{
 			ID:         service.ID,
 			HashShards: service.Shards,
-			Policy: berth.Policy{
-				ReturnGrace:   service.Placement.ReturnGraceMS.Duration(),
-				Tolerance:     service.Placement.ImbalanceTolerance,
-				MovesPerRound: service.Placement.MovesPerRound,
-				RoundInterval: service.Placement.RoundIntervalMS.Duration(),
-				MaxHotKeys:    service.Placement.MaxHotKeys,
-				HotShare:      service.Placement.HotShare,
-			},
+			Policy:     service.Placement.Policy(),
 		})
 	}
 	return &placement{
@@ -243,6 +236,12 @@
 		return
 	}
 	p.reportSelf()
+	if table := p.d.gate.View().Table; table != nil {
+		p.step(ctx, berth.Superseded{Version: table.Version})
+	}
+	if !p.isActive() {
+		return
+	}
 	p.probeHosts(ctx)
 	if time.Since(p.lists) < p.d.settings.Timing.ListIntervalMS.Duration() {
 		return
--- a/quay/backend.go
+++ b/quay/backend.go
@@ -222,6 +222,19 @@
 	return b.byID[id]
 }
 
+// withinShares reports whether this host has no more requests at any server
+// than its share allows. It has more for a while after a share has shrunk.
+func (b *backends) withinShares() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, current := range b.byID {
+		if current.limiter.InFlight() > current.limiter.Share() {
+			return false
+		}
+	}
+	return true
+}
+
 // live returns the servers of service that may be given work and of which this
 // host has a share, except those in tried.
 func (b *backends) live(service berth.ServiceID, tried map[berth.ServerID]bool) []*backend {
--- a/quay/dispatch.go
+++ b/quay/dispatch.go
@@ -32,7 +32,14 @@
 	}
 	began := time.Now()
 	shed := false
-	defer func() { b.limiter.Release(time.Since(began), shed) }()
+	abandoned := false
+	defer func() {
+		if abandoned {
+			b.limiter.ReleaseAbandoned(time.Since(began))
+			return
+		}
+		b.limiter.Release(time.Since(began), shed)
+	}()
 	if j.once && j.claim == nil {
 		if s := j.openClaim(ctx); s.outcome != nil {
 			return s
@@ -44,13 +51,17 @@
 	})
 	a, err := b.send(ctx, permit, j.request, j.options())
 	if err != nil {
+		abandoned = kindOf(err) != KindNotRun
 		return j.sendFailed(ctx, permit, err)
 	}
 	shed = isNotRun(a.Response)
 	if shed {
 		return j.serverRefused(permit, a)
 	}
-	return j.passAnswer(ctx, permit, a)
+	s := j.passAnswer(ctx, permit, a)
+	_, whole := s.outcome.(Whole)
+	abandoned = !whole
+	return s
 }
 
 // forwardToFront hands the request to a host that has a share of the server's
@@ -304,7 +315,7 @@
 		return err
 	}
 	began := time.Now()
-	defer func() { b.limiter.Release(time.Since(began), false) }()
+	defer func() { b.limiter.ReleaseAbandoned(time.Since(began)) }()
 	j.tried[b.id] = true
 	j.log(Decision{Step: "resume", Server: b.id, Version: another.Version})
 	etag := broken.Header.Get("Etag")
--- a/quay/limiter.go
+++ b/quay/limiter.go
@@ -14,6 +14,8 @@
 	// windowGain is added to the window for each completed request, divided
 	// by the window, so that it grows by about one slot per window.
 	windowGain = 0.2
+	// abandonedHold is how long the slot of an abandoned request stays taken.
+	abandonedHold = 250 * time.Millisecond
 	// serviceTimeWeight is the weight of a new sample in the mean service
 	// time.
 	serviceTimeWeight = 0.1
@@ -159,6 +161,14 @@
 	l.grant()
 }
 
+// ReleaseAbandoned returns the slot of a request that was given up after it had
+// been sent. The server may run it until it notices the closed connection, so
+// the slot stays taken for a while; otherwise the server would now and then
+// get more requests than it has slots.
+func (l *Limiter) ReleaseAbandoned(took time.Duration) {
+	time.AfterFunc(abandonedHold, func() { l.Release(took, false) })
+}
+
 // grant hands free slots to the waiters with the earliest deadlines.
 func (l *Limiter) grant() {
 	for l.share > 0 && l.inFlight < l.limit() && len(l.queue) > 0 {
--- a/quay/router.go
+++ b/quay/router.go
@@ -116,6 +116,12 @@
 	r.backends.update(table)
 }
 
+// WithinShares reports whether this host keeps within its shares of the
+// servers' slots under the table it was last given.
+func (r *Router) WithinShares() bool {
+	return r.backends.withinShares()
+}
+
 // Route brings request to a backend server and its answer to sink. The
 // returned outcome is final.
 func (r *Router) Route(ctx context.Context, request *Request, sink Sink) Outcome {
--- a/roster/host_test.go
+++ b/roster/host_test.go
@@ -201,7 +201,7 @@
 	}
 	h.step(berth.HostFollowed{
 		Host: from.id, Address: string(from.id), Incarnation: from.incarnation,
-		Epoch: epoch, Settled: view.Settled,
+		Epoch: epoch, Settled: view.Settled, WithinShares: view.Settled,
 	})
 	for _, s := range h.w.servers {
 		ward := from.wards[s.id]
@@ -239,6 +239,9 @@
 func (h *modelHost) place() {
 	w := h.w
 	h.takeReport(h)
+	if table := h.gate.View().Table; table != nil {
+		h.step(berth.Superseded{Version: table.Version})
+	}
 	for _, other := range w.hosts {
 		if other.dead && !w.now.Before(h.peersCut) {
 			h.step(berth.HostRefused{Host: other.id, Incarnation: other.incarnation})
