--- a/charter/load.go
+++ b/charter/load.go
@@ -46,6 +46,12 @@
 	if errors.As(err, &syntax) {
 		offset = syntax.Offset
 	}
+	// The decoder reports an unknown field by name only.
+	if _, field, unknown := strings.Cut(err.Error(), "unknown field "); unknown {
+		if at := bytes.Index(text, []byte(field)); at >= 0 {
+			offset = int64(at)
+		}
+	}
 	offset = min(offset, int64(len(text)))
 	line := 1 + bytes.Count(text[:offset], []byte("\n"))
 	return fmt.Sprintf("line %d: %v", line, err)
--- a/cmd/standin/plot.go
+++ b/cmd/standin/plot.go
@@ -2,6 +2,7 @@
 
 import (
 	"image/color"
+	"os"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -9,8 +10,6 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgimg"
 
-	"os"
-
 	"hornbeamwinch.example/drydock"
 )
 
