--- a/cmd/hornbeamwinch/main.go
+++ b/cmd/hornbeamwinch/main.go
@@ -7,6 +7,7 @@
 //	hornbeamwinch rules apply rules.txt --base 7 --by "Ana Silva"
 //	hornbeamwinch status
 //	hornbeamwinch explain tank_readings tank-71
+//	hornbeamwinch domain abandon mvd_c --by "Ana Silva" --reason "hall burnt"
 //	hornbeamwinch drain mvd_a_tank_readings_1 --by "Ana Silva"
 //
 // Exit codes: 0 done, 1 failed, 2 wrong usage, 3 refused because the rules are
@@ -48,6 +49,7 @@
 	Rules   rulesCommands  `command:"rules" description:"check, apply and read the rules file"`
 	Status  statusCommand  `command:"status" description:"show every entry host's view"`
 	Explain explainCommand `command:"explain" description:"say where requests for a key go, and why"`
+	Domain  domainCommands `command:"domain" description:"orders about a whole failure domain"`
 	Drain   drainCommand   `command:"drain" description:"move all work off a backend server"`
 	Undrain undrainCommand `command:"undrain" description:"let a drained backend server work again"`
 }
@@ -61,6 +63,11 @@
 	History rulesHistoryCommand `command:"history" description:"list the accepted revisions"`
 }
 
+// domainCommands are the orders about a whole failure domain.
+type domainCommands struct {
+	Abandon domainAbandonCommand `command:"abandon" description:"give up single ownership: let others serve a lost domain's keys without proof"`
+}
+
 // shared are the global flags, for the commands.
 var shared *globals
 
--- a/harbor/admin.go
+++ b/harbor/admin.go
@@ -56,6 +56,7 @@
 	api.GET("/rules/history", a.serveHistory)
 	api.POST("/drains", a.addDrain)
 	api.DELETE("/drains/:server", a.removeDrain)
+	api.POST("/abandonments", a.abandonDomain)
 	return engine
 }
 
@@ -283,6 +284,51 @@
 	a.answer(c, Drain{Server: server}, err)
 }
 
+var errNewestOnly = errors.New("a domain can be abandoned for the newest rules only")
+
+// abandonDomain records an operator's word that a failure domain is lost.
+func (a *admin) abandonDomain(c *gin.Context) {
+	var order Abandonment
+	if err := c.ShouldBindJSON(&order); err != nil {
+		c.JSON(http.StatusBadRequest, Problem{Error: err.Error()})
+		return
+	}
+	if !a.d.settings.Catalogue().Domains[order.Domain] || order.By == "" {
+		c.JSON(http.StatusBadRequest, Problem{Error: "an abandonment names a configured failure domain and who orders it"})
+		return
+	}
+	err := a.d.abandon(c.Request.Context(), order)
+	if err == nil {
+		a.d.logs.logger.Warn().Str("abandoned", string(order.Domain)).Str("by", order.By).
+			Str("reason", order.Reason).Msg("failure domain abandoned by an operator's order")
+	}
+	a.answer(c, order, err)
+}
+
+// abandon records order if it is for the accepted rules.
+func (d *Daemon) abandon(ctx context.Context, order Abandonment) error {
+	current, _, err := d.rules().current(ctx)
+	if err != nil {
+		return err
+	}
+	if current.Revision != order.Revision {
+		return newError("abandon domain", KindConflict, errNewestOnly)
+	}
+	value, err := json.Marshal(order)
+	if err != nil {
+		return newError("encode abandonment", KindStore, err)
+	}
+	key := abandonKey(order.Domain)
+	entry, err := d.store.Get(ctx, key)
+	if err != nil && !ledger.IsKind(err, ledger.KindNotFound) {
+		return newError("read abandonment", KindStore, err)
+	}
+	if _, err = d.store.Swap(ctx, ledger.Swap{Key: key, Revision: entry.Revision, Value: value}); err != nil {
+		return newError("write abandonment", KindStore, err)
+	}
+	return nil
+}
+
 // domainOf returns the failure domain of a backend server of this domain.
 func (a *admin) domainOf(server berth.ServerID) (berth.DomainID, bool) {
 	table := a.d.gate.View().Table
--- a/harbor/placement.go
+++ b/harbor/placement.go
@@ -32,6 +32,7 @@
 	seen     map[berth.HostID]time.Time
 	lists    time.Time
 	tables   map[berth.DomainID]ledger.Revision
+	closed   map[berth.DomainID]berth.RulesRevision
 	draining map[berth.ServerID]bool
 	rates    *rateTable
 
@@ -57,6 +58,7 @@
 		events:   make(chan berth.Event, eventQueue),
 		seen:     make(map[berth.HostID]time.Time),
 		tables:   make(map[berth.DomainID]ledger.Revision),
+		closed:   make(map[berth.DomainID]berth.RulesRevision),
 		draining: make(map[berth.ServerID]bool),
 		rates:    newRateTable(),
 		placer: berth.NewPlacer(berth.PlacerConfig{
@@ -322,9 +324,28 @@
 			continue
 		}
 		p.readDomain(ctx, domain.ID)
+		p.readAbandonment(ctx, domain.ID)
 	}
 }
 
+// readAbandonment takes an operator's word for the closing of a lost domain. It
+// is read only while that domain has not closed the newest rules itself.
+func (p *placement) readAbandonment(ctx context.Context, domain berth.DomainID) {
+	if p.closed[domain] >= p.d.book.Newest().Revision {
+		return
+	}
+	entry, err := p.d.store.Get(ctx, abandonKey(domain))
+	if err != nil {
+		return
+	}
+	var abandonment Abandonment
+	if err := json.Unmarshal(entry.Value, &abandonment); err != nil {
+		p.d.logs.failure("read abandonment of "+string(domain), err)
+		return
+	}
+	p.step(ctx, berth.DomainClosed{Domain: domain, Closed: abandonment.Revision})
+}
+
 func (p *placement) readDomain(ctx context.Context, domain berth.DomainID) {
 	key := tableKey(domain)
 	unchanged, err := p.d.store.Unchanged(ctx, key, p.tables[domain])
@@ -342,6 +363,7 @@
 	}
 	p.tables[domain] = entry.Revision
 	p.d.directory.Learn(rosterOf(table))
+	p.closed[domain] = table.Rules.Closed
 	p.step(ctx, berth.DomainClosed{Domain: domain, Closed: table.Rules.Closed})
 }
 
--- a/harbor/status.go
+++ b/harbor/status.go
@@ -90,6 +90,17 @@
 	Reason string         `json:"reason,omitempty"`
 }
 
+// Abandonment is an operator's word that nobody serves the keys any more that
+// the rules up to a revision took from a failure domain. It stands in for the
+// domain's own proof, which a lost domain cannot give. If the domain is only
+// cut off and still serves, its keys have two owners.
+type Abandonment struct {
+	Domain   berth.DomainID      `json:"domain"`
+	Revision berth.RulesRevision `json:"revision"`
+	By       string              `json:"by"`
+	Reason   string              `json:"reason"`
+}
+
 // Problem is the body of a failed operators' call.
 type Problem struct {
 	Error string `json:"error"`
--- a/roster/matrix_test.go
+++ b/roster/matrix_test.go
@@ -119,6 +119,28 @@
 					expectSoundAtEveryStep(checking, fault)
 				})
 			}
+			It("stays with a majority that holds while the placer alone reaches the store", func() {
+				w := newWorld(checking)
+				w.run(2500 * time.Millisecond)
+				until := w.now.Add(5 * time.Second)
+				for _, h := range w.hosts {
+					if h.id == w.leaseHolder {
+						h.peersCut = until
+						continue
+					}
+					h.storeCut = until
+				}
+				w.leaving = "s1"
+				w.run(5 * time.Second)
+				Expect(w.violations).To(BeEmpty())
+				served := 0
+				for _, h := range w.hosts {
+					served += len(h.open)
+				}
+				Expect(served).To(BeNumerically(">", 0))
+				settle(w)
+				Expect(faultOf(w)).To(Succeed())
+			})
 			It("is single with pairs of faults", func() {
 				steps := countSteps(checking)
 				rapid.Check(GinkgoTB(), func(t *rapid.T) {
