Cancel unsent requests at a change of the table; test a host cut from control

Cause: a request that waited for a slot kept its host from reporting a table as settled until the queue was through, which delayed the move of its key by up to the request's deadline. What was not sent yet is now canceled and admitted again. Found by reading.

Cause of the new fault 'cut from store and peers': the mutant without the route lease survived, since a host cut from everything cannot reach the servers either.

--- a/berth/event.go
+++ b/berth/event.go
@@ -1,6 +1,9 @@
 package berth
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Event is an input of [Placer.Step]. The set of events is closed.
 type Event interface {
@@ -161,6 +164,12 @@
 	Rate float64
 }
 
+// CompareHotKeys orders loads from the hottest key to the coldest, and keys of
+// equal load by name.
+func CompareHotKeys(a, b HotKeyLoad) int {
+	return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Key, b.Key))
+}
+
 func (Tick) event()            {}
 func (Elected) event()         {}
 func (Deposed) event()         {}
--- a/berth/share.go
+++ b/berth/share.go
@@ -1,6 +1,7 @@
 package berth
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -74,16 +75,7 @@
 	for _, id := range hosts {
 		scores = append(scores, ranked{id: id, score: rendezvous(string(id), string(server))})
 	}
-	slices.SortFunc(scores, func(a, b ranked) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
-		default:
-			return 0
-		}
-	})
+	slices.SortFunc(scores, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
 	ids := make([]HostID, 0, len(scores))
 	for _, s := range scores {
 		ids = append(ids, s.id)
--- a/drydock/placements.go
+++ b/drydock/placements.go
@@ -1,6 +1,7 @@
 package drydock
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -74,16 +75,7 @@
 			p.points = append(p.points, ringPoint{hash: hash, server: i})
 		}
 	}
-	slices.SortFunc(p.points, func(a, b ringPoint) int {
-		switch {
-		case a.hash < b.hash:
-			return -1
-		case a.hash > b.hash:
-			return 1
-		default:
-			return 0
-		}
-	})
+	slices.SortFunc(p.points, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
 	return p
 }
 
@@ -180,16 +172,7 @@
 		loads[shards.ShardOf(key)] += e.rates[i]
 		hot = append(hot, berth.HotKeyLoad{Key: key, Rate: e.rates[i]})
 	}
-	slices.SortFunc(hot, func(a, b berth.HotKeyLoad) int {
-		switch {
-		case a.Rate > b.Rate:
-			return -1
-		case a.Rate < b.Rate:
-			return 1
-		default:
-			return 0
-		}
-	})
+	slices.SortFunc(hot, berth.CompareHotKeys)
 	const reported = 64
 	step(berth.LoadsObserved{Service: experimentService, Loads: loads})
 	step(berth.HotKeysObserved{Service: experimentService, Keys: hot[:min(len(hot), reported)]})
@@ -233,14 +216,7 @@
 func (p *hashPlacement) owner(key string) int {
 	hash := xxhash.Sum64String(key)
 	at, _ := slices.BinarySearchFunc(p.points, hash, func(point ringPoint, h uint64) int {
-		switch {
-		case point.hash < h:
-			return -1
-		case point.hash > h:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Compare(point.hash, h)
 	})
 	for i := range p.points {
 		point := p.points[(at+i)%len(p.points)]
--- a/harbor/admin.go
+++ b/harbor/admin.go
@@ -1,6 +1,7 @@
 package harbor
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -112,10 +113,7 @@
 	}
 	group.Wait()
 	slices.SortFunc(fleet.Hosts, func(x, y FleetHost) int {
-		if x.Domain+"/"+berth.DomainID(x.ID) < y.Domain+"/"+berth.DomainID(y.ID) {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(x.Domain, y.Domain), cmp.Compare(x.ID, y.ID))
 	})
 	c.JSON(http.StatusOK, fleet)
 }
@@ -259,29 +257,27 @@
 		c.JSON(http.StatusBadRequest, Problem{Error: err.Error()})
 		return
 	}
-	domain, known := a.domainOf(drain.Server)
-	if !known {
-		c.JSON(http.StatusNotFound, Problem{Error: "no table of this host lists server " + string(drain.Server)})
-		return
-	}
-	err := a.d.changeDrains(c.Request.Context(), domain, func(drains []Drain) []Drain {
-		drains = withoutServer(drains, drain.Server)
-		return append(drains, drain)
+	a.changeDrain(c, drain, func(drains []Drain) []Drain {
+		return append(withoutServer(drains, drain.Server), drain)
 	})
-	a.answer(c, drain, err)
 }
 
 func (a *admin) removeDrain(c *gin.Context) {
-	server := berth.ServerID(c.Param("server"))
-	domain, known := a.domainOf(server)
+	drain := Drain{Server: berth.ServerID(c.Param("server"))}
+	a.changeDrain(c, drain, func(drains []Drain) []Drain {
+		return withoutServer(drains, drain.Server)
+	})
+}
+
+// changeDrain changes the drains of this host's failure domain, if drain is
+// about one of its servers.
+func (a *admin) changeDrain(c *gin.Context, drain Drain, change func([]Drain) []Drain) {
+	domain, known := a.domainOf(drain.Server)
 	if !known {
-		c.JSON(http.StatusNotFound, Problem{Error: "no table of this host lists server " + string(server)})
+		c.JSON(http.StatusNotFound, Problem{Error: "no table of this host lists server " + string(drain.Server)})
 		return
 	}
-	err := a.d.changeDrains(c.Request.Context(), domain, func(drains []Drain) []Drain {
-		return withoutServer(drains, server)
-	})
-	a.answer(c, Drain{Server: server}, err)
+	a.answer(c, drain, a.d.changeDrains(c.Request.Context(), domain, change))
 }
 
 var errNewestOnly = errors.New("a domain can be abandoned for the newest rules only")
--- a/harbor/directory.go
+++ b/harbor/directory.go
@@ -1,6 +1,7 @@
 package harbor
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
@@ -92,12 +93,7 @@
 	for _, r := range d.rosters {
 		rosters = append(rosters, r)
 	}
-	slices.SortFunc(rosters, func(a, b DomainRoster) int {
-		if a.Domain < b.Domain {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(rosters, func(a, b DomainRoster) int { return cmp.Compare(a.Domain, b.Domain) })
 	return rosters
 }
 
--- a/harbor/rates.go
+++ b/harbor/rates.go
@@ -88,17 +88,6 @@
 		loads[shards.ShardOf(key)] += rate
 		keys = append(keys, berth.HotKeyLoad{Key: key, Rate: rate})
 	}
-	slices.SortFunc(keys, func(a, b berth.HotKeyLoad) int {
-		switch {
-		case a.Rate > b.Rate:
-			return -1
-		case a.Rate < b.Rate:
-			return 1
-		case a.Key < b.Key:
-			return -1
-		default:
-			return 1
-		}
-	})
+	slices.SortFunc(keys, berth.CompareHotKeys)
 	return keys, loads
 }
--- a/quay/dispatch.go
+++ b/quay/dispatch.go
@@ -27,6 +27,10 @@
 		return j.forwardToFront(permit)
 	}
 	if err := b.limiter.Acquire(ctx, time.Now()); err != nil {
+		if ctx.Err() != nil && j.ctx.Err() == nil {
+			// The table changed while the request waited for a slot.
+			return next
+		}
 		j.log(Decision{Step: "refuse", Server: permit.Server.ID, Reason: ReasonOverload})
 		return final(j.giveUp(ReasonOverload, retryAfterOverload))
 	}
@@ -315,7 +319,14 @@
 		return err
 	}
 	began := time.Now()
-	defer func() { b.limiter.ReleaseAbandoned(time.Since(began)) }()
+	whole := false
+	defer func() {
+		if whole {
+			b.limiter.Release(time.Since(began), false)
+			return
+		}
+		b.limiter.ReleaseAbandoned(time.Since(began))
+	}()
 	j.tried[b.id] = true
 	j.log(Decision{Step: "resume", Server: b.id, Version: another.Version})
 	etag := broken.Header.Get("Etag")
@@ -328,7 +339,8 @@
 		return errNotResumed
 	}
 	err = j.copyBody(ctx, a)
-	a.finish(err == nil)
+	whole = err == nil
+	a.finish(whole)
 	return err
 }
 
--- a/quay/hot.go
+++ b/quay/hot.go
@@ -54,18 +54,7 @@
 			loads = append(loads, berth.HotKeyLoad{Key: key, Rate: float64(n) / seconds})
 		}
 	}
-	slices.SortFunc(loads, func(a, b berth.HotKeyLoad) int {
-		switch {
-		case a.Rate > b.Rate:
-			return -1
-		case a.Rate < b.Rate:
-			return 1
-		case a.Key < b.Key:
-			return -1
-		default:
-			return 1
-		}
-	})
+	slices.SortFunc(loads, berth.CompareHotKeys)
 	h.counts = make(map[string]int, h.capacity)
 	h.since = now
 	return loads
--- a/roster/gate.go
+++ b/roster/gate.go
@@ -97,7 +97,8 @@
 }
 
 // Step feeds the follower. Requests that a newly adopted table forbids are
-// canceled if their server is lost, and may finish otherwise.
+// canceled if they have not been sent yet or their server is lost, and may
+// finish otherwise.
 func (g *Gate) Step(event Event) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -108,7 +109,8 @@
 	}
 	g.announce()
 	for permit := range g.permits {
-		if !g.allows(permit) && !g.serverAnswers(permit.Server.ID) {
+		mayFinish := permit.sent && g.serverAnswers(permit.Server.ID)
+		if !g.allows(permit) && !mayFinish {
 			permit.cancel()
 		}
 	}
@@ -150,6 +152,7 @@
 type Permit struct {
 	gate   *Gate
 	cancel context.CancelFunc
+	sent   bool
 
 	Service berth.ServiceID
 	Key     string
@@ -261,7 +264,7 @@
 }
 
 // Check returns nil if the request may still be written to the server. Call
-// it right before the write.
+// it right before the write; from then on the request counts as sent.
 func (p *Permit) Check() error {
 	p.gate.mu.Lock()
 	defer p.gate.mu.Unlock()
@@ -271,6 +274,7 @@
 	if !p.gate.allows(p) {
 		return refuse(KindMoving)
 	}
+	p.sent = true
 	return nil
 }
 
--- a/roster/world_test.go
+++ b/roster/world_test.go
@@ -44,6 +44,7 @@
 	cutStore
 	cutPeers
 	cutServers
+	cutControl
 	cutAll
 	freezeServer
 	killServer
@@ -54,7 +55,7 @@
 
 var faultNames = [...]string{
 	"none", "lost request", "lost answer", "store down", "host paused", "host killed", "host restarted",
-	"cut from store", "cut from peers", "cut from servers", "cut from all", "server frozen",
+	"cut from store", "cut from peers", "cut from servers", "cut from store and peers", "cut from all", "server frozen",
 	"server killed", "server restarted", "placer lease lapses unaware",
 }
 
@@ -273,6 +274,8 @@
 			h.peersCut = until
 		case cutServers:
 			h.serversCut = until
+		case cutControl:
+			h.storeCut, h.peersCut = until, until
 		case cutAll:
 			h.storeCut, h.peersCut, h.serversCut = until, until, until
 		case killServer:
