Make four tests notice what they are named after

Cause: mutants survived. 'Unrepeatable requests retried' and 'on used connections' survived because the tests left nothing to retry on and no used connection; they now have a second server and earlier charges. 'Cut answers completed' survived because Content-Length alone shows a cut; an answer of unknown length is now cut too.

--- a/cmd/trials/requests_test.go
+++ b/cmd/trials/requests_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -157,21 +158,28 @@
 	})
 
 	It("end as unknown and are not sent again when the server dies on the way", func() {
-		d := smallFleet(deploymentConfig{workTime: 600 * time.Millisecond})
+		d := smallFleet(deploymentConfig{serversPerDomain: 2, workTime: 600 * time.Millisecond})
 		answer := make(chan result, 1)
 		go func() {
 			defer GinkgoRecover()
 			answer <- request(http.MethodPost, d.fleet.CallerAddresses()[0], "/s/invoicing/member-1", "charge-5")
 		}()
-		time.Sleep(250 * time.Millisecond)
-		for _, b := range d.backendsOf("invoicing") {
-			if b.Domain == d.fleet.Backends[0].Domain {
-				d.kill(b.ID)
+		var running ledger.Backend
+		Eventually(func() bool {
+			for _, b := range d.backendsOf("invoicing") {
+				if d.recordsOf(b).Running > 0 {
+					running = b
+					return true
+				}
 			}
-		}
+			return false
+		}, startWithin, 5*time.Millisecond).Should(BeTrue())
+		d.kill(running.ID)
 		var r result
 		Eventually(answer, startWithin).Should(Receive(&r))
 		Expect(r.header.Get(quay.HeaderOutcome)).To(Equal(quay.OutcomeUnknown))
+		d.fleet.Backends = slices.DeleteFunc(d.fleet.Backends, func(b ledger.Backend) bool { return b.ID == running.ID })
+		Expect(d.executionsOf("charge-5")).To(BeEmpty(), "it ran again on another server")
 		again := request(http.MethodPost, d.fleet.CallerAddresses()[1], "/s/invoicing/member-1", "charge-5")
 		Expect(again.status).To(Equal(http.StatusConflict))
 		Expect(again.header.Get(quay.HeaderOutcome)).To(Equal(quay.OutcomeUnknown))
@@ -199,10 +207,17 @@
 		for _, b := range d.backendsOf("ledger_export") {
 			control(b.Address, drydock.BackendControl{CutAfterBytes: 100_000})
 		}
-		r := request(http.MethodGet, d.fleet.CallerAddresses()[0], "/s/ledger_export/l1/file", "")
-		Expect(r.cut).To(HaveOccurred())
-		remote := request(http.MethodGet, d.fleet.CallerAddresses()[1], "/s/ledger_export/l1/file", "")
-		Expect(remote.cut).To(HaveOccurred())
+		for _, path := range []string{"/s/ledger_export/l1/file", "/s/ledger_export/l1/stream"} {
+			for _, host := range d.fleet.CallerAddresses() {
+				Expect(request(http.MethodGet, host, path, "").cut).To(HaveOccurred(), path)
+			}
+		}
+		for _, b := range d.backendsOf("ledger_export") {
+			control(b.Address, drydock.BackendControl{})
+		}
+		whole := request(http.MethodGet, d.fleet.CallerAddresses()[0], "/s/ledger_export/l1/stream", "")
+		Expect(whole.cut).NotTo(HaveOccurred())
+		Expect(whole.body).To(HaveLen(262144))
 	})
 
 	It("of another request are never passed on", func() {
@@ -225,6 +240,8 @@
 		host := d.fleet.CallerAddresses()[0]
 		for i := range 10 {
 			Expect(request(http.MethodGet, host, fmt.Sprintf("/s/stock_balances/s%d", i), "").status).To(Equal(http.StatusOK))
+			early := request(http.MethodPost, host, "/s/invoicing/member-1", fmt.Sprintf("charge-early-%d", i))
+			Expect(early.status).To(Equal(http.StatusOK), early.body)
 		}
 		silenced := 0
 		for _, s := range silencers {
--- a/drydock/backend.go
+++ b/drydock/backend.go
@@ -32,7 +32,7 @@
 	ColdStart    time.Duration
 	ChecksGrants bool
 	// Content is the body of answers to GET requests whose path ends in
-	// /file, for downloads.
+	// /file, for downloads, or in /stream, for answers of unknown length.
 	Content []byte
 }
 
@@ -74,9 +74,11 @@
 	// once, counting those that it refused.
 	MaxOffered     int `json:"max_offered"`
 	MaxConnections int `json:"max_connections"`
-	ShedOverload   int `json:"shed_overload"`
-	RefusedGrant   int `json:"refused_grant"`
-	RefusedDrain   int `json:"refused_drain"`
+	// Running is the number of requests that run now.
+	Running      int `json:"running"`
+	ShedOverload int `json:"shed_overload"`
+	RefusedGrant int `json:"refused_grant"`
+	RefusedDrain int `json:"refused_drain"`
 }
 
 // Paths by which a test program controls a backend stand-in.
@@ -157,6 +159,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	records := b.records
+	records.Running = b.running
 	records.Executions = append([]Execution{}, b.records.Executions...)
 	return records
 }
@@ -402,6 +405,10 @@
 		http.ServeContent(w, r, "file", time.Time{}, bytes.NewReader(b.cfg.Content))
 		return
 	}
+	if strings.HasSuffix(r.URL.Path, "/stream") {
+		b.stream(w)
+		return
+	}
 	key, _ := url.QueryUnescape(r.Header.Get(quay.HeaderKey))
 	body, _ := json.Marshal(Answer{Server: b.cfg.ID, Key: key, RequestID: id})
 	w.Header().Set("Content-Type", "application/json")
@@ -409,6 +416,19 @@
 	_, _ = w.Write(body)
 }
 
+// stream sends the content in parts, without saying how long it is.
+func (b *Backend) stream(w http.ResponseWriter) {
+	const part = 16 << 10
+	for rest := b.cfg.Content; len(rest) > 0; rest = rest[min(part, len(rest)):] {
+		if _, err := w.Write(rest[:min(part, len(rest))]); err != nil {
+			return
+		}
+		if flusher, ok := w.(http.Flusher); ok {
+			flusher.Flush()
+		}
+	}
+}
+
 // cuttingWriter breaks the connection after a number of body bytes.
 type cuttingWriter struct {
 	http.ResponseWriter
--- a/harbor/warden.go
+++ b/harbor/warden.go
@@ -82,6 +82,11 @@
 	client *http.Client
 	queue  chan berth.Server
 
+	// assigned are the servers of this host under the table assignedFor. Only
+	// run uses them.
+	assigned    []berth.Server
+	assignedFor *berth.Table
+
 	mu      sync.Mutex
 	wards   map[berth.ServerID]*ward
 	hotKeys []*signal.HotKeyReport
@@ -136,12 +141,8 @@
 	if table == nil {
 		return
 	}
-	assigned := make(map[berth.ServerID]bool)
-	for _, server := range table.Servers {
-		if !slices.Contains(table.Wardens(server.ID), w.d.settings.Host.ID) {
-			continue
-		}
-		assigned[server.ID] = true
+	w.assign(table)
+	for _, server := range w.assigned {
 		if !w.begin(server.ID) {
 			continue
 		}
@@ -151,7 +152,24 @@
 			return
 		}
 	}
-	w.forget(assigned)
+}
+
+// assign chooses the servers of this host. The choice is kept until the table
+// changes, because it ranks every entry host for every server.
+func (w *warden) assign(table *berth.Table) {
+	if table == w.assignedFor {
+		return
+	}
+	w.assignedFor = table
+	w.assigned = nil
+	ids := make(map[berth.ServerID]bool)
+	for _, server := range table.Servers {
+		if slices.Contains(table.Wardens(server.ID), w.d.settings.Host.ID) {
+			w.assigned = append(w.assigned, server)
+			ids[server.ID] = true
+		}
+	}
+	w.forget(ids)
 }
 
 // begin marks a server as being probed, unless it already is.
