Plan shards only when something changed; test a caller's request at shutdown

Cause: standin measure gave 0.15 us per shard for a placer tick, 2.8 ms at 18,800 shards, twenty times a second: 5.6% of a core against 2.4%. The shards are now planned only after a change of the table, of a server or of the load, or when a round of balancing is due, and are copied only then. Cause of the test: the mutant without the draining of callers' requests survived; traffic in the test went to other hosts. Red now without it.

--- a/berth/placer.go
+++ b/berth/placer.go
@@ -80,6 +80,10 @@
 	firstVersion Version
 	closingSince Version
 
+	// quiet is the version under which the shards were found to need nothing,
+	// or zero.
+	quiet Version
+
 	rules  rulesView
 	loads  map[ServiceID]map[ShardID]float64
 	hot    map[ServiceID][]HotKeyLoad
@@ -157,8 +161,10 @@
 		p.rules.closed[e.Domain] = max(p.rules.closed[e.Domain], e.Closed)
 	case LoadsObserved:
 		p.loads[e.Service] = e.Loads
+		p.quiet = 0
 	case HotKeysObserved:
 		p.hot[e.Service] = e.Keys
+		p.quiet = 0
 	}
 	switch event.(type) {
 	case Tick, TableRead, TableWritten:
@@ -284,6 +290,7 @@
 func (p *Placer) startTerm(now time.Time) {
 	p.ledger = versionLedger{lease: p.cfg.Timing.RouteLease + p.cfg.Timing.DriftMargin}
 	p.firstVersion = p.table.Version
+	p.quiet = 0
 	p.shardSince = make(map[shardRef]Version)
 	p.hostSince = make(map[HostID]hostTransition)
 	for _, view := range p.hosts {
@@ -355,7 +362,7 @@
 		return
 	}
 	p.ledger.advance(now, p.hosts)
-	draft := &draft{placer: p, now: now, next: p.table.Clone()}
+	draft := &draft{placer: p, now: now, next: p.table.cloneRoster()}
 	draft.planHosts()
 	draft.planServers()
 	draft.planRules()
@@ -372,10 +379,12 @@
 
 // draft is a table under construction.
 type draft struct {
-	placer    *Placer
-	now       time.Time
-	next      *Table
-	changed   bool
+	placer  *Placer
+	now     time.Time
+	next    *Table
+	changed bool
+	// waiting says that a shard needs something that is not possible yet.
+	waiting   bool
 	decisions []Decision
 }
 
--- a/berth/shard.go
+++ b/berth/shard.go
@@ -3,8 +3,32 @@
 import "slices"
 
 // planShards finishes moves, gives shards of lost servers a new owner, splits
-// hot keys and evens out load.
+// hot keys and evens out load. It does nothing while neither the table nor the
+// observed load has changed since it last found nothing to do.
 func (d *draft) planShards() {
+	if !d.changed && d.placer.quiet == d.placer.table.Version && !d.roundDue() {
+		return
+	}
+	d.next.cloneServices()
+	d.planServices()
+	d.placer.quiet = 0
+	if !d.changed && !d.waiting && len(d.placer.shardSince) == 0 {
+		d.placer.quiet = d.placer.table.Version
+	}
+}
+
+// roundDue reports whether a service is due for a round of balancing.
+func (d *draft) roundDue() bool {
+	for _, spec := range d.placer.cfg.Services {
+		last := d.placer.rounds[spec.ID]
+		if spec.Policy.Tolerance > 0 && d.now.Sub(last) >= spec.Policy.RoundInterval {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *draft) planServices() {
 	for _, spec := range d.placer.cfg.Services {
 		plan := d.servicePlan(spec)
 		plan.finishMoves()
@@ -165,13 +189,19 @@
 			continue
 		}
 		reason, needed := s.replaceReason(s.shards.Shards[i])
+		if reason != "" && !needed {
+			s.draft.waiting = s.draft.waiting || s.shards.Shards[i].Next == ""
+			continue
+		}
 		if !needed {
 			continue
 		}
 		to, found := s.leastLoaded(shard, s.shards.Shards[i].holder())
-		if found {
-			s.move(shard, to, reason)
+		if !found {
+			s.draft.waiting = true
+			continue
 		}
+		s.move(shard, to, reason)
 	}
 }
 
@@ -222,14 +252,17 @@
 // busiest exceeds the mean by more than the policy's tolerance.
 func (s *servicePlan) balance() {
 	policy := s.spec.Policy
-	if policy.Tolerance <= 0 || len(s.live) < 2 || s.moving() || s.draft.changed {
+	last := s.draft.placer.rounds[s.spec.ID]
+	if policy.Tolerance <= 0 || s.draft.now.Sub(last) < policy.RoundInterval {
 		return
 	}
-	last := s.draft.placer.rounds[s.spec.ID]
-	if s.draft.now.Sub(last) < policy.RoundInterval {
+	if s.moving() || s.draft.changed {
 		return
 	}
 	s.draft.placer.rounds[s.spec.ID] = s.draft.now
+	if len(s.live) < 2 {
+		return
+	}
 	for range policy.MovesPerRound {
 		if !s.moveOne() {
 			return
--- a/berth/table.go
+++ b/berth/table.go
@@ -177,17 +177,28 @@
 
 // Clone returns a deep copy of t.
 func (t *Table) Clone() *Table {
+	c := t.cloneRoster()
+	c.cloneServices()
+	return c
+}
+
+// cloneRoster returns a copy of t that shares its services with t.
+func (t *Table) cloneRoster() *Table {
 	c := *t
 	c.Hosts = slices.Clone(t.Hosts)
 	c.Servers = slices.Clone(t.Servers)
-	c.Services = slices.Clone(t.Services)
-	for i := range c.Services {
-		c.Services[i].Shards = slices.Clone(t.Services[i].Shards)
-		c.Services[i].HotKeys = slices.Clone(t.Services[i].HotKeys)
-	}
 	return &c
 }
 
+// cloneServices gives t services of its own.
+func (t *Table) cloneServices() {
+	t.Services = slices.Clone(t.Services)
+	for i := range t.Services {
+		t.Services[i].Shards = slices.Clone(t.Services[i].Shards)
+		t.Services[i].HotKeys = slices.Clone(t.Services[i].HotKeys)
+	}
+}
+
 // Host returns the entry host with the given id, or nil.
 func (t *Table) Host(id HostID) *Host {
 	for i := range t.Hosts {
--- a/cmd/trials/requests_test.go
+++ b/cmd/trials/requests_test.go
@@ -340,6 +340,24 @@
 	})
 })
 
+var _ = Describe("A graceful stop of an entry host", func() {
+	It("finishes the requests that callers have sent to it", func() {
+		d := smallFleet(deploymentConfig{hostsPerDomain: 2, workTime: 700 * time.Millisecond})
+		host := d.fleet.Hosts[0].Host
+		answer := make(chan result, 1)
+		go func() {
+			defer GinkgoRecover()
+			answer <- request(http.MethodGet, host.CallerAddress, "/s/stock_balances/s1", "")
+		}()
+		time.Sleep(200 * time.Millisecond)
+		d.signal(string(host.ID), syscall.SIGTERM)
+		var r result
+		Eventually(answer, startWithin).Should(Receive(&r))
+		Expect(r.status).To(Equal(http.StatusOK), r.body)
+		Eventually(d.processes[string(host.ID)].ended, startWithin).Should(BeClosed())
+	})
+})
+
 // adminOf returns the admin address of an entry host of a failure domain.
 func (d *deployment) adminOf(domain string) string {
 	GinkgoHelper()
