--- a/cmd/standin/plot.go
+++ b/cmd/standin/plot.go
@@ -2,6 +2,7 @@
 
 import (
 	"image/color"
+	"math"
 	"os"
 
 	"gonum.org/v1/plot"
@@ -14,9 +15,11 @@
 )
 
 const (
-	panelWidth  = 18 * vg.Centimeter
+	panelWidth  = 28 * vg.Centimeter
 	panelHeight = 9 * vg.Centimeter
-	barWidth    = 0.4 * vg.Centimeter
+	barWidth    = 0.6 * vg.Centimeter
+	// headroom leaves space for the legend above the highest bar.
+	headroom = 1.35
 )
 
 // panel is one measure of the plot.
@@ -28,7 +31,9 @@
 var panels = []panel{
 	{title: "imbalance (max / mean load)", value: func(m drydock.Measures) float64 { return m.Imbalance }},
 	{title: "churn (keys moved of 1000)", value: func(m drydock.Measures) float64 { return m.Churn }},
-	{title: "unavailable time (key-seconds for 1000 keys)", value: func(m drydock.Measures) float64 { return m.Unavailable }},
+	{title: "unavailable time (log10 of 1 + key-seconds for 1000 keys)", value: func(m drydock.Measures) float64 {
+		return math.Log10(1 + m.Unavailable)
+	}},
 }
 
 var barColors = []color.Color{
@@ -83,6 +88,7 @@
 		picture.Legend.Add(name, bars)
 	}
 	picture.NominalX(groupNames(rows)...)
+	picture.Y.Max *= headroom
 	return picture, nil
 }
 
--- a/drydock/backend.go
+++ b/drydock/backend.go
@@ -255,7 +255,8 @@
 	finished := b.perform(r, control)
 	b.record(r, began, finished)
 	if !finished {
-		return
+		// Returning here would send an empty answer that looks complete.
+		panic(http.ErrAbortHandler)
 	}
 	b.answer(w, r, control)
 }
--- a/drydock/measure.go
+++ b/drydock/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -12,10 +13,14 @@
 	"text/tabwriter"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"hornbeamwinch.example/berth"
 	"hornbeamwinch.example/charter"
+	"hornbeamwinch.example/harbor"
 	"hornbeamwinch.example/manifest"
 	"hornbeamwinch.example/quay"
+	"hornbeamwinch.example/signal"
 )
 
 // Point is one measured point of a slope.
@@ -58,9 +63,14 @@
 	s.Residual = math.Sqrt(squares / n)
 }
 
-// Measure measures the slopes of docs/CAPACITY.md and prints them.
+// MeasureLogic measures the slopes that need no processes and prints them.
+func MeasureLogic(w io.Writer) error {
+	return printSlopes(w, append(measureSizes(), measureLogic()...))
+}
+
+// Measure measures all slopes of docs/CAPACITY.md and prints them.
 func Measure(ctx context.Context, w io.Writer) error {
-	slopes := measureLogic()
+	slopes := append(measureSizes(), measureLogic()...)
 	control, err := measureControl(ctx)
 	if err != nil {
 		return err
@@ -70,7 +80,10 @@
 		return err
 	}
 	slopes = append(slopes, control...)
-	slopes = append(slopes, path...)
+	return printSlopes(w, append(slopes, path...))
+}
+
+func printSlopes(w io.Writer, slopes []Slope) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "slope\tpoints\tbase\tper unit\tresidual")
 	for i := range slopes {
@@ -117,6 +130,37 @@
 	return []Slope{size, encode, tick, grants, measureRules(), measureRuleText(), measureHotKeys()}
 }
 
+// measureSizes measures the messages of the control plane.
+func measureSizes() []Slope {
+	follow := Slope{Name: "report of an entry host", XUnit: "servers", YUnit: "bytes"}
+	grant := Slope{Name: "grant of a server", XUnit: "shards", YUnit: "bytes"}
+	for _, n := range []int{2, 8, 32, 128} {
+		report := &signal.FollowRequest{
+			Host: "mvd_a_host_1", Address: "10.0.0.1:7201", Domain: "mvd_a", Incarnation: 1,
+			Epoch: 3, Version: 100_000, Settled: 100_000, WithinShares: 100_000, RulesRevision: 10_000,
+		}
+		for _, domain := range []string{"mvd_b", "mvd_c", "mvd_d"} {
+			report.Rosters = append(report.Rosters, &signal.DomainRoster{Domain: domain, Epoch: 3, Version: 100_000})
+		}
+		request := harbor.GrantRequest{Instance: "instance", Epoch: 3, Version: 100_000, ValidUntilMS: 100_000_000}
+		for i := range n {
+			report.Servers = append(report.Servers, &signal.ServerReport{
+				Server: "mvd_a_tank_readings_" + strconv.Itoa(i), Condition: 1, ReleasedVersion: 100_000,
+			})
+			request.Shards = append(request.Shards, harbor.GrantShard{
+				Service: "tank_readings", Shard: berth.ShardID(i), Token: "3.100000",
+			})
+		}
+		body, err := json.Marshal(request)
+		if err != nil {
+			continue
+		}
+		follow.Points = append(follow.Points, Point{X: float64(n), Y: float64(proto.Size(report))})
+		grant.Points = append(grant.Points, Point{X: float64(n), Y: float64(len(body))})
+	}
+	return []Slope{follow, grant}
+}
+
 // syntheticTable returns a table of one service with twenty shards for each
 // server and one entry host for each four servers.
 func syntheticTable(shards int) *berth.Table {
--- a/harbor/directory.go
+++ b/harbor/directory.go
@@ -13,11 +13,10 @@
 
 // DomainRoster lists the entry hosts of one failure domain.
 type DomainRoster struct {
-	Domain      berth.DomainID
-	Epoch       berth.Epoch
-	Version     berth.Version
-	RulesClosed berth.RulesRevision
-	Hosts       []berth.Host
+	Domain  berth.DomainID
+	Epoch   berth.Epoch
+	Version berth.Version
+	Hosts   []berth.Host
 }
 
 // Directory knows the entry hosts of every failure domain. What it knows of
@@ -72,19 +71,45 @@
 	return active
 }
 
-// Learn keeps a roster if it is newer than the known one.
+// Learn keeps a roster if it is newer than the known one and lists other hosts.
+// Most changes of a table leave its hosts as they are.
 func (d *Directory) Learn(r DomainRoster) {
 	if r.Domain == d.domain {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if known, ok := d.rosters[r.Domain]; ok && known.Version >= r.Version {
+	known, ok := d.rosters[r.Domain]
+	if ok && (known.Version >= r.Version || slices.Equal(known.Hosts, r.Hosts)) {
 		return
 	}
 	d.rosters[r.Domain] = r
 }
 
+// Versions returns the known rosters without their hosts.
+func (d *Directory) Versions() []DomainRoster {
+	rosters := d.Rosters()
+	for i := range rosters {
+		rosters[i].Hosts = nil
+	}
+	return rosters
+}
+
+// NewerThan returns the known rosters that are newer than the given ones.
+func (d *Directory) NewerThan(versions []*signal.DomainRoster) []DomainRoster {
+	have := make(map[berth.DomainID]berth.Version, len(versions))
+	for _, v := range versions {
+		have[berth.DomainID(v.GetDomain())] = berth.Version(v.GetVersion())
+	}
+	var newer []DomainRoster
+	for _, r := range d.Rosters() {
+		if r.Version > have[r.Domain] {
+			newer = append(newer, r)
+		}
+	}
+	return newer
+}
+
 // Rosters returns the known rosters by domain.
 func (d *Directory) Rosters() []DomainRoster {
 	d.mu.Lock()
@@ -99,11 +124,10 @@
 
 func rosterOf(t *berth.Table) DomainRoster {
 	return DomainRoster{
-		Domain:      t.Domain,
-		Epoch:       t.Epoch,
-		Version:     t.Version,
-		RulesClosed: t.Rules.Closed,
-		Hosts:       t.Hosts,
+		Domain:  t.Domain,
+		Epoch:   t.Epoch,
+		Version: t.Version,
+		Hosts:   t.Hosts,
 	}
 }
 
@@ -111,11 +135,10 @@
 	records := make([]*signal.DomainRoster, 0, len(rosters))
 	for _, r := range rosters {
 		records = append(records, &signal.DomainRoster{
-			Domain:      string(r.Domain),
-			Epoch:       uint64(r.Epoch),
-			Version:     uint64(r.Version),
-			RulesClosed: uint64(r.RulesClosed),
-			Hosts:       berth.EncodeHosts(r.Hosts),
+			Domain:  string(r.Domain),
+			Epoch:   uint64(r.Epoch),
+			Version: uint64(r.Version),
+			Hosts:   berth.EncodeHosts(r.Hosts),
 		})
 	}
 	return records
@@ -123,10 +146,9 @@
 
 func decodeRoster(r *signal.DomainRoster) DomainRoster {
 	return DomainRoster{
-		Domain:      berth.DomainID(r.GetDomain()),
-		Epoch:       berth.Epoch(r.GetEpoch()),
-		Version:     berth.Version(r.GetVersion()),
-		RulesClosed: berth.RulesRevision(r.GetRulesClosed()),
-		Hosts:       berth.DecodeHosts(r.GetHosts()),
+		Domain:  berth.DomainID(r.GetDomain()),
+		Epoch:   berth.Epoch(r.GetEpoch()),
+		Version: berth.Version(r.GetVersion()),
+		Hosts:   berth.DecodeHosts(r.GetHosts()),
 	}
 }
--- a/harbor/follower.go
+++ b/harbor/follower.go
@@ -135,6 +135,7 @@
 		}
 	}
 	r.HotKeys = f.d.warden.hotKeyReports()
+	r.Rosters = encodeRosters(f.d.directory.Versions())
 	return r
 }
 
--- a/harbor/peers.go
+++ b/harbor/peers.go
@@ -34,6 +34,7 @@
 	if view.Confirmed {
 		reply.AgeMicros = uint64(view.Age.Microseconds()) + 1
 	}
+	reply.Rosters = encodeRosters(d.directory.NewerThan(r.GetRosters()))
 	newest := d.book.Newest().Revision
 	reply.RulesRevision = uint64(newest)
 	if newest > berth.RulesRevision(r.GetRulesRevision()) {
@@ -47,9 +48,6 @@
 	if r.GetDomain() == string(d.settings.Host.Domain) && reply.GetVersion() > r.GetVersion() {
 		p.addTable(reply, view.Table, view.Revision)
 	}
-	if r.GetVersion() == 0 || reply.GetVersion() > r.GetVersion() || d.placement.isActive() {
-		reply.Rosters = encodeRosters(d.directory.Rosters())
-	}
 	return reply, nil
 }
 
@@ -89,7 +87,9 @@
 			d.placement.post(berth.ServerReleased{Server: id, Version: berth.Version(s.GetReleasedVersion())})
 		}
 	}
-	d.placement.rates.set(host, r.GetHotKeys())
+	if len(r.GetHotKeys()) > 0 {
+		d.placement.rates.set(host, r.GetHotKeys())
+	}
 }
 
 // Nudge implements signal.PeersServer.
--- a/harbor/rates.go
+++ b/harbor/rates.go
@@ -18,29 +18,30 @@
 	rateMaxAge = 3 * rateInterval
 )
 
-// hotKeyReports returns the busiest keys of this host for the placer.
+// hotKeyReports returns the busiest keys of this host for the placer, once in
+// each interval and nothing in between.
 func (w *warden) hotKeyReports() []*signal.HotKeyReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if time.Since(w.hotAt) < rateInterval {
-		return w.hotKeys
+		return nil
 	}
 	w.hotAt = time.Now()
-	w.hotKeys = nil
+	var reports []*signal.HotKeyReport
 	for _, service := range w.d.settings.Services {
 		if !service.DividedByKey {
 			continue
 		}
 		keys := w.d.router.HotKeys(service.ID)
 		for _, key := range keys[:min(len(keys), reportedKeys)] {
-			w.hotKeys = append(w.hotKeys, &signal.HotKeyReport{
+			reports = append(reports, &signal.HotKeyReport{
 				Service:           string(service.ID),
 				Key:               key.Key,
 				RequestsPerSecond: key.Rate,
 			})
 		}
 	}
-	return w.hotKeys
+	return reports
 }
 
 // rateTable holds the hot keys that the entry hosts of the domain report. It
--- a/harbor/status.go
+++ b/harbor/status.go
@@ -56,11 +56,10 @@
 
 // DomainSummary is what a host knows of another failure domain.
 type DomainSummary struct {
-	Domain      berth.DomainID      `json:"domain"`
-	Epoch       berth.Epoch         `json:"epoch"`
-	Version     berth.Version       `json:"version"`
-	RulesClosed berth.RulesRevision `json:"rules_closed"`
-	Hosts       []HostStatus        `json:"hosts"`
+	Domain  berth.DomainID `json:"domain"`
+	Epoch   berth.Epoch    `json:"epoch"`
+	Version berth.Version  `json:"version"`
+	Hosts   []HostStatus   `json:"hosts"`
 }
 
 // Explanation says where requests for one key go and why.
@@ -137,7 +136,7 @@
 	for _, r := range d.directory.Rosters() {
 		s.OtherDomain = append(s.OtherDomain, DomainSummary{
 			Domain: r.Domain, Epoch: r.Epoch, Version: r.Version,
-			RulesClosed: r.RulesClosed, Hosts: hostStatuses(r.Hosts),
+			Hosts: hostStatuses(r.Hosts),
 		})
 	}
 	if view.Table == nil {
--- a/harbor/warden.go
+++ b/harbor/warden.go
@@ -87,10 +87,9 @@
 	assigned    []berth.Server
 	assignedFor *berth.Table
 
-	mu      sync.Mutex
-	wards   map[berth.ServerID]*ward
-	hotKeys []*signal.HotKeyReport
-	hotAt   time.Time
+	mu    sync.Mutex
+	wards map[berth.ServerID]*ward
+	hotAt time.Time
 }
 
 func newWarden(d *Daemon) *warden {
@@ -154,13 +153,14 @@
 	}
 }
 
-// assign chooses the servers of this host. The choice is kept until the table
-// changes, because it ranks every entry host for every server.
+// assign chooses the servers of this host. The choice is kept until the hosts
+// or servers of the table change, because it ranks every host for every server.
 func (w *warden) assign(table *berth.Table) {
-	if table == w.assignedFor {
+	before := w.assignedFor
+	w.assignedFor = table
+	if before != nil && slices.Equal(before.Hosts, table.Hosts) && slices.Equal(before.Servers, table.Servers) {
 		return
 	}
-	w.assignedFor = table
 	w.assigned = nil
 	ids := make(map[berth.ServerID]bool)
 	for _, server := range table.Servers {
