--- a/drydock/backend.go
+++ b/drydock/backend.go
@@ -61,7 +61,11 @@
 	Token          string          `json:"token,omitempty"`
 	BeganNS        int64           `json:"began_ns"`
 	EndedNS        int64           `json:"ended_ns"`
-	// Finished is false if the caller gave up before the end.
+	// DeadlineNS is when the server stops working on the request by itself,
+	// or zero. A server that was frozen in between notices it only later.
+	DeadlineNS int64 `json:"deadline_ns,omitempty"`
+	// Finished is false if the caller gave up, or the deadline passed, before
+	// the end. The server then did nothing for the request after the deadline.
 	Finished bool `json:"finished"`
 }
 
@@ -344,9 +348,10 @@
 // deadline passed.
 func (b *Backend) perform(r *http.Request, control BackendControl) bool {
 	ctx := r.Context()
-	if millis, err := strconv.ParseInt(r.Header.Get(quay.HeaderTimeout), 10, 64); err == nil {
+	deadline, hasDeadline := deadlineOf(r, time.Now())
+	if hasDeadline {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(millis)*time.Millisecond)
+		ctx, cancel = context.WithDeadline(ctx, deadline)
 		defer cancel()
 	}
 	work := b.cfg.WorkTime
@@ -357,14 +362,31 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return ctx.Err() == nil
+		// The clock decides, not the context: after the process was frozen,
+		// this timer may be served before the one of the deadline.
+		late := hasDeadline && !time.Now().Before(deadline)
+		return !late && ctx.Err() == nil
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// deadlineOf returns when a request that began at the given time ends at the
+// latest.
+func deadlineOf(r *http.Request, began time.Time) (time.Time, bool) {
+	millis, err := strconv.ParseInt(r.Header.Get(quay.HeaderTimeout), 10, 64)
+	if err != nil {
+		return time.Time{}, false
+	}
+	return began.Add(time.Duration(millis) * time.Millisecond), true
+}
+
 func (b *Backend) record(r *http.Request, began time.Time, finished bool) {
 	key, _ := url.QueryUnescape(r.Header.Get(quay.HeaderKey))
+	deadlineNS := int64(0)
+	if deadline, ok := deadlineOf(r, began); ok {
+		deadlineNS = deadline.UnixNano()
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running--
@@ -379,6 +401,7 @@
 		Token:          r.Header.Get(quay.HeaderToken),
 		BeganNS:        began.UnixNano(),
 		EndedNS:        time.Now().UnixNano(),
+		DeadlineNS:     deadlineNS,
 		Finished:       finished,
 	})
 }
