--- a/drydock/caller.go
+++ b/drydock/caller.go
@@ -170,18 +170,6 @@
 	return tallies
 }
 
-// Gaps returns for each key of a service the longest time without a whole
-// answer.
-func (c *Caller) Gaps(service berth.ServiceID) []time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var gaps []time.Duration
-	for _, gap := range c.services[service].gaps {
-		gaps = append(gaps, gap)
-	}
-	return gaps
-}
-
 // callerWorker sends one request after another.
 type callerWorker struct {
 	caller   *Caller
--- a/manifest/rule.go
+++ b/manifest/rule.go
@@ -22,15 +22,6 @@
 // lone asterisk.
 type Pattern string
 
-// Matches reports whether p selects key.
-func (p Pattern) Matches(key string) bool {
-	prefix, isPrefix := p.prefix()
-	if isPrefix {
-		return strings.HasPrefix(key, prefix)
-	}
-	return string(p) == key
-}
-
 // prefix returns the fixed part of a prefix pattern.
 func (p Pattern) prefix() (string, bool) {
 	return strings.CutSuffix(string(p), wildcard)
--- a/quay/outcome.go
+++ b/quay/outcome.go
@@ -69,5 +69,4 @@
 	ReasonForeignAnswer   Reason = "answer_of_another_request"
 	ReasonRetriesExceeded Reason = "retry_budget_exhausted"
 	ReasonForwardLost     Reason = "forward_lost"
-	ReasonCallerGone      Reason = "caller_gone"
 )
