--- a/charter/charter_test.go
+++ b/charter/charter_test.go
@@ -31,6 +31,7 @@
 		s.Host.PeerAddress = "nowhere"
 		s.Timing.RouteLeaseMS = 300
 		s.Timing.GrantTTLMS = 400
+		s.Timing.DrainLimitMS = 100
 		s.Services[0].Shards = 0
 		s.Services[1].Repeat = "sometimes"
 		text, err := json.Marshal(s)
@@ -42,6 +43,7 @@
 			ContainSubstring(`services[0].shards: is 0`),
 			ContainSubstring(`services[1].repeat: is "sometimes"`),
 			ContainSubstring(`timing.confirm_interval_ms: is 150, at most a third`),
+			ContainSubstring(`timing.drain_limit_ms: is 100, at least timing.route_lease_ms (300) is required`),
 			ContainSubstring(`timing.grant_ttl_ms: is 400, at most timing.route_lease_ms (300)`),
 		)))
 	})
--- a/charter/load.go
+++ b/charter/load.go
@@ -153,6 +153,13 @@
 			"timing.host_timeout_ms: is %d, at least three times timing.confirm_interval_ms (%d) is required",
 			t.HostTimeoutMS, t.ConfirmIntervalMS))
 	}
+	// A new run of a host counts as proof that the old one has stopped
+	// dispatching, so a stopping host keeps its listener for a route lease.
+	if t.DrainLimitMS < t.RouteLeaseMS {
+		faults = append(faults, fmt.Sprintf(
+			"timing.drain_limit_ms: is %d, at least timing.route_lease_ms (%d) is required",
+			t.DrainLimitMS, t.RouteLeaseMS))
+	}
 	if t.GrantTTLMS > t.RouteLeaseMS {
 		faults = append(faults, fmt.Sprintf(
 			"timing.grant_ttl_ms: is %d, at most timing.route_lease_ms (%d) is allowed",
--- a/quay/dispatch.go
+++ b/quay/dispatch.go
@@ -16,6 +16,9 @@
 const (
 	// copyBufferBytes is the size of the parts in which a body is passed on.
 	copyBufferBytes = 32 << 10
+	// maxRecordedAnswer bounds the answer to a request that must not be
+	// repeated, in bytes, because it is held in memory as a whole.
+	maxRecordedAnswer = 8 << 20
 	// maxResumes bounds the continuations of one broken answer.
 	maxResumes = 3
 )
@@ -253,11 +256,15 @@
 // before any of it is passed on, so that it can be recorded with the claim.
 func (j *journey) passRecorded(ctx context.Context, a *answer, header http.Header) step {
 	reader := &progressReader{ctx: ctx, conn: a.conn, body: a.Body, limit: j.service.ProgressTimeout}
-	body, err := io.ReadAll(reader)
-	a.finish(err == nil)
+	body, err := io.ReadAll(io.LimitReader(reader, maxRecordedAnswer+1))
+	whole := err == nil && len(body) <= maxRecordedAnswer
+	a.finish(whole)
 	if err != nil {
 		return final(j.giveUp(ReasonConnectionLost, retryAfterOutage))
 	}
+	if !whole {
+		return final(j.giveUp(ReasonAnswerTooLarge, 0))
+	}
 	j.answered = &recordedAnswer{status: a.StatusCode, header: header, body: body}
 	if err := j.sink.Head(a.StatusCode, header); err != nil {
 		return final(Whole{Status: a.StatusCode})
--- a/quay/outcome.go
+++ b/quay/outcome.go
@@ -56,6 +56,7 @@
 	ReasonKeyReused       Reason = "idempotency_key_reused"
 	ReasonInProgress      Reason = "same_idempotency_key_in_progress"
 	ReasonBodyTooLarge    Reason = "body_too_large"
+	ReasonAnswerTooLarge  Reason = "answer_too_large"
 	ReasonBodyUnreadable  Reason = "body_unreadable"
 	ReasonOverload        Reason = "overload"
 	ReasonDeadline        Reason = "deadline"
