--- a/harbor/admin_rules.go
+++ b/harbor/admin_rules.go
@@ -33,17 +33,26 @@
 	a.answer(c, records, err)
 }
 
+// checkRules answers whether rules would be accepted.
 func (a *admin) checkRules(c *gin.Context) {
+	if _, ok := a.checkedRequest(c); ok {
+		c.JSON(http.StatusOK, struct{}{})
+	}
+}
+
+// checkedRequest reads a request whose rules are free of faults, or answers why
+// there is none.
+func (a *admin) checkedRequest(c *gin.Context) (ApplyRequest, bool) {
 	var r ApplyRequest
 	if err := c.ShouldBindJSON(&r); err != nil {
 		c.JSON(http.StatusBadRequest, Problem{Error: err.Error()})
-		return
+		return r, false
 	}
 	if err := a.check(r.Text); err != nil {
 		c.JSON(http.StatusUnprocessableEntity, Problem{Error: err.Error()})
-		return
+		return r, false
 	}
-	c.JSON(http.StatusOK, struct{}{})
+	return r, true
 }
 
 func (a *admin) check(text string) error {
@@ -57,13 +66,8 @@
 // applyRules records new rules. Faulty rules and rules based on an old
 // revision are refused and change nothing.
 func (a *admin) applyRules(c *gin.Context) {
-	var r ApplyRequest
-	if err := c.ShouldBindJSON(&r); err != nil {
-		c.JSON(http.StatusBadRequest, Problem{Error: err.Error()})
-		return
-	}
-	if err := a.check(r.Text); err != nil {
-		c.JSON(http.StatusUnprocessableEntity, Problem{Error: err.Error()})
+	r, ok := a.checkedRequest(c)
+	if !ok {
 		return
 	}
 	ctx := c.Request.Context()
