--- a/cmd/hornbeamwinchd/main.go
+++ b/cmd/hornbeamwinchd/main.go
@@ -4,6 +4,11 @@
 //
 //	hornbeamwinchd --settings /etc/hornbeamwinch.json
 //	hornbeamwinchd --settings /etc/hornbeamwinch.json --check
+//	hornbeamwinchd --platform
+//
+// With --platform, the host runs on the users' platform. The settings are then
+// the platform's own file, whose path is in the environment variable
+// HORNBEAMWINCH_NODE_FILE unless --settings gives another.
 package main
 
 import (
@@ -20,8 +25,9 @@
 
 // options are the command line flags.
 type options struct {
-	Settings string `long:"settings" required:"true" description:"settings file"`
+	Settings string `long:"settings" description:"settings file"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
+	Platform bool   `long:"platform" description:"run on the users' platform"`
 }
 
 func main() {
@@ -32,11 +38,16 @@
 		}
 		os.Exit(exitUsage)
 	}
-	settings, err := charter.Load(o.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitSettings)
+	if o.Platform {
+		runOnPlatform(o)
+		return
+	}
+	if o.Settings == "" {
+		fmt.Fprintln(os.Stderr, "the required flag --settings was not specified")
+		os.Exit(exitUsage)
 	}
+	settings, err := charter.Load(o.Settings)
+	exitOn(err)
 	if o.Check {
 		fmt.Println("settings are valid")
 		return
@@ -44,6 +55,14 @@
 	run(settings)
 }
 
+// exitOn ends the process if the settings cannot be used.
+func exitOn(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+}
+
 // Exit codes.
 const (
 	exitUsage    = 2
--- /dev/null
+++ b/gauge/page.go
@@ -0,0 +1,80 @@
+// Package gauge serves the values of a tally scope as text.
+//
+// # Usage
+//
+//	scope := tally.NewTestScope("hornbeamwinch", nil)
+//	http.Handle("/metrics", gauge.Page{Scope: scope})
+package gauge
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Snapshots is a scope whose values can be read.
+type Snapshots interface {
+	Snapshot() tally.Snapshot
+}
+
+// Page is an http.Handler that serves a scope in the Prometheus text format.
+type Page struct {
+	Scope Snapshots
+}
+
+// ServeHTTP implements http.Handler.
+func (p Page) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	snapshot := p.Scope.Snapshot()
+	var lines []string
+	for _, counter := range snapshot.Counters() {
+		lines = append(lines, metricLine(counter.Name(), counter.Tags(), float64(counter.Value())))
+	}
+	for _, gauge := range snapshot.Gauges() {
+		lines = append(lines, metricLine(gauge.Name(), gauge.Tags(), gauge.Value()))
+	}
+	for _, histogram := range snapshot.Histograms() {
+		lines = append(lines, histogramLines(histogram)...)
+	}
+	sort.Strings(lines)
+	_, _ = io.WriteString(w, strings.Join(lines, "\n")+"\n")
+}
+
+// histogramLines returns cumulative bucket lines.
+func histogramLines(histogram tally.HistogramSnapshot) []string {
+	bounds := make([]time.Duration, 0, len(histogram.Durations()))
+	for bound := range histogram.Durations() {
+		bounds = append(bounds, bound)
+	}
+	sort.Slice(bounds, func(i, j int) bool { return bounds[i] < bounds[j] })
+	var lines []string
+	total := int64(0)
+	for _, bound := range bounds {
+		total += histogram.Durations()[bound]
+		tags := map[string]string{"le": fmt.Sprintf("%g", bound.Seconds())}
+		for name, value := range histogram.Tags() {
+			tags[name] = value
+		}
+		lines = append(lines, metricLine(histogram.Name()+"_bucket", tags, float64(total)))
+	}
+	return lines
+}
+
+func metricLine(name string, tags map[string]string, value float64) string {
+	names := make([]string, 0, len(tags))
+	for tag := range tags {
+		names = append(names, tag)
+	}
+	sort.Strings(names)
+	pairs := make([]string, 0, len(names))
+	for _, tag := range names {
+		pairs = append(pairs, fmt.Sprintf("%s=%q", tag, tags[tag]))
+	}
+	name = strings.NewReplacer(".", "_", "+", "_").Replace(name)
+	return fmt.Sprintf("%s{%s} %g", name, strings.Join(pairs, ","), value)
+}
--- /dev/null
+++ b/jetty/admin.go
@@ -0,0 +1,34 @@
+package jetty
+
+import (
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"hornbeamwinch.example/gauge"
+)
+
+// readyHandler answers the balancer's probe.
+func (h *Host) readyHandler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.GET(h.cfg.Dialect.ReadyPath(), h.probe)
+	return engine
+}
+
+func (h *Host) probe(c *gin.Context) {
+	if h.ready() {
+		c.Status(http.StatusOK)
+		return
+	}
+	c.Status(http.StatusServiceUnavailable)
+}
+
+// adminHandler serves operators.
+func (h *Host) adminHandler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.GET("/readyz", h.probe)
+	engine.GET("/metrics", gin.WrapH(gauge.Page{Scope: h.metrics.scope}))
+	return engine
+}
--- /dev/null
+++ b/jetty/clock.go
@@ -0,0 +1,29 @@
+package jetty
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"hornbeamwinch.example/mooring"
+)
+
+// started anchors the steady clock.
+var started = time.Now()
+
+// steadyNow reads a clock that neither jumps nor runs while the machine is
+// suspended. It measures requests.
+func steadyNow() mooring.Instant {
+	return mooring.Instant(time.Since(started))
+}
+
+// bootNow reads a clock that runs on while the machine is suspended. It
+// measures leases and holds, which end without regard to this host.
+func bootNow() mooring.Instant {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// The clock exists on every supported kernel.
+		panic("read CLOCK_BOOTTIME: " + err.Error())
+	}
+	return mooring.Instant(t.Nano())
+}
--- /dev/null
+++ b/jetty/doc.go
@@ -0,0 +1,28 @@
+// Package jetty is the entry host on a platform that has a transactional store
+// and backend servers that check grants.
+//
+// A [Host] has these parts, each with goroutines of its own:
+//
+//   - the watcher follows the store: configuration, backend servers, tables of
+//     owners, and the placer;
+//   - the front serves callers: it matches the route, waits for admission,
+//     forwards the request and passes on a whole answer;
+//   - the reporter tells the placer what was measured;
+//   - the placer runs on the host that holds the placer's lease and moves keys
+//     between backend servers.
+//
+// Backend servers refuse requests for keys that they do not hold, so a host
+// forwards by the newest table it knows and needs no lease of its own to do so.
+// Only the placer's orders need one: they are sent while its lease surely
+// lasts, and the next placer begins after that.
+//
+// Lock order: deskSet.mu before desk.mu. Every other mutex is a leaf.
+//
+// # Usage
+//
+//	host, err := jetty.New(jetty.Config{Settings: settings, Store: store, Dialect: dialect})
+//	err = host.Start(ctx)
+//	defer host.Stop(ctx)
+//
+// [Module] offers the same to an fx application.
+package jetty
--- /dev/null
+++ b/jetty/errors.go
@@ -0,0 +1,53 @@
+package jetty
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Kind classifies an [Error].
+type Kind int
+
+const (
+	// KindNotSent marks a request of which no byte left.
+	KindNotSent Kind = iota + 1
+	// KindReset marks a connection that the server closed before an answer.
+	KindReset
+	// KindSilent marks a request without an answer in time.
+	KindSilent
+	// KindFaulty marks bytes that are not the answer to the request.
+	KindFaulty
+	// KindGivenUp marks a request that the caller gave up.
+	KindGivenUp
+	// KindListen marks an address that cannot be listened on.
+	KindListen
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %v", e.Op, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// kindOf returns the kind of err, or zero.
+func kindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return 0
+}
+
+// ErrRemoved is the reason of a [ServerRecord] whose entry was removed.
+var ErrRemoved = errors.New("entry was removed")
--- /dev/null
+++ b/jetty/host.go
@@ -0,0 +1,300 @@
+package jetty
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/ledger"
+	hostsignal "hornbeamwinch.example/signal"
+	"hornbeamwinch.example/sluice"
+)
+
+const (
+	// balancerWait is how long after SIGTERM new connections are served. The
+	// balancer asks once a second and moves on after two misses.
+	balancerWait = 3 * time.Second
+	// exitMargin is kept free before SIGKILL.
+	exitMargin = 600 * time.Millisecond
+	// sweepEvery is the time between two looks at the queues.
+	sweepEvery = 25 * time.Millisecond
+	// idleSweepEvery is the time between two looks at unused connections.
+	idleSweepEvery = time.Second
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 10 * time.Second
+	// maxHeader bounds what is read of a request's headers, before the limit of
+	// the configuration is applied.
+	maxHeader = 1 << 18
+	// memoryPart is the part of the memory at which the garbage collector works
+	// harder.
+	memoryPart = 0.7
+)
+
+// Config configures a [Host].
+type Config struct {
+	Settings *Settings
+	Store    ledger.TxnStore
+	Dialect  Dialect
+	// LogTo takes the log; nil means standard output.
+	LogTo io.Writer
+	// Reload reads the settings again; nil means that they do not change.
+	Reload func() (*Settings, error)
+}
+
+// Host is an entry host.
+type Host struct {
+	cfg      Config
+	logs     *logs
+	metrics  *metrics
+	views    *views
+	desks    *deskSet
+	upstream *upstream
+	watcher  *watcher
+	placer   *placer
+	reporter *reporter
+	loads    *loads
+	front    *front
+	idle     *idleConnections
+
+	servers []*http.Server
+	peers   *grpc.Server
+	leaving atomic.Bool
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+}
+
+// New builds a host. Nothing runs before [Host.Start].
+func New(cfg Config) (*Host, error) {
+	s := cfg.Settings
+	h := &Host{
+		cfg:      cfg,
+		logs:     newLogs(cfg.LogTo, s),
+		metrics:  newMetrics(),
+		views:    newViews(fairway.NewBook()),
+		upstream: newUpstream(),
+		loads:    newLoads(),
+	}
+	h.desks = newDeskSet(deskSetConfig{
+		Domain: s.Domain,
+		Budget: sluice.BudgetConfig{Window: s.Bounds.BudgetWindow, Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra},
+	})
+	h.watcher = &watcher{
+		store: cfg.Store, dialect: cfg.Dialect, views: h.views, desks: h.desks, logs: h.logs, changed: h.refresh,
+	}
+	h.placer = &placer{
+		store:   cfg.Store,
+		sender:  &orderSender{dialect: cfg.Dialect, upstream: h.upstream, views: h.views, logs: h.logs, metrics: h.metrics},
+		views:   h.views,
+		desks:   h.desks,
+		loads:   h.loads,
+		logs:    h.logs,
+		metrics: h.metrics,
+		address: s.PeerAddress,
+		ttl:     max(placerLease, s.MinLease),
+		maxHold: s.Bounds.MaxHold,
+		scanned: h.watcher.scanned.Load,
+		wake:    make(chan struct{}, 1),
+	}
+	h.loads.isPlacer = h.placer.active
+	h.reporter = &reporter{
+		host: s.Host, address: s.PeerAddress, views: h.views, desks: h.desks, loads: h.loads, logs: h.logs,
+		hostsChanged: h.refresh, leaving: h.leaving.Load,
+	}
+	h.idle = &idleConnections{since: make(map[net.Conn]time.Time), book: h.views.book}
+	h.front = &front{
+		headers: cfg.Dialect.Headers(),
+		book:    h.views.book,
+		random:  rand.Float64,
+		logs:    h.logs,
+		metrics: h.metrics,
+		forwarder: &forwarder{
+			headers: cfg.Dialect.Headers(), desks: h.desks, upstream: h.upstream, views: h.views,
+			logs: h.logs, metrics: h.metrics,
+		},
+	}
+	return h, nil
+}
+
+// StoreCall counts a call to the store; see the store's client.
+func (h *Host) StoreCall(op string, err error, took time.Duration) {
+	h.metrics.storeCall(op, err, took)
+}
+
+// refresh hands changed views to all that depend on them.
+func (h *Host) refresh() {
+	catalog, hosts := h.views.catalog(), h.views.hostCount()
+	h.upstream.update(catalog, h.views.book.Current(), hosts)
+	h.desks.refresh(catalog, hosts)
+	h.placer.notify()
+}
+
+// Start listens and runs the loops.
+func (h *Host) Start(context.Context) error {
+	s := h.cfg.Settings
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB) * (1 << 20)))
+	}
+	front := &http.Server{
+		Handler:           h.front,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ConnState:         h.idle.changed,
+		ErrorLog:          h.logs.standard(),
+	}
+	if err := h.serve(front, s.CallerAddress); err != nil {
+		return err
+	}
+	if err := h.serve(&http.Server{Handler: h.readyHandler(), ErrorLog: h.logs.standard()}, s.ReadyAddress); err != nil {
+		return err
+	}
+	if err := h.serve(&http.Server{Handler: h.adminHandler(), ErrorLog: h.logs.standard()}, s.AdminAddress); err != nil {
+		return err
+	}
+	if err := h.servePeers(s.PeerAddress); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.launch(ctx, h.watcher.run)
+	h.launch(ctx, h.placer.run)
+	h.launch(ctx, h.reporter.run)
+	h.launch(ctx, h.sweepLoop)
+	h.launch(ctx, h.reloadLoop)
+	h.logs.started(s)
+	return nil
+}
+
+func (h *Host) launch(ctx context.Context, run func(context.Context)) {
+	h.loops.Go(func() { run(ctx) })
+}
+
+// serve listens on address; see [serverLoop].
+func (h *Host) serve(server *http.Server, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	h.servers = append(h.servers, server)
+	l := &serverLoop{serve: server.Serve, listener: listener, logs: h.logs}
+	h.loops.Go(l.run)
+	return nil
+}
+
+func (h *Host) servePeers(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	h.peers = grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+		MinTime: peerKeepAlive, PermitWithoutStream: true,
+	}))
+	hostsignal.RegisterLoadsServer(h.peers, h.loads)
+	l := &serverLoop{serve: h.peers.Serve, listener: listener, logs: h.logs}
+	h.loops.Go(l.run)
+	return nil
+}
+
+// serverLoop serves one listener.
+type serverLoop struct {
+	serve    func(net.Listener) error
+	listener net.Listener
+	logs     *logs
+}
+
+func (l *serverLoop) run() {
+	err := l.serve(l.listener)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
+		l.logs.failure("serve "+l.listener.Addr().String(), err)
+	}
+}
+
+// sweepLoop looks at the queues and at unused connections.
+func (h *Host) sweepLoop(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, d := range h.desks.all() {
+			d.sweep()
+		}
+		if time.Since(last) >= idleSweepEvery {
+			last = time.Now()
+			h.upstream.sweep()
+			h.idle.sweep()
+		}
+	}
+}
+
+// reloadLoop reads the settings again at each SIGHUP.
+func (h *Host) reloadLoop(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			h.reload()
+		}
+	}
+}
+
+// reload applies what can change in a running process.
+func (h *Host) reload() {
+	if h.cfg.Reload == nil {
+		return
+	}
+	s, err := h.cfg.Reload()
+	if err == nil && s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB) * (1 << 20)))
+	}
+	h.logs.reloaded(err)
+}
+
+// ready reports whether the balancer should send callers here.
+func (h *Host) ready() bool {
+	return !h.leaving.Load() && h.watcher.scanned.Load() && h.views.book.Current() != nil && h.views.catalog().Len() > 0
+}
+
+// Stop lets the balancer move on, finishes the requests in flight, and ends.
+func (h *Host) Stop(ctx context.Context) error {
+	h.logs.stopping()
+	h.leaving.Store(true)
+	h.front.closing.Store(true)
+	h.placer.leave(ctx)
+	deadline := time.Now().Add(h.cfg.Settings.Bounds.Shutdown - exitMargin)
+	pause(ctx, min(balancerWait, time.Until(deadline)/2))
+	sctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if err := h.servers[0].Shutdown(sctx); err != nil {
+		h.logs.failure("finish requests", err)
+	}
+	h.cancel()
+	for _, server := range h.servers {
+		_ = server.Close()
+	}
+	h.peers.Stop()
+	h.loops.Wait()
+	h.logs.stopped()
+	return nil
+}
--- /dev/null
+++ b/jetty/module.go
@@ -0,0 +1,17 @@
+package jetty
+
+import (
+	"go.uber.org/fx"
+)
+
+// Module provides a [Host] built from a [Config] and ties its life to that of
+// the fx application.
+func Module(cfg Config) fx.Option {
+	return fx.Module("jetty",
+		fx.Supply(cfg),
+		fx.Provide(New),
+		fx.Invoke(func(lifecycle fx.Lifecycle, h *Host) {
+			lifecycle.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
+		}),
+	)
+}
--- /dev/null
+++ b/jetty/orders.go
@@ -0,0 +1,97 @@
+package jetty
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/mooring"
+)
+
+const (
+	// grantTimeout bounds a grant, which a server answers at once.
+	grantTimeout = 350 * time.Millisecond
+	// releaseTimeout bounds a release, which a server answers when the work
+	// under way has ended. A release that was lost is sent again after it.
+	releaseTimeout = 700 * time.Millisecond
+	// orderIdlePart is the part of a connection's idle limit within which it
+	// may carry an order.
+	orderIdlePart = 0.8
+	// maxOrderAnswer bounds the body of an answer to an order.
+	maxOrderAnswer = 64 << 10
+)
+
+var errTermEnded = errors.New("this host is not the placer any more")
+
+// orderSender sends grants and releases to backend servers.
+type orderSender struct {
+	dialect  Dialect
+	upstream *upstream
+	views    *views
+	logs     *logs
+	metrics  *metrics
+}
+
+// send sends an order if the term still lasts.
+func (o *orderSender) send(ctx context.Context, t *term, order mooring.Order) mooring.Answered {
+	began := bootNow()
+	result, handover, err := o.exchange(ctx, t, order)
+	answered := mooring.Answered{Order: order, Result: result, Handover: handover, Began: began, Ended: bootNow()}
+	o.logs.ordered(answered, err)
+	o.metrics.ordered(order, result)
+	return answered
+}
+
+func (o *orderSender) exchange(ctx context.Context, t *term, order mooring.Order) (mooring.Result, string, error) {
+	path, body, err := o.dialect.OrderCall(order)
+	if err != nil {
+		return mooring.ResultNotSent, "", err
+	}
+	timeout := grantTimeout
+	if order.Release {
+		timeout = releaseTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	s := fairway.Sighting{ID: order.To.Server, Address: order.To.Address, Born: order.To.Born}
+	c, p, err := o.upstream.take(ctx, s, o.views.book.Current(), orderIdlePart)
+	if err != nil {
+		return mooring.ResultNotSent, "", err
+	}
+	m := &message{
+		Method: http.MethodPost,
+		Target: path,
+		Host:   order.To.Address,
+		Header: http.Header{
+			"Content-Type":                       {"application/json"},
+			o.dialect.Headers().ExpectedInstance: {string(order.To.Server)},
+		},
+		Body: body,
+	}
+	// Nothing may be sent once another host may be the placer.
+	if !t.valid() {
+		o.upstream.put(p, c)
+		return mooring.ResultNotSent, "", errTermEnded
+	}
+	w, err := c.exchange(ctx, m, o.dialect.Headers().RequestID, "")
+	if err == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(w.Body, maxOrderAnswer))
+	}
+	if err != nil {
+		o.upstream.drop(p, c)
+		if kindOf(err) == KindNotSent {
+			return mooring.ResultNotSent, "", err
+		}
+		return mooring.ResultNoAnswer, "", err
+	}
+	if w.Close {
+		o.upstream.drop(p, c)
+	} else {
+		o.upstream.put(p, c)
+	}
+	result, handover := o.dialect.OrderAnswer(w.StatusCode, w.Header)
+	return result, handover, nil
+}
--- /dev/null
+++ b/jetty/upstream.go
@@ -0,0 +1,177 @@
+package jetty
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"hornbeamwinch.example/fairway"
+)
+
+const (
+	// connectionPart is the part of a server's connections that the hosts use,
+	// since a server may accept fewer while its queue is long.
+	connectionPart = 0.7
+	// minConnections is the least number of connections to a server.
+	minConnections = 3
+)
+
+var errTooMany = errors.New("this host's share of the server's connections is in use")
+
+// upstream has the connections to all backend servers.
+type upstream struct {
+	mu    sync.Mutex
+	pools map[fairway.ServerID]*pool
+	hosts int
+}
+
+// pool has the connections to one run of a backend server.
+type pool struct {
+	address string
+	born    fairway.Birth
+	idle    []*connection
+	open    int
+	limit   int
+	// dropped pools keep no connections any more.
+	dropped bool
+}
+
+func newUpstream() *upstream {
+	return &upstream{pools: make(map[fairway.ServerID]*pool), hosts: 1}
+}
+
+// update drops the connections of servers that are not listed any more.
+func (u *upstream) update(catalog *fairway.Catalog, config *fairway.Config, hosts int) {
+	var dropped []*connection
+	u.mu.Lock()
+	u.hosts = max(hosts, 1)
+	for id, p := range u.pools {
+		s, ok := catalog.Get(id)
+		if !ok || s.Address != p.address || s.Born != p.born {
+			dropped = append(dropped, p.idle...)
+			p.idle, p.dropped = nil, true
+			delete(u.pools, id)
+			continue
+		}
+		p.limit = u.limitOf(s, config)
+	}
+	u.mu.Unlock()
+	for _, c := range dropped {
+		_ = c.Close()
+	}
+}
+
+func (u *upstream) limitOf(s fairway.Sighting, config *fairway.Config) int {
+	limit := minConnections
+	if config != nil {
+		if service := config.Services[s.Service]; service != nil && service.MaxConnections > 0 {
+			limit = int(connectionPart * float64(service.MaxConnections) / float64(u.hosts))
+		}
+	}
+	return max(limit, minConnections)
+}
+
+// take returns a connection to a server, a kept one if it has been unused for
+// at most a part of its limit.
+func (u *upstream) take(ctx context.Context, s fairway.Sighting, config *fairway.Config, part float64) (*connection, *pool, error) {
+	var stale []*connection
+	u.mu.Lock()
+	p := u.pools[s.ID]
+	if p == nil || p.address != s.Address || p.born != s.Born {
+		if p != nil {
+			stale, p.idle, p.dropped = p.idle, nil, true
+		}
+		p = &pool{address: s.Address, born: s.Born, limit: u.limitOf(s, config)}
+		u.pools[s.ID] = p
+	}
+	var found *connection
+	now := time.Now()
+	for found == nil && len(p.idle) > 0 {
+		last := len(p.idle) - 1
+		c := p.idle[last]
+		p.idle = p.idle[:last]
+		if now.Sub(c.idleSince) < time.Duration(part*float64(c.idleLimit)) && c.clean() {
+			found = c
+		} else {
+			stale = append(stale, c)
+			p.open--
+		}
+	}
+	full := found == nil && p.open >= p.limit
+	if found == nil && !full {
+		p.open++
+	}
+	u.mu.Unlock()
+	for _, c := range stale {
+		_ = c.Close()
+	}
+	if full {
+		return nil, nil, &Error{Op: "connect", Kind: KindNotSent, Err: errTooMany}
+	}
+	if found != nil {
+		return found, p, nil
+	}
+	c, err := dial(ctx, s.Address)
+	if err != nil {
+		u.forget(p)
+		return nil, nil, err
+	}
+	return c, p, nil
+}
+
+// put keeps a connection after a whole answer.
+func (u *upstream) put(p *pool, c *connection) {
+	if c.broken || !c.clean() {
+		u.drop(p, c)
+		return
+	}
+	_ = c.SetDeadline(time.Time{})
+	c.used = true
+	c.idleSince = time.Now()
+	u.mu.Lock()
+	if !p.dropped && p.open <= p.limit {
+		p.idle = append(p.idle, c)
+		u.mu.Unlock()
+		return
+	}
+	p.open--
+	u.mu.Unlock()
+	_ = c.Close()
+}
+
+// drop closes a connection that must not be used again.
+func (u *upstream) drop(p *pool, c *connection) {
+	c.discard()
+	u.forget(p)
+}
+
+func (u *upstream) forget(p *pool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p.open--
+}
+
+// sweep closes connections that have been unused for too long.
+func (u *upstream) sweep() {
+	var stale []*connection
+	now := time.Now()
+	u.mu.Lock()
+	for _, p := range u.pools {
+		kept := p.idle[:0]
+		for _, c := range p.idle {
+			if now.Sub(c.idleSince) < c.idleLimit {
+				kept = append(kept, c)
+			} else {
+				stale = append(stale, c)
+				p.open--
+			}
+		}
+		clear(p.idle[len(kept):])
+		p.idle = kept
+	}
+	u.mu.Unlock()
+	for _, c := range stale {
+		_ = c.Close()
+	}
+}
--- a/ledger/errors.go
+++ b/ledger/errors.go
@@ -22,6 +22,8 @@
 	KindTooLarge
 	// KindProtocol marks an answer that is not of the protocol.
 	KindProtocol
+	// KindCompacted marks a watch from a revision whose history is gone.
+	KindCompacted
 )
 
 // Error is the error type of this package.
--- /dev/null
+++ b/mooring/balance.go
@@ -0,0 +1,227 @@
+package mooring
+
+import (
+	"time"
+
+	"hornbeamwinch.example/fairway"
+)
+
+const (
+	// imbalance is how far above the mean a server's utilization may be before
+	// keys are moved away from it. The estimate of a rate is off by about a
+	// tenth.
+	imbalance = 1.25
+	// movesPerRound bounds the keys that are without an owner at a time.
+	movesPerRound = 8
+	// rowsPerServer bounds the rows, each of which costs a grant at each
+	// renewal.
+	rowsPerServer = 6
+	// worthMoving is the smallest part of a server's load that is moved.
+	worthMoving = 0.04
+)
+
+// seat is a server that may be given keys, with its load.
+type seat struct {
+	holder   Holder
+	capacity float64
+	load     float64
+}
+
+func (s *seat) utilization() float64 {
+	return s.load / s.capacity
+}
+
+// allocation is a table in the making and the load of its servers.
+type allocation struct {
+	table  *Table
+	model  *loadModel
+	seats  []*seat
+	byOwn  map[Holder]*seat
+	target float64
+}
+
+func newAllocation(table *Table, model *loadModel, candidates []fairway.Sighting) *allocation {
+	a := &allocation{table: table, model: model, byOwn: make(map[Holder]*seat)}
+	capacity, total := 0.0, 0.0
+	for _, c := range candidates {
+		s := &seat{holder: holderOf(c), capacity: model.capacity(c)}
+		a.seats = append(a.seats, s)
+		a.byOwn[s.holder] = s
+		capacity += s.capacity
+	}
+	for i := range table.Rows {
+		r := &table.Rows[i]
+		load := model.of(r.Span)
+		total += load
+		if s := a.byOwn[r.Owner]; s != nil {
+			s.load += load
+		}
+	}
+	a.target = total / capacity
+	return a
+}
+
+// least returns the seat with the lowest utilization.
+func (a *allocation) least() *seat {
+	best := a.seats[0]
+	for _, s := range a.seats[1:] {
+		if s.utilization() < best.utilization() {
+			best = s
+		}
+	}
+	return best
+}
+
+// most returns the seat with the highest utilization, except those in skip.
+func (a *allocation) most(skip map[*seat]bool) *seat {
+	var best *seat
+	for _, s := range a.seats {
+		if !skip[s] && (best == nil || s.utilization() > best.utilization()) {
+			best = s
+		}
+	}
+	return best
+}
+
+// give makes span a row of its own that to owns.
+func (a *allocation) give(span Span, load float64, to *seat, reason Reason) Move {
+	i := a.table.cut(span)
+	from := a.table.Rows[i].Owner
+	if s := a.byOwn[from]; s != nil {
+		s.load -= load
+	}
+	to.load += load
+	a.table.reassign(i, to.holder)
+	return Move{Span: span, From: from.Server, To: to.holder.Server, Fence: a.table.Rows[i].Fence, Reason: reason}
+}
+
+// spread gives a span to the servers with the most room, in pieces that fit.
+func (a *allocation) spread(span Span, reason Reason) []Move {
+	var moves []Move
+	for {
+		to := a.least()
+		room := max(a.target*to.capacity-to.load, a.target*to.capacity/4)
+		piece, load, ok := a.model.prefix(span, room)
+		if !ok {
+			piece = Span{From: span.From, To: span.From}
+			load = a.model.rate(span.From)
+		}
+		if rest := span.Size() - piece.Size(); rest > 0 && len(moves) >= len(a.seats) {
+			piece, load = span, a.model.of(span)
+		}
+		moves = append(moves, a.give(piece, load, to, reason))
+		if piece.To == span.To {
+			return moves
+		}
+		span.From = piece.To + 1
+	}
+}
+
+// replaceOwners names new owners for rows whose owner must not have them.
+func (k *Keeper) replaceOwners(next *Table, candidates []fairway.Sighting) []Move {
+	type loss struct {
+		span   Span
+		reason Reason
+	}
+	var lost []loss
+	var moves []Move
+	for i := range next.Rows {
+		r := &next.Rows[i]
+		switch reason := k.fit(r.Owner); {
+		case r.Owner.Server == "" && k.now < k.settle:
+		case r.Owner.Server == "":
+			lost = append(lost, loss{span: r.Span, reason: ReasonFirst})
+		case reason != "":
+			lost = append(lost, loss{span: r.Span, reason: reason})
+		case !r.Moving() && k.row(r).superseded:
+			r.Fence = next.takeFence()
+			moves = append(moves, Move{
+				Span: r.Span, From: r.Owner.Server, To: r.Owner.Server, Fence: r.Fence, Reason: ReasonFenced,
+			})
+		}
+	}
+	if len(lost) == 0 {
+		return moves
+	}
+	a := newAllocation(next, k.load, candidates)
+	for _, l := range lost {
+		moves = append(moves, a.spread(l.span, l.reason)...)
+	}
+	return moves
+}
+
+// rebalance moves keys from busy servers to others.
+func (k *Keeper) rebalance(next *Table, candidates []fairway.Sighting) []Move {
+	if !k.load.known() || k.now.Sub(k.balance) < k.cfg.Timing.Balance || len(candidates) < 2 {
+		return nil
+	}
+	for i := range next.Rows {
+		if next.Rows[i].Moving() {
+			return nil
+		}
+	}
+	k.balance = k.now
+	a := newAllocation(next, k.load, candidates)
+	var moves []Move
+	done := make(map[*seat]bool)
+	for len(moves) < movesPerRound {
+		from := a.most(done)
+		if from == nil || from.utilization() < imbalance*a.target {
+			break
+		}
+		to := a.least()
+		span, load, ok := k.piece(a, from, to)
+		if !ok || load < worthMoving*from.load {
+			done[from] = true
+			continue
+		}
+		moves = append(moves, a.give(span, load, to, ReasonLoad))
+	}
+	if len(moves) > 0 {
+		next.join(func(r Row) bool { return !k.row(&r).confirmed })
+	}
+	return moves
+}
+
+// piece picks the keys to move between two servers: the largest end of a row
+// that does not overshoot.
+func (k *Keeper) piece(a *allocation, from, to *seat) (Span, float64, bool) {
+	limit := min(from.load-a.target*from.capacity, a.target*to.capacity-to.load)
+	whole := len(a.table.Rows) >= rowsPerServer*len(a.seats)
+	var best Span
+	bestLoad, found := 0.0, false
+	consider := func(s Span, load float64, ok bool, row Span) {
+		if ok && load > bestLoad && (!whole || s == row) {
+			best, bestLoad, found = s, load, true
+		}
+	}
+	for i := range a.table.Rows {
+		r := &a.table.Rows[i]
+		if r.Owner != from.holder || r.Moving() || r.Handover != "" {
+			continue
+		}
+		s, load, ok := a.model.prefix(r.Span, limit)
+		consider(s, load, ok, r.Span)
+		s, load, ok = a.model.suffix(r.Span, limit)
+		consider(s, load, ok, r.Span)
+	}
+	return best, bestLoad, found
+}
+
+// Speeds returns the speed of each server relative to the mean of its service,
+// from the time of its fastest answers.
+func Speeds(fastest map[fairway.ServerID]time.Duration) map[fairway.ServerID]float64 {
+	if len(fastest) == 0 {
+		return nil
+	}
+	sum := 0.0
+	for _, d := range fastest {
+		sum += 1 / max(d.Seconds(), time.Millisecond.Seconds())
+	}
+	mean := sum / float64(len(fastest))
+	speeds := make(map[fairway.ServerID]float64, len(fastest))
+	for id, d := range fastest {
+		speeds[id] = 1 / max(d.Seconds(), time.Millisecond.Seconds()) / mean
+	}
+	return speeds
+}
--- /dev/null
+++ b/mooring/event.go
@@ -0,0 +1,177 @@
+package mooring
+
+import (
+	"time"
+
+	"hornbeamwinch.example/fairway"
+)
+
+// Instant is a reading of a clock that goes on while the machine is suspended,
+// so that a hold cannot outlive its time unnoticed.
+type Instant time.Duration
+
+// Add returns the instant d later.
+func (i Instant) Add(d time.Duration) Instant {
+	return i + Instant(d)
+}
+
+// Sub returns the time from u to i.
+func (i Instant) Sub(u Instant) time.Duration {
+	return time.Duration(i - u)
+}
+
+// StoreRevision is the store's number for a recorded table, 0 for none.
+type StoreRevision uint64
+
+// Event is something that happened to a [Keeper].
+type Event interface{ event() }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// Loaded brings the recorded table. Table is nil if there is none.
+type Loaded struct {
+	Table    *Table
+	Revision StoreRevision
+}
+
+// Recorded says that the last write took effect.
+type Recorded struct {
+	Revision StoreRevision
+}
+
+// WriteFailed says that the last write did not take effect, or that this is
+// not known.
+type WriteFailed struct{}
+
+// Sighted brings the servers that may be given work.
+type Sighted struct {
+	Catalog *fairway.Catalog
+}
+
+// Answered brings the result of an order.
+type Answered struct {
+	Order Order
+	// Result is what is known of the order.
+	Result Result
+	// Handover comes with an accepted release.
+	Handover string
+	// Began and Ended span the time in which the order may have arrived.
+	Began Instant
+	Ended Instant
+}
+
+// Observed brings what the entry hosts measured since the last one.
+type Observed struct {
+	// Requests counts the requests by key.
+	Requests map[Key]int
+	// Over is the time in which they were counted.
+	Over time.Duration
+	// Speeds are the speeds of the servers relative to each other.
+	Speeds map[fairway.ServerID]float64
+}
+
+func (Tick) event()        {}
+func (Loaded) event()      {}
+func (Recorded) event()    {}
+func (WriteFailed) event() {}
+func (Sighted) event()     {}
+func (Answered) event()    {}
+func (Observed) event()    {}
+
+// Result is what became of an order.
+type Result int
+
+const (
+	// ResultAccepted means that the server carried the order out.
+	ResultAccepted Result = iota + 1
+	// ResultNoAnswer means that the order may have arrived, until its
+	// connection was closed.
+	ResultNoAnswer
+	// ResultNotSent means that no byte of the order left.
+	ResultNotSent
+	// ResultSuperseded means that the server has seen a higher token.
+	ResultSuperseded
+	// ResultElsewhere means that another run or server has the address.
+	ResultElsewhere
+	// ResultRejected means that the server did not understand the order.
+	ResultRejected
+)
+
+// String implements fmt.Stringer.
+func (r Result) String() string {
+	switch r {
+	case ResultAccepted:
+		return "accepted"
+	case ResultNoAnswer:
+		return "no_answer"
+	case ResultNotSent:
+		return "not_sent"
+	case ResultSuperseded:
+		return "superseded"
+	case ResultElsewhere:
+		return "elsewhere"
+	default:
+		return "rejected"
+	}
+}
+
+// Order is a grant or a release.
+type Order struct {
+	Span  Span
+	Fence Fence
+	To    Holder
+	// Release says that the order takes keys back.
+	Release bool
+	// Hold and Handover belong to a grant.
+	Hold     time.Duration
+	Handover string
+}
+
+// Action is something that the surrounding program has to do.
+type Action interface{ action() }
+
+// Load asks for the recorded table. Answer: [Loaded].
+type Load struct{}
+
+// Write asks for a write that takes effect only if the record is at Revision.
+// Answer: [Recorded] or [WriteFailed].
+type Write struct {
+	Table    *Table
+	Revision StoreRevision
+	// Moves explains the changes.
+	Moves []Move
+}
+
+// Send asks for an order to a backend server. Answer: [Answered].
+type Send struct {
+	Order Order
+}
+
+func (Load) action()  {}
+func (Write) action() {}
+func (Send) action()  {}
+
+// Reason says why a range changes its owner.
+type Reason string
+
+// Reasons of a [Move].
+const (
+	ReasonFirst    Reason = "first_owner"
+	ReasonDraining Reason = "owner_draining"
+	ReasonGone     Reason = "owner_gone"
+	ReasonSilent   Reason = "owner_silent"
+	ReasonNewRun   Reason = "owner_restarted"
+	ReasonLoad     Reason = "load"
+	ReasonCleared  Reason = "former_owner_cleared"
+	ReasonFenced   Reason = "token_superseded"
+)
+
+// Move explains one change of a table.
+type Move struct {
+	Span   Span
+	From   fairway.ServerID
+	To     fairway.ServerID
+	Fence  Fence
+	Reason Reason
+}
--- /dev/null
+++ b/mooring/keeper.go
@@ -0,0 +1,448 @@
+package mooring
+
+import (
+	"sort"
+	"time"
+
+	"hornbeamwinch.example/fairway"
+)
+
+const (
+	// clockDrift is the part by which a server's clock may run slow.
+	clockDrift = 0.02
+	// unreachableAfter is the number of failed renewals in a row after which a
+	// server is replaced. One may be lost by chance.
+	unreachableAfter = 2
+	// retryOrder is the pause before a failed order is sent again. It is a few
+	// round trips.
+	retryOrder = 100 * time.Millisecond
+	// returnGrace is how long a server that could not be reached is given no
+	// new keys.
+	returnGrace = 3 * time.Second
+	// maxAvoid bounds that time for a server that fails again and again.
+	maxAvoid = 15 * time.Second
+)
+
+// Timing has the times of a [Keeper].
+type Timing struct {
+	// Hold is how long a server holds its keys after a grant.
+	Hold time.Duration
+	// Renew is the time between two grants of the same keys.
+	Renew time.Duration
+	// Margin is added to a hold before it counts as run out.
+	Margin time.Duration
+	// Settle is how long the first assignment waits for more servers.
+	Settle time.Duration
+	// Balance is the time between two looks at the load.
+	Balance time.Duration
+}
+
+// KeeperConfig configures a [Keeper].
+type KeeperConfig struct {
+	Service fairway.ServiceName
+	// Now is the moment since which no earlier placer has sent an order.
+	Now    Instant
+	Timing Timing
+}
+
+// Keeper keeps the assignment of one service. It is a pure state machine and
+// not safe for concurrent use.
+type Keeper struct {
+	cfg KeeperConfig
+	// now is the time of the current step.
+	now Instant
+
+	recorded *Table
+	revision StoreRevision
+	// pending is the table of a write without an answer yet.
+	pending *Table
+	loading bool
+
+	catalog *fairway.Catalog
+	servers map[Holder]*server
+	rows    map[rowID]*rowState
+	load    *loadModel
+	balance Instant
+	settle  Instant
+
+	actions []Action
+}
+
+// server is what the keeper knows of one run of a backend server.
+type server struct {
+	// lastGrant is the latest moment at which a grant may have arrived.
+	lastGrant Instant
+	// inFlight counts orders without an answer, grants those among them that
+	// are grants.
+	inFlight int
+	grants   int
+	// failures counts orders without success in a row.
+	failures int
+	retryAt  Instant
+	// avoidUntil keeps new keys away after failures.
+	avoidUntil Instant
+}
+
+// rowID names a range under one token.
+type rowID struct {
+	Span  Span
+	Fence Fence
+}
+
+// rowState is what the keeper knows of a row besides the record.
+type rowState struct {
+	// cleared has the former owners that hold nothing any more.
+	cleared  map[Holder]bool
+	handover string
+	// granted is when the owner last accepted the row.
+	granted   Instant
+	confirmed bool
+	inFlight  bool
+	// superseded says that the owner has seen a higher token.
+	superseded bool
+}
+
+// NewKeeper returns a keeper that knows nothing yet.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	return &Keeper{
+		cfg:     cfg,
+		catalog: fairway.NewCatalog(nil),
+		servers: make(map[Holder]*server),
+		rows:    make(map[rowID]*rowState),
+		load:    newLoadModel(),
+		settle:  cfg.Now.Add(cfg.Timing.Settle),
+	}
+}
+
+// Table returns the recorded table, or nil while it is not known.
+func (k *Keeper) Table() *Table {
+	return k.recorded
+}
+
+// Step takes an event and returns what has to be done.
+func (k *Keeper) Step(now Instant, e Event) []Action {
+	k.now = now
+	k.actions = nil
+	switch e := e.(type) {
+	case Loaded:
+		k.loaded(e)
+	case Recorded:
+		k.adopt(k.pending, e.Revision)
+	case WriteFailed:
+		k.pending = nil
+		k.reload()
+	case Sighted:
+		k.catalog = e.Catalog
+	case Answered:
+		k.answered(e)
+	case Observed:
+		k.load.observe(e)
+	case Tick:
+	}
+	k.plan()
+	return k.actions
+}
+
+func (k *Keeper) reload() {
+	if !k.loading {
+		k.loading = true
+		k.actions = append(k.actions, Load{})
+	}
+}
+
+func (k *Keeper) loaded(e Loaded) {
+	k.loading = false
+	table := e.Table
+	if table == nil {
+		table = NewTable(k.cfg.Service)
+	}
+	k.adopt(table, e.Revision)
+}
+
+// adopt takes table as recorded and forgets the state of rows that it lacks.
+func (k *Keeper) adopt(table *Table, revision StoreRevision) {
+	if table == nil {
+		return
+	}
+	k.recorded, k.revision, k.pending = table, revision, nil
+	kept := make(map[rowID]*rowState, len(table.Rows))
+	for i := range table.Rows {
+		id := idOf(&table.Rows[i])
+		if state := k.rows[id]; state != nil {
+			kept[id] = state
+		}
+	}
+	k.rows = kept
+}
+
+func idOf(r *Row) rowID {
+	return rowID{Span: r.Span, Fence: r.Fence}
+}
+
+func (k *Keeper) row(r *Row) *rowState {
+	id := idOf(r)
+	state := k.rows[id]
+	if state == nil {
+		state = &rowState{cleared: make(map[Holder]bool)}
+		k.rows[id] = state
+	}
+	return state
+}
+
+// server returns the state of one run of a server. Nothing is known of grants
+// of an earlier placer but that they were sent before this one began.
+func (k *Keeper) server(h Holder) *server {
+	s := k.servers[h]
+	if s == nil {
+		s = &server{lastGrant: k.cfg.Now}
+		k.servers[h] = s
+	}
+	return s
+}
+
+func (k *Keeper) answered(e Answered) {
+	s := k.server(e.Order.To)
+	s.inFlight--
+	if e.Order.Release {
+		k.released(e, s)
+	} else {
+		s.grants--
+		k.granted(e, s)
+	}
+	switch e.Result {
+	case ResultAccepted, ResultSuperseded:
+		s.failures = 0
+	default:
+		s.failures++
+		s.retryAt = k.now.Add(retryOrder)
+		if s.failures >= unreachableAfter {
+			s.avoidUntil = k.now.Add(min(time.Duration(s.failures)*returnGrace/unreachableAfter, maxAvoid))
+		}
+	}
+}
+
+func (k *Keeper) released(e Answered, _ *server) {
+	state := k.rows[rowID{Span: e.Order.Span, Fence: e.Order.Fence}]
+	if state == nil {
+		return
+	}
+	state.inFlight = false
+	switch e.Result {
+	case ResultAccepted:
+		state.cleared[e.Order.To] = true
+		state.handover = e.Handover
+	case ResultElsewhere:
+		state.cleared[e.Order.To] = true
+	default:
+	}
+}
+
+func (k *Keeper) granted(e Answered, s *server) {
+	switch e.Result {
+	case ResultNotSent, ResultElsewhere, ResultSuperseded, ResultRejected:
+	default:
+		s.lastGrant = max(s.lastGrant, e.Ended)
+	}
+	state := k.rows[rowID{Span: e.Order.Span, Fence: e.Order.Fence}]
+	if state == nil {
+		return
+	}
+	state.inFlight = false
+	switch e.Result {
+	case ResultAccepted:
+		state.granted = e.Began
+		state.confirmed = true
+	case ResultSuperseded:
+		state.superseded = true
+	default:
+	}
+}
+
+// plan sends the orders that are due and writes the changes that are needed.
+func (k *Keeper) plan() {
+	if k.recorded == nil {
+		k.reload()
+		return
+	}
+	if k.loading {
+		return
+	}
+	for i := range k.recorded.Rows {
+		k.order(&k.recorded.Rows[i])
+	}
+	if k.pending == nil {
+		k.write()
+	}
+	k.forget()
+}
+
+// order sends what is due for one recorded row.
+func (k *Keeper) order(r *Row) {
+	state := k.row(r)
+	if state.inFlight || r.Owner.Server == "" {
+		return
+	}
+	if r.Moving() {
+		for _, h := range r.Former {
+			if !k.clear(r, h) && k.now >= k.server(h).retryAt {
+				k.send(state, Order{Span: r.Span, Fence: r.Fence, To: h, Release: true})
+				return
+			}
+		}
+		return
+	}
+	s := k.server(r.Owner)
+	due := !state.confirmed || k.now.Sub(state.granted) >= k.cfg.Timing.Renew
+	if due && !state.superseded && k.now >= s.retryAt && k.fit(r.Owner) == "" {
+		k.send(state, Order{Span: r.Span, Fence: r.Fence, To: r.Owner, Hold: k.cfg.Timing.Hold, Handover: r.Handover})
+	}
+}
+
+func (k *Keeper) send(state *rowState, o Order) {
+	s := k.server(o.To)
+	s.inFlight++
+	if !o.Release {
+		s.grants++
+	}
+	state.inFlight = true
+	k.actions = append(k.actions, Send{Order: o})
+}
+
+// clear reports whether a former owner certainly holds nothing of a row.
+func (k *Keeper) clear(r *Row, h Holder) bool {
+	state := k.row(r)
+	if state.cleared[h] || k.ended(h) {
+		return true
+	}
+	s := k.server(h)
+	return s.grants == 0 && k.now.Sub(s.lastGrant) > k.holdBound()
+}
+
+// holdBound is the longest time that a server holds keys after a grant.
+func (k *Keeper) holdBound() time.Duration {
+	return time.Duration(float64(k.cfg.Timing.Hold)/(1-clockDrift)) + k.cfg.Timing.Margin
+}
+
+// ended reports whether a sighting proves that the run has ended: a later run
+// has its id, or a server that started later has its address.
+func (k *Keeper) ended(h Holder) bool {
+	if s, ok := k.catalog.Get(h.Server); ok && s.Born > h.Born {
+		return true
+	}
+	for _, s := range k.catalog.All() {
+		if s.Address == h.Address && s.ID != h.Server && s.Born > h.Born {
+			return true
+		}
+	}
+	return false
+}
+
+// fit returns why h must not own keys, or an empty reason.
+func (k *Keeper) fit(h Holder) Reason {
+	s, ok := k.catalog.Get(h.Server)
+	switch {
+	case !ok || s.Service != k.cfg.Service:
+		return ReasonGone
+	case s.Born != h.Born || s.Address != h.Address:
+		return ReasonNewRun
+	case s.Draining:
+		return ReasonDraining
+	case k.now < k.server(h).avoidUntil:
+		return ReasonSilent
+	default:
+		return ""
+	}
+}
+
+// candidates returns the servers that may be given keys, by id.
+func (k *Keeper) candidates() []fairway.Sighting {
+	var found []fairway.Sighting
+	for _, s := range k.catalog.Of(k.cfg.Service) {
+		h := holderOf(s)
+		if k.fit(h) == "" {
+			found = append(found, s)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].ID < found[j].ID })
+	return found
+}
+
+func holderOf(s fairway.Sighting) Holder {
+	return Holder{Server: s.ID, Born: s.Born, Address: s.Address}
+}
+
+// write records the changes that are due, if there are any.
+func (k *Keeper) write() {
+	next := k.recorded.clone()
+	moves := k.clearFormer(next)
+	if candidates := k.candidates(); len(candidates) > 0 {
+		moves = append(moves, k.replaceOwners(next, candidates)...)
+		moves = append(moves, k.rebalance(next, candidates)...)
+	}
+	if len(moves) == 0 {
+		return
+	}
+	for i := range next.Rows {
+		r := &next.Rows[i]
+		if !r.Moving() && r.Handover != "" && k.row(r).confirmed {
+			r.Handover = ""
+		}
+	}
+	k.pending = next
+	k.actions = append(k.actions, Write{Table: next, Revision: k.revision, Moves: moves})
+}
+
+// clearFormer drops former owners that hold nothing any more.
+func (k *Keeper) clearFormer(next *Table) []Move {
+	var moves []Move
+	for i := range next.Rows {
+		r := &next.Rows[i]
+		if !r.Moving() {
+			continue
+		}
+		var left []Holder
+		for _, h := range r.Former {
+			if !k.clear(r, h) {
+				left = append(left, h)
+			}
+		}
+		if len(left) == len(r.Former) {
+			continue
+		}
+		moves = append(moves, Move{
+			Span: r.Span, From: r.Former[0].Server, To: r.Owner.Server, Fence: r.Fence, Reason: ReasonCleared,
+		})
+		r.Former = left
+		r.Handover = k.row(r).handover
+	}
+	return moves
+}
+
+// forget drops the state of servers that nothing refers to any more.
+func (k *Keeper) forget() {
+	if len(k.servers) < 2*(len(k.catalog.Of(k.cfg.Service))+len(k.recorded.Rows)+1) {
+		return
+	}
+	used := make(map[Holder]bool)
+	for _, t := range []*Table{k.recorded, k.pending} {
+		if t == nil {
+			continue
+		}
+		for i := range t.Rows {
+			used[t.Rows[i].Owner] = true
+			for _, h := range t.Rows[i].Former {
+				used[h] = true
+			}
+		}
+	}
+	for _, s := range k.catalog.Of(k.cfg.Service) {
+		used[holderOf(s)] = true
+	}
+	for h, s := range k.servers {
+		// A run that was granted keys may come up again while it still holds
+		// them, so its last grant is kept for that long.
+		if !used[h] && s.inFlight == 0 && k.now.Sub(s.lastGrant) > k.holdBound() {
+			delete(k.servers, h)
+		}
+	}
+}
--- /dev/null
+++ b/sluice/budget.go
@@ -0,0 +1,80 @@
+package sluice
+
+import (
+	"time"
+
+	"hornbeamwinch.example/mooring"
+)
+
+const (
+	// budgetBuckets is the number of parts in which a budget's window slides.
+	budgetBuckets = 10
+	// budgetPart is the part of the allowed sends that is used. The rest
+	// covers hosts whose share of the traffic has just changed.
+	budgetPart = 0.75
+)
+
+// BudgetConfig configures a [Budget].
+type BudgetConfig struct {
+	// Window is the time over which sends are counted.
+	Window time.Duration
+	// Ratio is the number of further sends that each request allows.
+	Ratio float64
+	// Extra is allowed besides, by all hosts together.
+	Extra float64
+}
+
+// Budget bounds the sends of one service beyond the first of each request, over
+// a sliding window.
+type Budget struct {
+	cfg     BudgetConfig
+	hosts   int
+	first   [budgetBuckets]int
+	further [budgetBuckets]int
+	at      int64
+}
+
+// NewBudget returns an unused budget.
+func NewBudget(cfg BudgetConfig) *Budget {
+	return &Budget{cfg: cfg, hosts: 1}
+}
+
+// SetHosts sets the number of hosts that share the extra sends.
+func (b *Budget) SetHosts(n int) {
+	b.hosts = max(n, 1)
+}
+
+// Request counts a request.
+func (b *Budget) Request(now mooring.Instant) {
+	b.first[b.slide(now)]++
+}
+
+// Take allows one further send, or reports false.
+func (b *Budget) Take(now mooring.Instant) bool {
+	i := b.slide(now)
+	requests, sends := 0, 0
+	for k := range budgetBuckets {
+		requests += b.first[k]
+		sends += b.further[k]
+	}
+	allowed := budgetPart * (b.cfg.Ratio*float64(requests) + b.cfg.Extra/float64(b.hosts))
+	if float64(sends)+1 > allowed {
+		return false
+	}
+	b.further[i]++
+	return true
+}
+
+// slide clears the buckets that have left the window and returns the current
+// one.
+func (b *Budget) slide(now mooring.Instant) int {
+	width := max(b.cfg.Window/budgetBuckets, time.Millisecond)
+	at := int64(time.Duration(now) / width)
+	for n := 0; b.at < at && n < budgetBuckets; n++ {
+		b.at++
+		b.first[b.at%budgetBuckets] = 0
+		b.further[b.at%budgetBuckets] = 0
+	}
+	b.at = at
+	return int(at % budgetBuckets)
+}
