Keep orders and requests from competing for connections; test the keeper

Change: at most 3 orders to a server at a time, on connections beyond the host's share; an order that could not be sent (not_tried) says nothing of the server. The keeper gets a simulated world: every fault at every interaction, and sets of several at random.

Ruled out: servers refusing connections (0 before 24 s), the network.

--- a/jetty/orders.go
+++ b/jetty/orders.go
@@ -20,6 +20,9 @@
 	// orderIdlePart is the part of a connection's idle limit within which it
 	// may carry an order.
 	orderIdlePart = 0.8
+	// orderConnections is the number of connections to a server that orders may
+	// use beyond the host's share, so that they do not wait for requests.
+	orderConnections = 3
 	// maxOrderAnswer bounds the body of an answer to an order.
 	maxOrderAnswer = 64 << 10
 )
@@ -48,7 +51,7 @@
 func (o *orderSender) exchange(ctx context.Context, t *term, order mooring.Order) (mooring.Result, string, error) {
 	path, body, err := o.dialect.OrderCall(order)
 	if err != nil {
-		return mooring.ResultNotSent, "", err
+		return mooring.ResultNotTried, "", err
 	}
 	timeout := grantTimeout
 	if order.Release {
@@ -57,7 +60,10 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s := fairway.Sighting{ID: order.To.Server, Address: order.To.Address, Born: order.To.Born}
-	c, p, err := o.upstream.take(ctx, s, o.views.book.Current(), orderIdlePart)
+	c, p, err := o.upstream.take(ctx, s, take{config: o.views.book.Current(), idlePart: orderIdlePart, spare: orderConnections})
+	if errors.Is(err, errTooMany) {
+		return mooring.ResultNotTried, "", err
+	}
 	if err != nil {
 		return mooring.ResultNotSent, "", err
 	}
@@ -74,7 +80,7 @@
 	// Nothing may be sent once another host may be the placer.
 	if !t.valid() {
 		o.upstream.put(p, c)
-		return mooring.ResultNotSent, "", errTermEnded
+		return mooring.ResultNotTried, "", errTermEnded
 	}
 	w, err := c.exchange(ctx, m, o.dialect.Headers().RequestID, "")
 	if err == nil {
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -72,9 +72,18 @@
 	return max(limit, minConnections)
 }
 
-// take returns a connection to a server, a kept one if it has been unused for
-// at most a part of its limit.
-func (u *upstream) take(ctx context.Context, s fairway.Sighting, config *fairway.Config, part float64) (*connection, *pool, error) {
+// take says which connection is wanted.
+type take struct {
+	config *fairway.Config
+	// idlePart is the part of its idle limit for which a kept connection may
+	// have been unused.
+	idlePart float64
+	// spare is the number of connections allowed beyond the host's share.
+	spare int
+}
+
+// take returns a connection to a server, a kept one if possible.
+func (u *upstream) take(ctx context.Context, s fairway.Sighting, t take) (*connection, *pool, error) {
 	var stale []*connection
 	u.mu.Lock()
 	p := u.pools[s.ID]
@@ -82,7 +91,7 @@
 		if p != nil {
 			stale, p.idle, p.dropped = p.idle, nil, true
 		}
-		p = &pool{address: s.Address, born: s.Born, limit: u.limitOf(s, config)}
+		p = &pool{address: s.Address, born: s.Born, limit: u.limitOf(s, t.config)}
 		u.pools[s.ID] = p
 	}
 	var found *connection
@@ -91,14 +100,14 @@
 		last := len(p.idle) - 1
 		c := p.idle[last]
 		p.idle = p.idle[:last]
-		if now.Sub(c.idleSince) < time.Duration(part*float64(c.idleLimit)) && c.clean() {
+		if now.Sub(c.idleSince) < time.Duration(t.idlePart*float64(c.idleLimit)) && c.clean() {
 			found = c
 		} else {
 			stale = append(stale, c)
 			p.open--
 		}
 	}
-	full := found == nil && p.open >= p.limit
+	full := found == nil && p.open >= p.limit+t.spare
 	if found == nil && !full {
 		p.open++
 	}
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -88,8 +88,12 @@
 	// ResultNoAnswer means that the order may have arrived, until its
 	// connection was closed.
 	ResultNoAnswer
-	// ResultNotSent means that no byte of the order left.
+	// ResultNotSent means that the server could not be reached, so that no byte
+	// of the order left.
 	ResultNotSent
+	// ResultNotTried means that this host could not send the order, which says
+	// nothing of the server.
+	ResultNotTried
 	// ResultSuperseded means that the server has seen a higher token.
 	ResultSuperseded
 	// ResultElsewhere means that another run or server has the address.
@@ -107,6 +111,8 @@
 		return "no_answer"
 	case ResultNotSent:
 		return "not_sent"
+	case ResultNotTried:
+		return "not_tried"
 	case ResultSuperseded:
 		return "superseded"
 	case ResultElsewhere:
--- a/mooring/keeper.go
+++ b/mooring/keeper.go
@@ -16,6 +16,9 @@
 	// retryOrder is the pause before a failed order is sent again. It is a few
 	// round trips.
 	retryOrder = 100 * time.Millisecond
+	// ordersPerServer bounds the orders under way to one server, each of which
+	// takes a connection. Releases wait for the work under way.
+	ordersPerServer = 3
 	// returnGrace is how long a server that could not be reached is given no
 	// new keys.
 	returnGrace = 3 * time.Second
@@ -83,6 +86,11 @@
 	avoidUntil Instant
 }
 
+// free reports whether another order may be sent to the server.
+func (s *server) free(now Instant) bool {
+	return s.inFlight < ordersPerServer && now >= s.retryAt
+}
+
 // rowID names a range under one token.
 type rowID struct {
 	Span  Span
@@ -212,6 +220,8 @@
 	switch e.Result {
 	case ResultAccepted, ResultSuperseded:
 		s.failures = 0
+	case ResultNotTried:
+		s.retryAt = k.now.Add(retryOrder)
 	default:
 		s.failures++
 		s.retryAt = k.now.Add(retryOrder)
@@ -239,7 +249,7 @@
 
 func (k *Keeper) granted(e Answered, s *server) {
 	switch e.Result {
-	case ResultNotSent, ResultElsewhere, ResultSuperseded, ResultRejected:
+	case ResultNotSent, ResultNotTried, ResultElsewhere, ResultSuperseded, ResultRejected:
 	default:
 		s.lastGrant = max(s.lastGrant, e.Ended)
 	}
@@ -284,7 +294,7 @@
 	}
 	if r.Moving() {
 		for _, h := range r.Former {
-			if !k.clear(r, h) && k.now >= k.server(h).retryAt {
+			if !k.clear(r, h) && k.server(h).free(k.now) {
 				k.send(state, Order{Span: r.Span, Fence: r.Fence, To: h, Release: true})
 				return
 			}
@@ -293,7 +303,7 @@
 	}
 	s := k.server(r.Owner)
 	due := !state.confirmed || k.now.Sub(state.granted) >= k.cfg.Timing.Renew
-	if due && !state.superseded && k.now >= s.retryAt && k.fit(r.Owner) == "" {
+	if due && !state.superseded && s.free(k.now) && k.fit(r.Owner) == "" {
 		k.send(state, Order{Span: r.Span, Fence: r.Fence, To: r.Owner, Hold: k.cfg.Timing.Hold, Handover: r.Handover})
 	}
 }
--- /dev/null
+++ b/mooring/keeper_test.go
@@ -0,0 +1,151 @@
+package mooring_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/mooring"
+)
+
+// settleTime is enough for every fault to pass: the lease, a hold, and late
+// orders.
+const settleTime = 20 * time.Second
+
+// expectSound asserts that no promise was broken and every key has its owner.
+func expectSound(w *world) {
+	GinkgoHelper()
+	Expect(w.broken).To(BeEmpty())
+	Expect(w.unheld()).To(BeEmpty())
+}
+
+// disturb makes moves of every kind: a drained server, a lost one, and load.
+func disturb(w *world) {
+	w.run(2 * time.Second)
+	w.servers["s1"].draining = true
+	w.sightingsChanged()
+	w.run(time.Second)
+	hot := map[mooring.Key]int{}
+	for k := 30000; k < 30200; k++ {
+		hot[mooring.Key(k)] = 10
+	}
+	w.step(w.term, mooring.Observed{Requests: hot, Over: time.Second})
+	w.run(time.Second)
+	lost := w.servers["s2"]
+	lost.up = false
+	w.at(2600*time.Millisecond, func() { lost.listed = false; w.sightingsChanged() })
+	w.run(5 * time.Second)
+}
+
+var _ = Describe("Keeper", func() {
+	It("assigns every key once the servers have appeared", func() {
+		w := newWorld(5)
+		w.run(2 * time.Second)
+		expectSound(w)
+	})
+
+	It("moves the keys of a draining server within a second", func() {
+		w := newWorld(5)
+		w.run(2 * time.Second)
+		w.servers["s1"].draining = true
+		w.sightingsChanged()
+		w.run(time.Second)
+		expectSound(w)
+		for _, r := range w.recorded.Rows {
+			Expect(r.Owner.Server).NotTo(Equal(fairway.ServerID("s1")))
+		}
+	})
+
+	It("serves the keys of a lost server again after its hold", func() {
+		w := newWorld(5)
+		w.run(2 * time.Second)
+		w.servers["s1"].up = false
+		w.run(timing.Hold + timing.Renew + time.Second)
+		expectSound(w)
+	})
+
+	It("serves the keys of a restarted server again at once", func() {
+		w := newWorld(5)
+		w.run(2 * time.Second)
+		w.strike(w.servers["s1"], faultServerBack)
+		w.run(time.Second)
+		expectSound(w)
+	})
+
+	It("sends at most three orders to a server at a time", func() {
+		w := newWorld(4)
+		disturb(w)
+		w.run(settleTime)
+		Expect(w.mostInFlight).To(BeNumerically("<=", 3))
+	})
+
+	It("does not replace a server because an order could not be sent", func() {
+		w := newWorld(3)
+		w.run(2 * time.Second)
+		before := w.revision
+		for range 10 {
+			w.step(w.term, mooring.Answered{
+				Order:  mooring.Order{To: w.servers["s1"].holder, Release: true},
+				Result: mooring.ResultNotTried,
+			})
+			w.run(200 * time.Millisecond)
+		}
+		Expect(w.revision).To(Equal(before))
+		expectSound(w)
+	})
+
+	It("keeps the number of rows bounded while the load wanders", func() {
+		w := newWorld(8)
+		w.run(2 * time.Second)
+		for i := range 60 {
+			hot := map[mooring.Key]int{}
+			for k := range 200 {
+				hot[mooring.Key((i/3*9973+k*17)%65536)] += 5
+			}
+			w.step(w.term, mooring.Observed{Requests: hot, Over: time.Second})
+			w.run(time.Second)
+		}
+		Expect(len(w.recorded.Rows)).To(BeNumerically("<=", 8*6))
+		expectSound(w)
+	})
+})
+
+var _ = Describe("Ownership under faults", func() {
+	undisturbed := newWorld(5)
+	disturb(undisturbed)
+	total := undisturbed.interactions
+
+	for _, f := range faults {
+		It("holds when at any interaction: "+string(f), func() {
+			for n := range total {
+				w := newWorld(5)
+				w.faultAt[n] = f
+				disturb(w)
+				w.run(settleTime)
+				Expect(w.broken).To(BeEmpty(), "fault at interaction %d of %d", n, total)
+				Expect(w.unheld()).To(BeEmpty(), "fault at interaction %d of %d", n, total)
+			}
+		})
+	}
+
+	It("holds under several faults at random", func() {
+		for seed := range uint64(150) {
+			rng := rand.New(rand.NewPCG(20261204, seed))
+			w := newWorld(9 + rng.IntN(4))
+			placed := ""
+			for range 2 + rng.IntN(4) {
+				n, f := rng.IntN(total), faults[rng.IntN(len(faults))]
+				w.faultAt[n] = f
+				placed += fmt.Sprintf(" %d:%s", n, f)
+			}
+			disturb(w)
+			w.run(settleTime)
+			Expect(w.broken).To(BeEmpty(), "seed %d:%s", seed, placed)
+			Expect(w.unheld()).To(BeEmpty(), "seed %d:%s", seed, placed)
+		}
+	})
+})
