Judge servers by paced answers, wait for servers to appear, keep order connections

The first table was made 0.7 s after the start, for 4 of 21 servers.

Change: the pace of a server is the time of its answers over the usual time on their route; the first assignment waits until no further server has appeared for 1 s (4 s in all); the placer keeps connections for orders.

--- a/jetty/desks.go
+++ b/jetty/desks.go
@@ -21,12 +21,26 @@
 	nextID  sluice.TicketID
 	// requests counts the requests by key since the last report.
 	requests map[mooring.Key]int
-	// bytes is the mean size of an answer by route.
-	bytes map[fairway.RouteName]float64
+	// answers has the means of the answers of each route.
+	answers map[fairway.RouteName]*routeMeans
+	// paces compares the servers since the last report.
+	paces map[fairway.ServerID]*pace
 }
 
-// bytesWeight is the weight of a new answer in the mean size.
-const bytesWeight = 0.05
+// routeMeans are means over the answers on a route.
+type routeMeans struct {
+	bytes float64
+	took  time.Duration
+}
+
+// pace sums over answers their time divided by the usual one of their route.
+type pace struct {
+	answers  int
+	slowness float64
+}
+
+// meanWeight is the weight of a new answer in the means of a route.
+const meanWeight = 0.05
 
 // acquire waits until t is admitted or refused. A request that is given up
 // while it waits gets a nil decision.
@@ -98,14 +112,30 @@
 	if key != nil {
 		d.requests[*key]++
 	}
-	return d.bytes[route]
+	if means := d.answers[route]; means != nil {
+		return means.bytes
+	}
+	return 0
 }
 
-// passed notes the size of an answer.
-func (d *desk) passed(route fairway.RouteName, n int) {
+// passed notes an answer that is passed on.
+func (d *desk) passed(route fairway.RouteName, server fairway.ServerID, n int, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.bytes[route] += bytesWeight * (float64(n) - d.bytes[route])
+	means := d.answers[route]
+	if means == nil {
+		means = &routeMeans{bytes: float64(n), took: took}
+		d.answers[route] = means
+	}
+	means.bytes += meanWeight * (float64(n) - means.bytes)
+	means.took += time.Duration(meanWeight * float64(took-means.took))
+	p := d.paces[server]
+	if p == nil {
+		p = &pace{}
+		d.paces[server] = p
+	}
+	p.answers++
+	p.slowness += float64(took) / float64(max(means.took, time.Microsecond))
 }
 
 // usual returns the mean time of an answer.
@@ -123,18 +153,15 @@
 }
 
 // drainLoad returns what was counted since the last call.
-func (d *desk) drainLoad() (map[mooring.Key]int, map[fairway.ServerID]time.Duration) {
+func (d *desk) drainLoad() (map[mooring.Key]int, map[fairway.ServerID]*pace) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	requests := d.requests
+	requests, paces := d.requests, d.paces
 	d.requests = make(map[mooring.Key]int)
-	return requests, d.desk.Fastest(minFastest)
+	d.paces = make(map[fairway.ServerID]*pace)
+	return requests, paces
 }
 
-// minFastest is the number of answers from which the shortest says something
-// of a server's speed.
-const minFastest = 3
-
 // deskSet has a desk for each service.
 type deskSet struct {
 	cfg deskSetConfig
@@ -194,7 +221,8 @@
 		budget:   sluice.NewBudget(s.cfg.Budget),
 		waiting:  make(map[sluice.TicketID]chan sluice.Decision),
 		requests: make(map[mooring.Key]int),
-		bytes:    make(map[fairway.RouteName]float64),
+		answers:  make(map[fairway.RouteName]*routeMeans),
+		paces:    make(map[fairway.ServerID]*pace),
 	}
 	if service.Divided {
 		d.owners = s.ownersLocked(service.Name)
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -65,6 +65,9 @@
 	views    *views
 	desks    *deskSet
 	upstream *upstream
+	// orders has the placer's connections. A new connection waits at a busy
+	// server, so orders keep their own.
+	orders   *upstream
 	watcher  *watcher
 	placer   *placer
 	reporter *reporter
@@ -89,6 +92,7 @@
 		metrics:  newMetrics(),
 		views:    newViews(fairway.NewBook()),
 		upstream: newUpstream(),
+		orders:   newUpstream(),
 		loads:    newLoads(),
 	}
 	h.desks = newDeskSet(deskSetConfig{
@@ -100,7 +104,7 @@
 	}
 	h.placer = &placer{
 		store:   cfg.Store,
-		sender:  &orderSender{dialect: cfg.Dialect, upstream: h.upstream, views: h.views, logs: h.logs, metrics: h.metrics},
+		sender:  &orderSender{dialect: cfg.Dialect, upstream: h.orders, logs: h.logs, metrics: h.metrics},
 		views:   h.views,
 		desks:   h.desks,
 		loads:   h.loads,
@@ -141,6 +145,7 @@
 func (h *Host) refresh() {
 	catalog, hosts := h.views.catalog(), h.views.hostCount()
 	h.upstream.update(catalog, h.views.book.Current(), hosts)
+	h.orders.update(catalog, nil, hosts)
 	h.desks.refresh(catalog, hosts)
 	h.placer.notify()
 }
@@ -248,6 +253,7 @@
 		if time.Since(last) >= idleSweepEvery {
 			last = time.Now()
 			h.upstream.sweep()
+			h.orders.sweep()
 			h.closeIdleCallers()
 		}
 	}
--- a/jetty/journey.go
+++ b/jetty/journey.go
@@ -185,7 +185,7 @@
 	}
 	d.finish(s.ID, outcome, took, r.route.Objective)
 	if outcome == sluice.OutcomeAnswered {
-		d.passed(r.route.Name, len(a.body))
+		d.passed(r.route.Name, s.ID, len(a.body), took)
 	}
 }
 
--- a/jetty/loads.go
+++ b/jetty/loads.go
@@ -34,7 +34,7 @@
 
 	mu       sync.Mutex
 	requests map[fairway.ServiceName]map[mooring.Key]int
-	fastest  map[fairway.ServerID]time.Duration
+	paces    map[fairway.ServerID]pace
 	seen     map[HostID]time.Time
 }
 
@@ -45,13 +45,13 @@
 }
 
 // drain returns what was reported since the last call.
-func (l *loads) drain() (map[fairway.ServiceName]map[mooring.Key]int, map[fairway.ServerID]time.Duration) {
+func (l *loads) drain() (map[fairway.ServiceName]map[mooring.Key]int, map[fairway.ServerID]pace) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	requests, fastest := l.requests, l.fastest
+	requests, paces := l.requests, l.paces
 	l.requests = make(map[fairway.ServiceName]map[mooring.Key]int)
-	l.fastest = make(map[fairway.ServerID]time.Duration)
-	return requests, fastest
+	l.paces = make(map[fairway.ServerID]pace)
+	return requests, paces
 }
 
 // Report implements signal.LoadsServer.
@@ -77,10 +77,10 @@
 		}
 	}
 	for _, s := range r.Servers {
-		d := time.Duration(s.Micros) * time.Microsecond
-		if old, ok := l.fastest[fairway.ServerID(s.Server)]; !ok || d < old {
-			l.fastest[fairway.ServerID(s.Server)] = d
-		}
+		p := l.paces[fairway.ServerID(s.Server)]
+		p.answers += int(s.Answers)
+		p.slowness += s.Slowness
+		l.paces[fairway.ServerID(s.Server)] = p
 	}
 	if r.Leaving {
 		delete(l.seen, HostID(r.Host))
@@ -168,16 +168,16 @@
 		if d.owners == nil {
 			continue
 		}
-		requests, fastest := d.drainLoad()
+		requests, paces := d.drainLoad()
 		counts := &signal.KeyCounts{Service: string(name)}
 		for key, n := range requests {
 			counts.Keys = append(counts.Keys, uint32(key))
 			counts.Counts = append(counts.Counts, uint32(n))
 		}
 		report.Services = append(report.Services, counts)
-		for id, took := range fastest {
-			report.Servers = append(report.Servers, &signal.ServerTime{
-				Server: string(id), Micros: uint32(took.Microseconds()),
+		for id, p := range paces {
+			report.Servers = append(report.Servers, &signal.ServerPace{
+				Server: string(id), Answers: uint32(p.answers), Slowness: p.slowness,
 			})
 		}
 	}
--- a/jetty/orders.go
+++ b/jetty/orders.go
@@ -20,9 +20,6 @@
 	// orderIdlePart is the part of a connection's idle limit within which it
 	// may carry an order.
 	orderIdlePart = 0.8
-	// orderConnections is the number of connections to a server that orders may
-	// use beyond the host's share, so that they do not wait for requests.
-	orderConnections = 3
 	// maxOrderAnswer bounds the body of an answer to an order.
 	maxOrderAnswer = 64 << 10
 )
@@ -33,7 +30,6 @@
 type orderSender struct {
 	dialect  Dialect
 	upstream *upstream
-	views    *views
 	logs     *logs
 	metrics  *metrics
 }
@@ -60,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s := fairway.Sighting{ID: order.To.Server, Address: order.To.Address, Born: order.To.Born}
-	c, p, err := o.upstream.take(ctx, s, take{config: o.views.book.Current(), idlePart: orderIdlePart, spare: orderConnections})
+	c, p, err := o.upstream.take(ctx, s, take{idlePart: orderIdlePart})
 	if errors.Is(err, errTooMany) {
 		return mooring.ResultNotTried, "", err
 	}
--- a/jetty/placer.go
+++ b/jetty/placer.go
@@ -31,12 +31,15 @@
 	grantRenew = 700 * time.Millisecond
 	// holdMargin covers the time that a grant takes to arrive.
 	holdMargin = 250 * time.Millisecond
-	// firstSettle lets the servers appear before the first assignment.
-	firstSettle = 700 * time.Millisecond
+	// firstSettle and firstSettleMost let the servers appear before the first
+	// assignment, which is free of moves.
+	firstSettle     = time.Second
+	firstSettleMost = 4 * time.Second
 	// balanceEvery is the time between two looks at the load.
 	balanceEvery = time.Second
-	// speedWeight is the weight of a new measurement of a server's speed.
-	speedWeight = 0.4
+	// paceAnswers is the number of answers after which old ones count for half
+	// in a server's speed. Times of answers spread by about a third.
+	paceAnswers = 20
 )
 
 // placer runs on every host and is active on the one that has the term.
@@ -146,8 +149,9 @@
 	events  chan keeperEvent
 	orders  chan keeperOrder
 	keepers map[fairway.ServiceName]*mooring.Keeper
-	// fastest has the smoothed times of the servers' fastest answers.
-	fastest    map[fairway.ServerID]time.Duration
+	// slowness has the smoothed times of the servers' answers, as a part of the
+	// usual time of their service.
+	slowness   map[fairway.ServerID]float64
 	observedAt time.Time
 }
 
@@ -164,7 +168,7 @@
 // run steps the keepers until the term ends.
 func (s *shift) run(ctx context.Context) {
 	s.keepers = make(map[fairway.ServiceName]*mooring.Keeper)
-	s.fastest = make(map[fairway.ServerID]time.Duration)
+	s.slowness = make(map[fairway.ServerID]float64)
 	s.observedAt = time.Now()
 	s.placer.loads.drain()
 	for range orderWorkers {
@@ -207,7 +211,8 @@
 				Service: service,
 				Now:     s.term.began,
 				Timing: mooring.Timing{
-					Hold: hold, Renew: grantRenew, Margin: holdMargin, Settle: firstSettle, Balance: balanceEvery,
+					Hold: hold, Renew: grantRenew, Margin: holdMargin, Balance: balanceEvery,
+					Settle: firstSettle, SettleMost: firstSettleMost,
 				},
 			})
 		}
@@ -222,27 +227,37 @@
 		return
 	}
 	s.observedAt = time.Now()
-	requests, fastest := s.placer.loads.drain()
-	for id, d := range fastest {
-		if old, ok := s.fastest[id]; ok {
-			d = old + time.Duration(speedWeight*float64(d-old))
-		}
-		s.fastest[id] = d
+	requests, paces := s.placer.loads.drain()
+	for id, p := range paces {
+		s.slowness[id] = smoothed(s.slowness[id], p)
 	}
 	catalog := s.placer.views.catalog()
-	maps.DeleteFunc(s.fastest, func(id fairway.ServerID, _ time.Duration) bool {
+	maps.DeleteFunc(s.slowness, func(id fairway.ServerID, _ float64) bool {
 		_, listed := catalog.Get(id)
 		return !listed
 	})
 	for service := range s.keepers {
-		times := make(map[fairway.ServerID]time.Duration)
+		speeds := make(map[fairway.ServerID]float64)
 		for _, sighting := range catalog.Of(service) {
-			if d, ok := s.fastest[sighting.ID]; ok {
-				times[sighting.ID] = d
+			if slowness := s.slowness[sighting.ID]; slowness > 0 {
+				speeds[sighting.ID] = 1 / slowness
 			}
 		}
-		s.step(ctx, service, mooring.Observed{Requests: requests[service], Over: over, Speeds: mooring.Speeds(times)})
+		s.step(ctx, service, mooring.Observed{Requests: requests[service], Over: over, Speeds: speeds})
+	}
+}
+
+// smoothed takes new answers into a server's slowness.
+func smoothed(old float64, p pace) float64 {
+	if p.answers == 0 {
+		return old
+	}
+	fresh := p.slowness / float64(p.answers)
+	if old == 0 {
+		return fresh
 	}
+	weight := float64(p.answers) / float64(p.answers+paceAnswers)
+	return old + weight*(fresh-old)
 }
 
 // step steps a keeper and hands its actions to the workers.
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -78,8 +78,6 @@
 	// idlePart is the part of its idle limit for which a kept connection may
 	// have been unused.
 	idlePart float64
-	// spare is the number of connections allowed beyond the host's share.
-	spare int
 }
 
 // take returns a connection to a server, a kept one if possible.
@@ -107,7 +105,7 @@
 			p.open--
 		}
 	}
-	full := found == nil && p.open >= p.limit+t.spare
+	full := found == nil && p.open >= p.limit
 	if found == nil && !full {
 		p.open++
 	}
--- a/mooring/balance.go
+++ b/mooring/balance.go
@@ -1,8 +1,6 @@
 package mooring
 
 import (
-	"time"
-
 	"hornbeamwinch.example/fairway"
 )
 
@@ -106,7 +104,8 @@
 			piece = Span{From: span.From, To: span.From}
 			load = a.model.rate(span.From)
 		}
-		if rest := span.Size() - piece.Size(); rest > 0 && len(moves) >= len(a.seats) {
+		rest := a.model.of(Span{From: piece.To, To: span.To})
+		if piece.To < span.To && (rest < worthMoving*a.target*to.capacity || len(moves) >= len(a.seats)) {
 			piece, load = span, a.model.of(span)
 		}
 		moves = append(moves, a.give(piece, load, to, reason))
@@ -207,21 +206,3 @@
 	}
 	return best, bestLoad, found
 }
-
-// Speeds returns the speed of each server relative to the mean of its service,
-// from the time of its fastest answers.
-func Speeds(fastest map[fairway.ServerID]time.Duration) map[fairway.ServerID]float64 {
-	if len(fastest) == 0 {
-		return nil
-	}
-	sum := 0.0
-	for _, d := range fastest {
-		sum += 1 / max(d.Seconds(), time.Millisecond.Seconds())
-	}
-	mean := sum / float64(len(fastest))
-	speeds := make(map[fairway.ServerID]float64, len(fastest))
-	for id, d := range fastest {
-		speeds[id] = 1 / max(d.Seconds(), time.Millisecond.Seconds()) / mean
-	}
-	return speeds
-}
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -67,7 +67,7 @@
 	Requests map[Key]int
 	// Over is the time in which they were counted.
 	Over time.Duration
-	// Speeds are the speeds of the servers relative to each other.
+	// Speeds are the speeds of the servers relative to the mean of the service.
 	Speeds map[fairway.ServerID]float64
 }
 
--- a/mooring/keeper.go
+++ b/mooring/keeper.go
@@ -34,8 +34,10 @@
 	Renew time.Duration
 	// Margin is added to a hold before it counts as run out.
 	Margin time.Duration
-	// Settle is how long the first assignment waits for more servers.
-	Settle time.Duration
+	// Settle is how long the first assignment waits after another server has
+	// appeared, and SettleMost how long in all.
+	Settle     time.Duration
+	SettleMost time.Duration
 	// Balance is the time between two looks at the load.
 	Balance time.Duration
 }
@@ -66,7 +68,9 @@
 	rows    map[rowID]*rowState
 	load    *loadModel
 	balance Instant
-	settle  Instant
+	// settle is when the first assignment is made, for as many servers as known.
+	settle Instant
+	known  int
 
 	actions []Action
 }
@@ -141,6 +145,10 @@
 		k.reload()
 	case Sighted:
 		k.catalog = e.Catalog
+		if n := len(e.Catalog.Of(k.cfg.Service)); n > k.known {
+			k.known = n
+			k.settle = min(now.Add(k.cfg.Timing.Settle), k.cfg.Now.Add(k.cfg.Timing.SettleMost))
+		}
 	case Answered:
 		k.answered(e)
 	case Observed:
--- a/mooring/keeper_test.go
+++ b/mooring/keeper_test.go
@@ -48,6 +48,18 @@
 		expectSound(w)
 	})
 
+	It("waits for servers that appear one after the other", func() {
+		w := newWorld(1)
+		for i := range 5 {
+			w.run(300 * time.Millisecond)
+			w.addServer(fairway.ServerID(fmt.Sprintf("late%d", i)), fmt.Sprintf("10.0.1.%d:80", i))
+			w.sightingsChanged()
+		}
+		w.run(time.Second)
+		expectSound(w)
+		Expect(w.recorded.Rows).To(HaveLen(6))
+	})
+
 	It("moves the keys of a draining server within a second", func() {
 		w := newWorld(5)
 		w.run(2 * time.Second)
--- a/mooring/load.go
+++ b/mooring/load.go
@@ -16,9 +16,10 @@
 	evenPart = 0.1
 	// coldSpeed is the speed of a server that has just started.
 	coldSpeed = 0.5
-	// minSpeed and maxSpeed bound what a few slow answers can do.
-	minSpeed = 0.1
-	maxSpeed = 3.0
+	// minSpeed and maxSpeed bound what a few slow answers can do. A server that
+	// is overloaded looks slow, and must not lose all its keys for it.
+	minSpeed = 0.4
+	maxSpeed = 1.8
 )
 
 // loadModel estimates the requests a second of each key, and how fast the
--- a/mooring/world_test.go
+++ b/mooring/world_test.go
@@ -20,11 +20,12 @@
 }()
 
 var timing = mooring.Timing{
-	Hold:    3500 * time.Millisecond,
-	Renew:   700 * time.Millisecond,
-	Margin:  250 * time.Millisecond,
-	Settle:  500 * time.Millisecond,
-	Balance: time.Second,
+	Hold:       3500 * time.Millisecond,
+	Renew:      700 * time.Millisecond,
+	Margin:     250 * time.Millisecond,
+	Settle:     500 * time.Millisecond,
+	SettleMost: 2 * time.Second,
+	Balance:    time.Second,
 }
 
 const (
--- a/sluice/desk.go
+++ b/sluice/desk.go
@@ -290,19 +290,6 @@
 	return d.usual
 }
 
-// Fastest returns each server's shortest answer since the last call, from at
-// least minAnswers answers.
-func (d *Desk) Fastest(minAnswers int) map[fairway.ServerID]time.Duration {
-	found := make(map[fairway.ServerID]time.Duration)
-	for _, at := range d.order {
-		if at.window.answers >= minAnswers {
-			found[at.sighting.ID] = at.window.fastest
-			at.window.answers, at.window.fastest = 0, 0
-		}
-	}
-	return found
-}
-
 // dispatch counts one more request at a server.
 func (d *Desk) dispatch(at *seat) Decision {
 	at.window.inFlight++
--- a/sluice/window.go
+++ b/sluice/window.go
@@ -49,9 +49,6 @@
 	// failures counts failed connections and silence in a row.
 	failures     int
 	suspectUntil mooring.Instant
-	// fastest is the shortest answer since the last report.
-	fastest time.Duration
-	answers int
 }
 
 func newWindow(limit float64) *window {
@@ -96,10 +93,6 @@
 	}
 	w.latency += time.Duration(latencyWeight * float64(took-w.latency))
 	w.measured = now
-	w.answers++
-	if w.fastest == 0 || took < w.fastest {
-		w.fastest = took
-	}
 	ratio := float64(w.latency) / float64(max(objective, time.Millisecond))
 	switch {
 	case ratio < growBelow && float64(w.inFlight)+1 >= w.size:
