--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -17,9 +17,12 @@
 	// gone silent is noticed at its end, which has to be within the time after
 	// which a host counts as in touch again.
 	watchWait = 2 * time.Second
-	// watchPause lets changes that come in quick succession be fetched by one
-	// call. Each call is paid for.
-	watchPause = 60 * time.Millisecond
+	// tablePause and otherPause let changes that come in quick succession be
+	// fetched by one call, each of which is paid for. A change of owners is
+	// followed by another when the former owner has released the keys, which
+	// requests wait for; other changes have seconds to come into force.
+	tablePause = 60 * time.Millisecond
+	otherPause = 250 * time.Millisecond
 	// watchRetry is the pause after a failed call; it doubles up to
 	// maxWatchRetry, since a store that is out is paid for each call too.
 	watchRetry    = 50 * time.Millisecond
@@ -126,11 +129,21 @@
 	w.apply(changes)
 	w.revision = revision
 	if len(changes) > 0 {
-		pause(ctx, watchPause)
+		pause(ctx, pauseAfter(changes))
 	}
 	return nil
 }
 
+// pauseAfter returns how long to wait before the next call.
+func pauseAfter(changes []ledger.Change) time.Duration {
+	for _, c := range changes {
+		if strings.HasPrefix(c.Key, tablePrefix) {
+			return tablePause
+		}
+	}
+	return otherPause
+}
+
 // scan reads everything. Servers that are not listed any more are gone.
 func (w *watcher) scan(ctx context.Context) error {
 	entries, revision, err := w.store.Scan(ctx, "")
