--- /dev/null
+++ b/fairway/config_test.go
@@ -0,0 +1,103 @@
+package fairway_test
+
+import (
+	"math"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hornbeamwinch.example/fairway"
+)
+
+func newConfig(version fairway.Version, routes ...*fairway.Route) *fairway.Config {
+	GinkgoHelper()
+	services := []*fairway.Service{{Name: "readings", Divided: true}, {Name: "invoices"}, {Name: "ledgers"}}
+	c, err := fairway.NewConfig(version, fairway.Limits{}, routes, services)
+	Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+func route(name fairway.RouteName, host, prefix string) *fairway.Route {
+	return &fairway.Route{Name: name, Host: host, Prefix: prefix, Parts: []fairway.Part{{Service: "readings", Weight: 1}}}
+}
+
+func expectRoute(c *fairway.Config, host, path string, name fairway.RouteName) {
+	GinkgoHelper()
+	r, err := c.Match(host, path)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(r.Name).To(Equal(name))
+}
+
+func expectNoRoute(c *fairway.Config, host, path string) {
+	GinkgoHelper()
+	_, err := c.Match(host, path)
+	var e *fairway.Error
+	Expect(err).To(BeAssignableToTypeOf(e))
+}
+
+var _ = Describe("Config", func() {
+	c := newConfig(1,
+		route("short", "a.example", "/x/"),
+		route("long", "a.example", "/x/y/"),
+		route("other", "b.example", "/x/"),
+	)
+
+	It("matches the longest prefix of the host", func() {
+		expectRoute(c, "a.example", "/x/y/z", "long")
+		expectRoute(c, "a.example", "/x/yz", "short")
+		expectRoute(c, "b.example", "/x/y/z", "other")
+	})
+
+	It("matches hosts without regard to case and port", func() {
+		expectRoute(c, "A.Example:8641", "/x/1", "short")
+	})
+
+	It("matches nothing else", func() {
+		expectNoRoute(c, "a.example", "/x")
+		expectNoRoute(c, "a.example", "/")
+		expectNoRoute(c, "c.example", "/x/1")
+	})
+
+	It("refuses a route to a service that is not defined", func() {
+		r := route("stray", "a.example", "/q/")
+		r.Parts = []fairway.Part{{Service: "nowhere", Weight: 1}}
+		_, err := fairway.NewConfig(1, fairway.Limits{}, []*fairway.Route{r}, nil)
+		Expect(err).To(MatchError(ContainSubstring("nowhere")))
+	})
+
+	It("splits by weight", func() {
+		r := &fairway.Route{Parts: []fairway.Part{
+			{Service: "readings", Weight: 70}, {Service: "invoices", Weight: 0}, {Service: "ledgers", Weight: 30},
+		}}
+		counts := map[fairway.ServiceName]int{}
+		const n = 1000
+		for i := range n {
+			counts[r.Pick(float64(i)/n)]++
+		}
+		Expect(counts).To(Equal(map[fairway.ServiceName]int{"readings": 700, "ledgers": 300}))
+		Expect(r.Pick(math.Nextafter(1, 0))).To(Equal(fairway.ServiceName("ledgers")))
+	})
+})
+
+var _ = Describe("Book", func() {
+	It("never goes back to an older version", func() {
+		b := fairway.NewBook()
+		Expect(b.Current()).To(BeNil())
+		Expect(b.Offer(newConfig(7))).To(BeTrue())
+		Expect(b.Offer(newConfig(5))).To(BeFalse())
+		Expect(b.Offer(newConfig(7))).To(BeFalse())
+		Expect(b.Current().Version).To(Equal(fairway.Version(7)))
+		Expect(b.Offer(newConfig(12))).To(BeTrue())
+	})
+})
+
+var _ = Describe("Catalog", func() {
+	It("returns changed copies", func() {
+		before := fairway.NewCatalog([]fairway.Sighting{{ID: "a", Service: "readings"}, {ID: "b", Service: "readings"}})
+		after := before.Apply([]fairway.Sighting{{ID: "c", Service: "invoices"}}, []fairway.ServerID{"a"})
+		Expect(before.Of("readings")).To(HaveLen(2))
+		Expect(after.Of("readings")).To(HaveLen(1))
+		Expect(after.Of("invoices")).To(HaveLen(1))
+		Expect(after.Len()).To(Equal(2))
+	})
+})
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -81,6 +81,7 @@
 	leaving       atomic.Bool
 	cancel        context.CancelFunc
 	loops         sync.WaitGroup
+	stopOnce      sync.Once
 }
 
 // New builds a host. Nothing runs before [Host.Start].
@@ -301,7 +302,13 @@
 }
 
 // Stop lets the balancer move on, finishes the requests in flight, and ends.
+// Only the first call does anything.
 func (h *Host) Stop(ctx context.Context) error {
+	h.stopOnce.Do(func() { h.stop(ctx) })
+	return nil
+}
+
+func (h *Host) stop(ctx context.Context) {
 	h.logs.stopping()
 	h.leaving.Store(true)
 	h.front.closing.Store(true)
@@ -321,5 +328,5 @@
 	h.peers.Stop()
 	h.loops.Wait()
 	h.logs.stopped()
-	return h.logs.close()
+	h.logs.close()
 }
--- /dev/null
+++ b/jetty/lines_test.go
@@ -0,0 +1,67 @@
+package jetty
+
+import (
+	"bytes"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// stuckWriter does not return before it is released.
+type stuckWriter struct {
+	mu      sync.Mutex
+	release chan struct{}
+	written bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (w *stuckWriter) Write(data []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.written.Write(data)
+}
+
+var _ = Describe("The log", func() {
+	It("blocks nobody while its reader does not read, and counts what it drops", func() {
+		w := &stuckWriter{release: make(chan struct{})}
+		q := newLineQueue(w)
+		began := time.Now()
+		for range 3 * logBacklog {
+			_, err := q.Write([]byte("line\n"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		Expect(q.dropped.Load()).To(BeNumerically(">=", 2*logBacklog-1))
+		close(w.release)
+		q.close()
+		Expect(bytes.Count(w.written.Bytes(), []byte("\n"))).To(BeNumerically(">=", logBacklog))
+	})
+
+	It("takes lines after it was closed without a failure", func() {
+		var b bytes.Buffer
+		l := newLogs(&b, &Settings{Host: "h"})
+		l.stopping()
+		l.close()
+		l.stopped()
+		Expect(b.String()).To(ContainSubstring("host_stopping"))
+	})
+
+	It("bounds the lines of each second and counts those left out", func() {
+		budget := lineBudget{limit: 3}
+		now := time.Unix(100, 0)
+		for range 3 {
+			_, ok := budget.take(now)
+			Expect(ok).To(BeTrue())
+		}
+		for range 5 {
+			_, ok := budget.take(now)
+			Expect(ok).To(BeFalse())
+		}
+		leftOut, ok := budget.take(now.Add(time.Second))
+		Expect(ok).To(BeTrue())
+		Expect(leftOut).To(Equal(5))
+	})
+})
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// logBacklog is the number of lines that may wait for a slow reader.
-	// Further ones are dropped, so that logging never blocks.
-	logBacklog = 512
 	// Budgets of lines a second for each class of lines. Together they bound
 	// the log of a host to about 40 KB/s.
 	successLines = 5
@@ -31,7 +28,7 @@
 // a budget; what is left out is counted in a later line.
 type logs struct {
 	logger  *log.Logger
-	writer  *log.AsyncWriter
+	queue   *lineQueue
 	success lineBudget
 	failed  lineBudget
 	belief  lineBudget
@@ -68,20 +65,16 @@
 	if w == nil {
 		w = os.Stdout
 	}
-	writer := &log.AsyncWriter{
-		ChannelSize:   logBacklog,
-		DiscardOnFull: true,
-		Writer:        &log.IOWriter{Writer: w},
-	}
+	queue := newLineQueue(w)
 	logger := &log.Logger{
 		Level:      log.InfoLevel,
 		TimeFormat: time.RFC3339Nano,
-		Writer:     writer,
+		Writer:     &log.IOWriter{Writer: queue},
 		Context:    log.NewContext(nil).Str("host", string(s.Host)).Str("domain", string(s.Domain)).Value(),
 	}
 	return &logs{
 		logger:  logger,
-		writer:  writer,
+		queue:   queue,
 		success: lineBudget{limit: successLines},
 		failed:  lineBudget{limit: failureLines},
 		belief:  lineBudget{limit: beliefLines},
@@ -107,6 +100,7 @@
 
 func (l *logs) line(b *lineBudget, warn bool) *log.Entry {
 	dropped, ok := b.take(time.Now())
+	dropped += int(l.queue.dropped.Swap(0))
 	if !ok {
 		return nil
 	}
@@ -121,8 +115,8 @@
 }
 
 // close writes the lines that wait.
-func (l *logs) close() error {
-	return l.writer.Close()
+func (l *logs) close() {
+	l.queue.close()
 }
 
 func (l *logs) started(s *Settings) {
--- /dev/null
+++ b/sluice/desk_test.go
@@ -0,0 +1,298 @@
+package sluice_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/mooring"
+	"hornbeamwinch.example/sluice"
+)
+
+const (
+	objective = 500 * time.Millisecond
+	deadline  = 1200 * time.Millisecond
+)
+
+var start = mooring.Instant(time.Hour)
+
+// owners is a fixed assignment.
+type owners map[mooring.Key]mooring.Holder
+
+// Owner implements sluice.Owners.
+func (o owners) Owner(key mooring.Key) (mooring.Holder, mooring.Instant, bool) {
+	h, ok := o[key]
+	return h, start, ok
+}
+
+func sighting(id fairway.ServerID, domain fairway.Domain) fairway.Sighting {
+	return fairway.Sighting{ID: id, Service: "invoices", Address: "10.0.0.1:80", Domain: domain, Born: 1, Slots: 4}
+}
+
+func newDesk(servers ...fairway.Sighting) *sluice.Desk {
+	d := sluice.NewDesk(sluice.DeskConfig{Service: "invoices", Domain: "a"})
+	d.SetServers(start, servers, 4)
+	return d
+}
+
+func ticket(id sluice.TicketID, now mooring.Instant) *sluice.Ticket {
+	return &sluice.Ticket{ID: id, Objective: objective, Due: now.Add(objective), Deadline: now.Add(deadline)}
+}
+
+func expectDispatch(d sluice.Decision) fairway.ServerID {
+	GinkgoHelper()
+	Expect(d).To(BeAssignableToTypeOf(sluice.Dispatch{}))
+	return d.(sluice.Dispatch).Server.ID
+}
+
+func expectWait(d sluice.Decision) {
+	GinkgoHelper()
+	Expect(d).To(Equal(sluice.Wait{}))
+}
+
+func expectRefusal(d sluice.Decision, reason sluice.Reason) sluice.Refuse {
+	GinkgoHelper()
+	Expect(d).To(BeAssignableToTypeOf(sluice.Refuse{}))
+	r := d.(sluice.Refuse)
+	Expect(r.Reason).To(Equal(reason))
+	Expect(r.RetryAfter).To(BeNumerically(">", 0))
+	return r
+}
+
+var _ = Describe("Desk", func() {
+	It("refuses at once when no server is known", func() {
+		expectRefusal(newDesk().Offer(start, ticket(1, start)), sluice.ReasonNoServer)
+	})
+
+	It("never sends a request to a server twice", func() {
+		d := newDesk(sighting("s1", "a"), sighting("s2", "a"))
+		t := ticket(1, start)
+		t.Tried = []fairway.ServerID{"s1"}
+		Expect(expectDispatch(d.Offer(start, t))).To(Equal(fairway.ServerID("s2")))
+	})
+
+	It("sends large answers within the own failure domain", func() {
+		d := newDesk(sighting("far", "b"), sighting("near", "a"))
+		t := ticket(1, start)
+		t.Bytes = 90_000
+		Expect(expectDispatch(d.Offer(start, t))).To(Equal(fairway.ServerID("near")))
+	})
+
+	It("sends nothing to a server that leaves", func() {
+		s := sighting("s1", "a")
+		s.Draining = true
+		expectRefusal(newDesk(s).Offer(start, ticket(1, start)), sluice.ReasonNoServer)
+	})
+
+	It("dispatches a waiting request when another ends", func() {
+		d := newDesk(sighting("s1", "a"))
+		id := sluice.TicketID(1)
+		for ; ; id++ {
+			if _, ok := d.Offer(start, ticket(id, start)).(sluice.Dispatch); !ok {
+				break
+			}
+		}
+		Expect(d.Waiting()).To(Equal(1))
+		resolved := d.Finish(start.Add(50*time.Millisecond), "s1", sluice.OutcomeAnswered, 50*time.Millisecond, objective)
+		Expect(resolved).To(HaveLen(1))
+		Expect(resolved[0].Ticket).To(Equal(id))
+		expectDispatch(resolved[0].Decision)
+	})
+
+	It("gives an unreachable server one request at a time until it answers", func() {
+		d := newDesk(sighting("s1", "a"))
+		expectDispatch(d.Offer(start, ticket(1, start)))
+		d.Finish(start, "s1", sluice.OutcomeUnreachable, 0, objective)
+		expectWait(d.Offer(start, ticket(2, start)))
+		later := start.Add(time.Second)
+		resolved := d.Sweep(later)
+		Expect(resolved).To(HaveLen(1))
+		expectWait(d.Offer(later, ticket(3, later)))
+		resolved = d.Finish(later, "s1", sluice.OutcomeAnswered, 10*time.Millisecond, objective)
+		Expect(resolved).To(HaveLen(1))
+	})
+
+	It("does not suspect a server that answers others while one request is silent", func() {
+		d := newDesk(sighting("s1", "a"))
+		expectDispatch(d.Offer(start, ticket(1, start)))
+		expectDispatch(d.Offer(start, ticket(2, start)))
+		d.Finish(start.Add(900*time.Millisecond), "s1", sluice.OutcomeAnswered, 100*time.Millisecond, objective)
+		d.Finish(start.Add(time.Second), "s1", sluice.OutcomeSilent, time.Second, objective)
+		expectDispatch(d.Offer(start.Add(time.Second), ticket(3, start.Add(time.Second))))
+	})
+
+	It("puts urgent requests first", func() {
+		d := newDesk(sighting("s1", "a"))
+		var urgent sluice.TicketID
+		for id := sluice.TicketID(1); d.Waiting() < 2; id++ {
+			t := ticket(id, start)
+			t.Priority = 2
+			if d.Waiting() == 1 {
+				t.Priority, urgent = 1, id
+			}
+			d.Offer(start, t)
+		}
+		resolved := d.Finish(start, "s1", sluice.OutcomeAnswered, time.Millisecond, objective)
+		Expect(resolved[0].Ticket).To(Equal(urgent))
+	})
+
+	It("takes a request that is given up out of the queue", func() {
+		d := newDesk(sighting("s1", "a"))
+		id := sluice.TicketID(1)
+		for ; d.Waiting() == 0; id++ {
+			d.Offer(start, ticket(id, start))
+		}
+		Expect(d.Cancel(id - 1)).To(BeTrue())
+		Expect(d.Cancel(id - 1)).To(BeFalse())
+		Expect(d.Waiting()).To(BeZero())
+	})
+})
+
+var _ = Describe("Desk of a divided service", func() {
+	key, orphan := mooring.Key(7), mooring.Key(8)
+	newDivided := func() *sluice.Desk {
+		d := sluice.NewDesk(sluice.DeskConfig{
+			Service: "readings",
+			Owners:  owners{key: {Server: "s1", Born: 1, Address: "10.0.0.1:80"}},
+		})
+		d.SetServers(start, []fairway.Sighting{sighting("s1", "a"), sighting("s2", "a")}, 4)
+		return d
+	}
+	keyed := func(id sluice.TicketID, now mooring.Instant, k mooring.Key) *sluice.Ticket {
+		t := ticket(id, now)
+		t.Key = &k
+		return t
+	}
+
+	It("sends a key to its owner only", func() {
+		d := newDivided()
+		for id := sluice.TicketID(1); id <= 2; id++ {
+			Expect(expectDispatch(d.Offer(start, keyed(id, start, key)))).To(Equal(fairway.ServerID("s1")))
+		}
+	})
+
+	It("waits a little for a key that changes its owner, then refuses", func() {
+		d := newDivided()
+		expectWait(d.Offer(start, keyed(1, start, orphan)))
+		later := start.Add(800 * time.Millisecond)
+		resolved := d.Sweep(later)
+		Expect(resolved).To(HaveLen(1))
+		expectRefusal(resolved[0].Decision, sluice.ReasonNoOwner)
+		expectRefusal(d.Offer(later, keyed(2, later, orphan)), sluice.ReasonNoOwner)
+	})
+
+	It("lets a leaving owner serve on until the next one is named", func() {
+		d := newDivided()
+		leaving := sighting("s1", "a")
+		leaving.Draining = true
+		d.SetServers(start, []fairway.Sighting{leaving, sighting("s2", "a")}, 4)
+		expectDispatch(d.Offer(start, keyed(1, start, key)))
+		later := start.Add(time.Second)
+		expectRefusal(d.Offer(later, keyed(2, later, key)), sluice.ReasonNoOwner)
+	})
+})
+
+// load plays requests that arrive evenly at a desk whose server takes a fixed
+// time for each, and counts how they end.
+type load struct {
+	desk    *sluice.Desk
+	perS    float64
+	service time.Duration
+	lasts   time.Duration
+
+	asked, onTime, late  int
+	refused, refusedLate int
+	tickets              map[sluice.TicketID]*sluice.Ticket
+	arrived              map[sluice.TicketID]mooring.Instant
+	atWork               []running
+}
+
+// running is a request at a server.
+type running struct {
+	ticket *sluice.Ticket
+	server fairway.ServerID
+	ends   mooring.Instant
+}
+
+// atOnce is the part of the objective up to which callers do not mind a
+// refusal.
+const atOnce = objective / 8
+
+func (l *load) run() {
+	const tick = 5 * time.Millisecond
+	l.tickets = make(map[sluice.TicketID]*sluice.Ticket)
+	l.arrived = make(map[sluice.TicketID]mooring.Instant)
+	due := 0.0
+	for now := start; now < start.Add(l.lasts); now = now.Add(tick) {
+		l.end(now)
+		for due += l.perS * tick.Seconds(); due >= 1; due-- {
+			l.asked++
+			t := ticket(sluice.TicketID(l.asked), now)
+			l.tickets[t.ID], l.arrived[t.ID] = t, now
+			l.decide(now, t.ID, l.desk.Offer(now, t))
+		}
+		l.resolve(now, l.desk.Sweep(now))
+	}
+}
+
+// end ends the requests whose time has come.
+func (l *load) end(now mooring.Instant) {
+	before := l.atWork
+	l.atWork = nil
+	for _, r := range before {
+		if r.ends > now {
+			l.atWork = append(l.atWork, r)
+			continue
+		}
+		if now <= r.ticket.Due {
+			l.onTime++
+		} else {
+			l.late++
+		}
+		l.resolve(now, l.desk.Finish(now, r.server, sluice.OutcomeAnswered, l.service, objective))
+	}
+}
+
+func (l *load) resolve(now mooring.Instant, resolved []sluice.Resolution) {
+	for _, r := range resolved {
+		l.decide(now, r.Ticket, r.Decision)
+	}
+}
+
+func (l *load) decide(now mooring.Instant, id sluice.TicketID, decision sluice.Decision) {
+	switch d := decision.(type) {
+	case sluice.Dispatch:
+		l.atWork = append(l.atWork, running{ticket: l.tickets[id], server: d.Server.ID, ends: now.Add(l.service)})
+	case sluice.Refuse:
+		l.refused++
+		if now.Sub(l.arrived[id]) > atOnce {
+			l.refusedLate++
+		}
+	}
+}
+
+var _ = Describe("Desk under load", func() {
+	play := func(perS float64) *load {
+		l := &load{desk: newDesk(sighting("s1", "a")), perS: perS, service: 100 * time.Millisecond, lasts: 20 * time.Second}
+		l.run()
+		return l
+	}
+
+	It("serves everything on time while there is room", func() {
+		l := play(20)
+		Expect(l.refused).To(BeZero())
+		Expect(l.late).To(BeZero())
+	})
+
+	It("keeps its answers on time at twice the load, and refuses the rest at once", func() {
+		l := play(60)
+		served := l.onTime + l.late
+		// The window of one of four hosts at a server with 4 slots is 3
+		// requests, of which each takes 0.1 s.
+		Expect(served).To(BeNumerically(">=", 9*30*20/10))
+		Expect(l.late).To(BeNumerically("<=", served/20))
+		Expect(l.refusedLate).To(BeNumerically("<=", l.refused/20))
+	})
+})
