Let one host of each failure domain follow the store for the others

Change: the placer names in its replies the host of a failure domain that has reported longest; the others ask that one for changes by gRPC, in terms of the store's revisions, and ask the store itself when the feeder is silent, follows another host, missed changes, or has not heard from the store for 1.6 s. A test found that a host which came back kept its rank.

Ways weighed: pushing tables only (configuration and servers cost as much), a tree (a second hop for each change; three to five feeders suffice).

--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -139,12 +139,14 @@
 type bodyWriter struct {
 	conn *connection
 	data []byte
-	done chan error
+	// err is set before done is closed.
+	err  error
+	done chan struct{}
 }
 
 func (w *bodyWriter) run() {
-	_, err := w.conn.Write(w.data)
-	w.done <- err
+	defer close(w.done)
+	_, w.err = w.conn.Write(w.data)
 }
 
 // exchange sends m and reads the head of its answer. Once ctx is done, the
@@ -158,7 +160,7 @@
 	if len(m.Body) < ownWriter {
 		data = append(data, m.Body...)
 	} else {
-		long = &bodyWriter{conn: c, data: m.Body, done: make(chan error, 1)}
+		long = &bodyWriter{conn: c, data: m.Body, done: make(chan struct{})}
 	}
 	if _, err := c.Write(data); err != nil {
 		return nil, c.failure(ctx, "send", err)
@@ -183,17 +185,15 @@
 // server that answered early may leave the rest unread.
 func (c *connection) finishBody(long *bodyWriter, readErr error) error {
 	select {
-	case err := <-long.done:
-		return err
+	case <-long.done:
+		return long.err
 	default:
 	}
+	_ = c.SetWriteDeadline(pastDeadline)
+	<-long.done
 	if readErr != nil {
-		c.interrupt()
-		return <-long.done
+		return readErr
 	}
-	_ = c.SetWriteDeadline(pastDeadline)
-	// The writer was interrupted, so it always fails.
-	_ = <-long.done
 	return errUnfinished
 }
 
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -101,7 +101,8 @@
 		Budget: sluice.BudgetConfig{Window: s.Bounds.BudgetWindow, Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra},
 	})
 	h.watcher = &watcher{
-		store: cfg.Store, dialect: cfg.Dialect, views: h.views, desks: h.desks, logs: h.logs, changed: h.refresh,
+		store: cfg.Store, dialect: cfg.Dialect, views: h.views, desks: h.desks, logs: h.logs,
+		mirror: newMirror(), address: s.PeerAddress, changed: h.refresh,
 	}
 	h.placer = &placer{
 		store:   cfg.Store,
@@ -119,7 +120,7 @@
 	}
 	h.loads.isPlacer = h.placer.active
 	h.reporter = &reporter{
-		host: s.Host, address: s.PeerAddress, views: h.views, desks: h.desks, loads: h.loads, logs: h.logs,
+		host: s.Host, domain: s.Domain, address: s.PeerAddress, views: h.views, desks: h.desks, loads: h.loads, logs: h.logs,
 		hostsChanged: h.refresh, leaving: h.leaving.Load,
 	}
 	h.callers = newCallerConns()
@@ -216,6 +217,7 @@
 		MinTime: peerKeepAlive, PermitWithoutStream: true,
 	}))
 	hostsignal.RegisterLoadsServer(h.peers, h.loads)
+	hostsignal.RegisterFeedServer(h.peers, h.watcher.mirror)
 	l := &serverLoop{serve: h.peers.Serve, listener: listener, logs: h.logs}
 	h.loops.Go(l.run)
 	return nil
--- a/jetty/loads.go
+++ b/jetty/loads.go
@@ -21,6 +21,8 @@
 	reportTimeout = 300 * time.Millisecond
 	// hostTimeout is how long a host counts after its last report.
 	hostTimeout = 3 * time.Second
+	// feederTimeout is how long a host may feed others after its last report.
+	feederTimeout = 1200 * time.Millisecond
 	// peerKeepAlive finds connections between hosts that went silent.
 	peerKeepAlive = 2 * time.Second
 )
@@ -35,11 +37,19 @@
 	mu       sync.Mutex
 	requests map[fairway.ServiceName]map[mooring.Key]int
 	paces    map[fairway.ServerID]pace
-	seen     map[HostID]time.Time
+	seen     map[HostID]reportingHost
+}
+
+// reportingHost is an entry host that reports to the placer.
+type reportingHost struct {
+	domain  fairway.Domain
+	address string
+	first   time.Time
+	last    time.Time
 }
 
 func newLoads() *loads {
-	l := &loads{seen: make(map[HostID]time.Time)}
+	l := &loads{seen: make(map[HostID]reportingHost)}
 	l.drain()
 	return l
 }
@@ -56,12 +66,13 @@
 
 // Report implements signal.LoadsServer.
 func (l *loads) Report(_ context.Context, r *signal.LoadReport) (*signal.LoadReply, error) {
-	hosts := l.add(r, time.Now())
-	return &signal.LoadReply{Hosts: uint32(hosts), Placer: l.isPlacer()}, nil
+	hosts, feeder := l.add(r, time.Now())
+	return &signal.LoadReply{Hosts: uint32(hosts), Placer: l.isPlacer(), Feeder: feeder}, nil
 }
 
-// add takes a report and returns the number of hosts that report.
-func (l *loads) add(r *signal.LoadReport, now time.Time) int {
+// add takes a report and returns the number of hosts that report, and the
+// address of the one that feeds the reporter.
+func (l *loads) add(r *signal.LoadReport, now time.Time) (hosts int, feeder string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range r.Services {
@@ -82,22 +93,45 @@
 		p.slowness += s.Slowness
 		l.paces[fairway.ServerID(s.Server)] = p
 	}
+	id := HostID(r.Host)
 	if r.Leaving {
-		delete(l.seen, HostID(r.Host))
+		delete(l.seen, id)
 	} else {
-		l.seen[HostID(r.Host)] = now
+		h, known := l.seen[id]
+		if !known || h.address != r.Address || now.Sub(h.last) > feederTimeout {
+			h = reportingHost{domain: fairway.Domain(r.Domain), address: r.Address, first: now}
+		}
+		h.last = now
+		l.seen[id] = h
 	}
-	for id, at := range l.seen {
-		if now.Sub(at) > hostTimeout {
+	for id, h := range l.seen {
+		if now.Sub(h.last) > hostTimeout {
 			delete(l.seen, id)
 		}
 	}
-	return max(len(l.seen), 1)
+	return max(len(l.seen), 1), l.feeder(fairway.Domain(r.Domain), now)
+}
+
+// feeder returns the address of the host of a failure domain that has reported
+// for the longest time without a gap.
+func (l *loads) feeder(domain fairway.Domain, now time.Time) string {
+	var best reportingHost
+	var bestID HostID
+	for id, h := range l.seen {
+		if h.domain != domain || now.Sub(h.last) > feederTimeout {
+			continue
+		}
+		if bestID == "" || h.first.Before(best.first) || h.first.Equal(best.first) && id < bestID {
+			best, bestID = h, id
+		}
+	}
+	return best.address
 }
 
 // reporter tells the placer what this host has measured.
 type reporter struct {
 	host    HostID
+	domain  fairway.Domain
 	address string
 	views   *views
 	desks   *deskSet
@@ -135,21 +169,24 @@
 	if placer == "" {
 		return
 	}
-	hosts := 0
+	var hosts int
+	var feeder string
 	if placer == r.address {
-		hosts = r.loads.add(report, time.Now())
+		hosts, feeder = r.loads.add(report, time.Now())
 	} else {
 		reply, err := r.call(ctx, placer, report)
 		if err != nil {
 			r.note(placer, err)
+			r.views.setFeeder("")
 			return
 		}
 		r.note(placer, nil)
 		if !reply.Placer {
 			return
 		}
-		hosts = int(reply.Hosts)
+		hosts, feeder = int(reply.Hosts), reply.Feeder
 	}
+	r.views.setFeeder(feeder)
 	if int64(hosts) != r.views.hosts.Swap(int64(hosts)) {
 		r.hostsChanged()
 	}
@@ -162,6 +199,8 @@
 		Host:           string(r.host),
 		IntervalMillis: uint32(now.Sub(r.sentAt).Milliseconds()),
 		Leaving:        r.leaving(),
+		Domain:         string(r.domain),
+		Address:        r.address,
 	}
 	r.sentAt = now
 	for name, d := range r.desks.all() {
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -146,6 +146,10 @@
 	l.line(&l.belief, true).Str("op", op).Err(err).Msg("operation_failed")
 }
 
+func (l *logs) feedFailed(feeder string, revision ledger.Revision, err error) {
+	l.line(&l.belief, true).Str("feeder", feeder).Uint64("revision", uint64(revision)).Err(err).Msg("feed_failed")
+}
+
 func (l *logs) compacted(revision ledger.Revision) {
 	l.line(&l.belief, true).Uint64("revision", uint64(revision)).Msg("store_history_gone")
 }
--- a/jetty/view.go
+++ b/jetty/view.go
@@ -17,6 +17,9 @@
 
 	mu     sync.Mutex
 	placer placerView
+	// feeder is the address of the host that follows the store for this
+	// failure domain.
+	feeder string
 }
 
 // placerView is the record of the placer.
@@ -62,3 +65,15 @@
 	v.placer = next
 	return true
 }
+
+func (v *views) feederAddress() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.feeder
+}
+
+func (v *views) setFeeder(address string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.feeder = address
+}
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -14,22 +14,22 @@
 
 const (
 	// watchWait is how long a watch waits for a change. A connection that has
-	// gone silent is noticed at its end, which has to be within the time after
-	// which a host counts as in touch again.
-	watchWait = 2 * time.Second
+	// gone silent is noticed at its end, which bounds the age of what a host
+	// believes; see feedMaxAge.
+	watchWait = 1200 * time.Millisecond
 	// tablePause and otherPause let changes that come in quick succession be
 	// fetched by one call, each of which is paid for. A change of owners is
 	// followed by another when the former owner has released the keys, which
 	// requests wait for; other changes have seconds to come into force.
-	tablePause = 60 * time.Millisecond
-	otherPause = 250 * time.Millisecond
+	tablePause = 40 * time.Millisecond
+	otherPause = 200 * time.Millisecond
 	// watchRetry is the pause after a failed call; it doubles up to
 	// maxWatchRetry, since a store that is out is paid for each call too.
 	watchRetry    = 50 * time.Millisecond
 	maxWatchRetry = 250 * time.Millisecond
 	// outageAfter is how long the store must have been out of reach for the
 	// entries of servers to have expired in the meantime.
-	outageAfter = time.Second
+	outageAfter = feedMaxAge
 	// returnTime is how long after an outage servers that live are back in the
 	// list at the latest.
 	returnTime = 2200 * time.Millisecond
@@ -42,6 +42,10 @@
 	views   *views
 	desks   *deskSet
 	logs    *logs
+	mirror  *mirror
+	feed    feed
+	// address is where this host serves its own feed.
+	address string
 	// changed is called after a change of the views.
 	changed func()
 
@@ -65,7 +69,6 @@
 		err := w.step(ctx)
 		switch {
 		case err == nil:
-			w.reached()
 			retry = watchRetry
 		case ledger.IsKind(err, ledger.KindCompacted):
 			w.scanned.Store(false)
@@ -121,19 +124,44 @@
 	if len(w.missing) > 0 {
 		wait = min(max(time.Until(w.doubtUntil), 10*time.Millisecond), watchWait)
 	}
+	if feeder := w.views.feederAddress(); feeder != w.address && w.feed.usable(feeder) {
+		return w.stepFeed(ctx, feeder)
+	}
 	changes, revision, err := w.store.Changes(ctx, "", w.revision, wait)
 	if err != nil {
 		return err
 	}
-	w.noteOutage()
-	w.apply(changes)
-	w.revision = revision
+	w.advance(changes, revision, true)
 	if len(changes) > 0 {
 		pause(ctx, pauseAfter(changes))
 	}
 	return nil
 }
 
+// stepFeed asks the feeder for changes. If it fails, the next step asks the
+// store.
+func (w *watcher) stepFeed(ctx context.Context, feeder string) error {
+	changes, revision, err := w.feed.changes(ctx, feeder, w.revision)
+	if err != nil {
+		w.logs.feedFailed(feeder, w.revision, err)
+		return nil
+	}
+	w.advance(changes, revision, false)
+	if len(changes) > 0 {
+		pause(ctx, feedPause)
+	}
+	return nil
+}
+
+// advance applies the changes up to a revision.
+func (w *watcher) advance(changes []ledger.Change, revision ledger.Revision, direct bool) {
+	w.noteOutage()
+	w.apply(changes)
+	w.mirror.add(changes, revision, direct)
+	w.revision = revision
+	w.reached()
+}
+
 // pauseAfter returns how long to wait before the next call.
 func pauseAfter(changes []ledger.Change) time.Duration {
 	for _, c := range changes {
@@ -175,7 +203,9 @@
 	}
 	w.updateServers(nil, gone)
 	w.revision = revision
+	w.mirror.reset(revision)
 	w.scanned.Store(true)
+	w.reached()
 	w.changed()
 	return nil
 }
