Let a host's window fall below one request at a crowded server

Change: below 1, a host has one request at a time at the server and pauses between two; the start is at twice the host's share. A server that refuses though its answers are quick is faulty, not crowded, and is not paused for.

--- a/sluice/desk.go
+++ b/sluice/desk.go
@@ -145,7 +145,7 @@
 		listed[s.ID] = true
 		at := d.seats[s.ID]
 		if at == nil || at.sighting.Born != s.Born || at.sighting.Address != s.Address {
-			at = &seat{window: newWindow(float64(s.Slots))}
+			at = &seat{window: newWindow(s.Slots, hosts)}
 			d.seats[s.ID] = at
 		}
 		at.sighting = s
@@ -236,13 +236,12 @@
 		return nil
 	}
 	w := at.window
-	w.inFlight--
 	switch outcome {
 	case OutcomeAnswered:
 		w.answered(now, took, objective)
 		d.usual += time.Duration(usualWeight * float64(took-d.usual))
 	case OutcomeTurnedAway, OutcomeReset:
-		w.turnedAway(now)
+		w.turnedAway(now, objective)
 	case OutcomeUnreachable:
 		w.failed(now)
 	case OutcomeSilent:
@@ -253,6 +252,7 @@
 		}
 	case OutcomeFaulty, OutcomeMisdirected, OutcomeAbandoned:
 	}
+	w.ended(now, d.usual)
 	return d.serve(now)
 }
 
@@ -496,7 +496,7 @@
 // rate returns how many requests a second this host can have answered by the
 // server.
 func (s *seat) rate(now mooring.Instant, usual time.Duration) float64 {
-	return max(s.window.size, 1) / max(s.window.expected(now, usual).Seconds(), time.Millisecond.Seconds())
+	return s.window.size / max(s.window.expected(now, usual).Seconds(), time.Millisecond.Seconds())
 }
 
 // spread lengthens a wait by up to a half, differently for each request, so
--- a/sluice/desk_test.go
+++ b/sluice/desk_test.go
@@ -123,6 +123,20 @@
 		expectDispatch(d.Offer(start.Add(time.Second), ticket(3, start.Add(time.Second))))
 	})
 
+	It("does not pause for a server that refuses requests though it is not busy", func() {
+		d := newDesk(sighting("s1", "a"))
+		now := start
+		for id := sluice.TicketID(1); id <= 20; id++ {
+			now = now.Add(60 * time.Millisecond)
+			expectDispatch(d.Offer(now, ticket(id, now)))
+			outcome, took := sluice.OutcomeTurnedAway, time.Millisecond
+			if id%2 == 0 {
+				outcome, took = sluice.OutcomeAnswered, 50*time.Millisecond
+			}
+			d.Finish(now, "s1", outcome, took, objective)
+		}
+	})
+
 	It("puts urgent requests first", func() {
 		d := newDesk(sighting("s1", "a"))
 		var urgent sluice.TicketID
--- a/sluice/window.go
+++ b/sluice/window.go
@@ -8,8 +8,12 @@
 )
 
 const (
-	// initialPart is the part of a full share with which a window starts.
-	initialPart = 0.5
+	// initialPart is the part of its limit with which a window starts. With so
+	// many hosts that their shares are below 1, it starts at initialShares of
+	// them, but not below minInitial: most servers are not busy.
+	initialPart   = 0.5
+	initialShares = 2.0
+	minInitial    = 0.25
 	// overcommit is the number of requests for each slot of a server that all
 	// hosts together may have there. Servers queue a few for each slot.
 	overcommit = 3.0
@@ -20,10 +24,21 @@
 	// objective. Between them the window stays.
 	growBelow   = 0.6
 	shrinkAbove = 0.85
+	// minWindow is the smallest window. Below 1, a host has one request at a
+	// time and pauses between two, since many hosts with one request each are
+	// too many for a server.
+	minWindow = 0.05
+	// slowGrowth is what a window below 1 grows by with an answer on time.
+	slowGrowth = 0.02
 	// lateShrink and turnedAwayShrink are the factors by which a window
 	// shrinks.
 	lateShrink       = 0.9
 	turnedAwayShrink = 0.5
+	// The same for single answers while a host has at most one request at a
+	// time there: many hosts react to the same queue, so each reacts early.
+	rareGrowBelow   = 0.6
+	rareShrinkAbove = 0.7
+	rareShrink      = 0.75
 	// latencyWeight is the weight of a new answer in the moving average.
 	latencyWeight = 0.2
 	// latencyMemory is the time after which an old average counts for a third,
@@ -43,21 +58,32 @@
 	limit float64
 	// inFlight counts the requests at the server.
 	inFlight int
-	latency  time.Duration
-	measured mooring.Instant
-	shrunk   mooring.Instant
+	// pausedUntil keeps a window below 1 closed after a request.
+	pausedUntil mooring.Instant
+	latency     time.Duration
+	measured    mooring.Instant
+	shrunk      mooring.Instant
 	// failures counts failed connections and silence in a row.
 	failures     int
 	suspectUntil mooring.Instant
 }
 
-func newWindow(limit float64) *window {
-	return &window{size: max(limit*initialPart, 1), limit: limit}
+// newWindow returns the window at a server that a number of hosts share.
+func newWindow(slots, hosts int) *window {
+	w := &window{}
+	w.setLimit(slots, hosts)
+	w.size = min(max(w.limit*initialPart, 1), max(share(slots, hosts)*initialShares, minInitial))
+	return w
+}
+
+// share returns the part of a server's room that each host has.
+func share(slots, hosts int) float64 {
+	return float64(slots) * overcommit / float64(max(hosts, 1))
 }
 
 // setLimit bounds the window for a number of hosts that share the server.
 func (w *window) setLimit(slots, hosts int) {
-	w.limit = max(float64(slots)*overcommit/float64(max(hosts, 1)), minShare)
+	w.limit = max(share(slots, hosts), minShare)
 	w.size = min(w.size, w.limit)
 }
 
@@ -67,7 +93,19 @@
 		// One request at a time finds out whether the server is back.
 		return now >= w.suspectUntil && w.inFlight == 0
 	}
-	return float64(w.inFlight) < max(math.Round(w.size), 1)
+	if w.size < 1 {
+		return w.inFlight == 0 && now >= w.pausedUntil
+	}
+	return float64(w.inFlight) < math.Round(w.size)
+}
+
+// ended notes the end of a request. A window of a half is open for half of the
+// time.
+func (w *window) ended(now mooring.Instant, usual time.Duration) {
+	w.inFlight--
+	if w.size < 1 {
+		w.pausedUntil = now.Add(time.Duration((1/w.size - 1) * float64(w.expected(now, usual))))
+	}
 }
 
 // suspected reports whether the server gets nothing at the moment.
@@ -94,7 +132,15 @@
 	w.latency += time.Duration(latencyWeight * float64(took-w.latency))
 	w.measured = now
 	ratio := float64(w.latency) / float64(max(objective, time.Millisecond))
+	if w.size <= 1 {
+		// Answers are too rare for a mean.
+		ratio = float64(took) / float64(max(objective, time.Millisecond))
+	}
 	switch {
+	case ratio > rareShrinkAbove && w.size <= 1:
+		w.shrink(now, rareShrink)
+	case ratio < rareGrowBelow && w.size < 1:
+		w.size = min(w.size+slowGrowth, w.limit)
 	case ratio < growBelow && float64(w.inFlight)+1 >= w.size:
 		w.size = min(w.size+1/w.size, w.limit)
 	case ratio > shrinkAbove:
@@ -102,10 +148,19 @@
 	}
 }
 
-// turnedAway takes a refusal of the server into account.
-func (w *window) turnedAway(now mooring.Instant) {
+// turnedAway takes a refusal of the server into account. A server that refuses
+// requests though its answers are quick is not crowded but faulty, and more
+// pauses would not help.
+func (w *window) turnedAway(now mooring.Instant, objective time.Duration) {
 	w.failures = 0
-	w.shrink(now, turnedAwayShrink)
+	least := 1.0
+	if w.latency == 0 || float64(w.latency) > growBelow*float64(objective) {
+		least = minWindow
+	}
+	if w.size > least {
+		w.shrink(now, turnedAwayShrink)
+		w.size = max(w.size, least)
+	}
 }
 
 // failed takes a failed connection or a server's silence into account.
@@ -113,7 +168,7 @@
 	w.failures++
 	pause := min(firstSuspicion<<min(w.failures-1, 8), maxSuspicion)
 	w.suspectUntil = now.Add(pause)
-	w.shrink(now, turnedAwayShrink)
+	w.size = min(w.size, 1)
 }
 
 // shrink reduces the window at most once for the requests that were under way
@@ -123,5 +178,5 @@
 		return
 	}
 	w.shrunk = now
-	w.size = max(w.size*factor, 1)
+	w.size = max(w.size*factor, minWindow)
 }
