--- a/cmd/hornbeamwinch/main.go
+++ b/cmd/hornbeamwinch/main.go
@@ -9,6 +9,7 @@
 //	hornbeamwinch explain tank_readings tank-71
 //	hornbeamwinch domain abandon mvd_c --by "Ana Silva" --reason "hall burnt"
 //	hornbeamwinch drain mvd_a_tank_readings_1 --by "Ana Silva"
+//	hornbeamwinch trace 9c41d07be2a35f68 host-1.log host-2.log
 //
 // Exit codes: 0 done, 1 failed, 2 wrong usage, 3 refused because the rules are
 // faulty or have changed, 4 accepted but not in force everywhere in time.
@@ -51,6 +52,7 @@
 	Explain explainCommand `command:"explain" description:"say where requests for a key go, and why"`
 	Domain  domainCommands `command:"domain" description:"orders about a whole failure domain"`
 	Drain   drainCommand   `command:"drain" description:"move all work off a backend server"`
+	Trace   traceCommand   `command:"trace" description:"say from logs what became of a request, and why"`
 	Undrain undrainCommand `command:"undrain" description:"let a drained backend server work again"`
 }
 
--- /dev/null
+++ b/cmd/hornbeamwinch/trace_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestClient(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "operators' client")
+}
+
+// traceOf returns what a trace of the logs in testdata says of a request.
+func traceOf(id string) (string, error) {
+	GinkgoHelper()
+	data, err := os.ReadFile("testdata/trace.log")
+	Expect(err).NotTo(HaveOccurred())
+	var b bytes.Buffer
+	err = writeTrace(&b, id, readLog(bytes.NewReader(data)))
+	return b.String(), err
+}
+
+var _ = Describe("A trace", func() {
+	It("shows the sends of a request that may have run, in order", func() {
+		text, err := traceOf("d7f92e065ce8cda0")
+		Expect(err).NotTo(HaveOccurred())
+		lines := strings.Split(strings.TrimSpace(text), "\n")
+		Expect(lines).To(HaveLen(4))
+		Expect(lines[0]).To(ContainSubstring("i-15b55f9294"))
+		Expect(lines[1]).To(ContainSubstring("i-6c3fac659c"))
+		Expect(lines[3]).To(HavePrefix("cause: it may have run: server i-6c3fac659c"))
+	})
+
+	It("names the move that left a key without an owner", func() {
+		text, err := traceOf("5d5c4e021bbeef46")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(ContainSubstring("its key 12118 had no owner: keys 12064-12479 of kawu63a went from i-0bdf98ae90 to i-827b320670"))
+		Expect(text).To(ContainSubstring("owner_silent"))
+	})
+
+	It("says when a request is not in the logs", func() {
+		_, err := traceOf("0000000000000000")
+		Expect(err).To(MatchError(errNotLogged))
+	})
+
+	It("takes text that a caller sent as text", func() {
+		forged := `{"time":"2026-03-27T22:58:11Z","host":"h","request_id":"x\",\"outcome\":\"whole","message":"request_refused"}`
+		var b bytes.Buffer
+		Expect(writeTrace(&b, "x", readLog(strings.NewReader(forged)))).To(MatchError(errNotLogged))
+	})
+})
--- a/jetty/assignments.go
+++ b/jetty/assignments.go
@@ -65,6 +65,16 @@
 	return r.Owner, 0, true
 }
 
+// version returns the fencing token of a key and the revision of the table that
+// it is from.
+func (a *assignments) version(key mooring.Key) (mooring.Fence, mooring.StoreRevision) {
+	current := a.current.Load()
+	if current == nil {
+		return 0, 0
+	}
+	return current.table.Find(key).Fence, current.revision
+}
+
 // tableKey returns the store's key of a service's table.
 func tableKey(service fairway.ServiceName) string {
 	return tablePrefix + string(service)
--- a/jetty/journey.go
+++ b/jetty/journey.go
@@ -41,6 +41,10 @@
 	deadline time.Time
 	config   *fairway.Config
 	sends    int
+	// fence and tableRevision are those by which the owner of the key was last
+	// looked up.
+	fence         mooring.Fence
+	tableRevision mooring.StoreRevision
 	// mayHaveRun says that some server may have begun to work on it.
 	mayHaveRun bool
 }
@@ -109,7 +113,11 @@
 		Bytes:     d.arrived(r.route.Name, r.key),
 	}
 	for {
-		switch decision := d.acquire(ctx, t).(type) {
+		decision := d.acquire(ctx, t)
+		if r.key != nil {
+			r.fence, r.tableRevision = d.owners.version(*r.key)
+		}
+		switch decision := decision.(type) {
 		case sluice.Refuse:
 			return f.refused(r, decision)
 		case sluice.Dispatch:
@@ -321,7 +329,7 @@
 		f.upstream.drop(p, c)
 		return nil, err
 	}
-	return f.read(ctx, r, c, p, w)
+	return f.read(ctx, r, s, c, p, w)
 }
 
 var (
@@ -330,12 +338,12 @@
 )
 
 // read reads the body of an answer.
-func (f *forwarder) read(ctx context.Context, r *request, c *connection, p *pool, w *http.Response) (*passOn, error) {
+func (f *forwarder) read(ctx context.Context, r *request, s fairway.Sighting, c *connection, p *pool, w *http.Response) (*passOn, error) {
 	broken := func(err error) (*passOn, error) {
 		f.upstream.drop(p, c)
 		return nil, &Error{Op: "read answer", Kind: KindFaulty, Err: err}
 	}
-	a := &passOn{status: w.StatusCode, header: w.Header}
+	a := &passOn{status: w.StatusCode, header: w.Header, server: s.ID}
 	if w.Header.Get(f.headers.RequestID) != r.id && !f.notRun(a) {
 		return broken(errUnnamed)
 	}
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -223,7 +223,9 @@
 		e.Str("route", string(r.route.Name)).Str("service", string(r.service.Name)).Int("sends", r.sends)
 	}
 	if r.key != nil {
-		e.Uint16("key", uint16(*r.key))
+		e.Uint16("key", uint16(*r.key)).
+			Uint64("fence", uint64(r.fence)).
+			Uint64("table_revision", uint64(r.tableRevision))
 	}
 	return e
 }
