Name the time after which a key without an owner has one; test what was untested

The time now is the hold's end (3.75 s after the move was seen), and at least 0.7 s.

Tests: that time; the watcher (outages, lost history, no way back), the placer's term, exchanges with servers that misbehave.

--- a/jetty/desks.go
+++ b/jetty/desks.go
@@ -175,6 +175,8 @@
 type deskSetConfig struct {
 	Domain fairway.Domain
 	Budget sluice.BudgetConfig
+	// KeyReturn is how long a key is without an owner after a silent one.
+	KeyReturn time.Duration
 }
 
 func newDeskSet(cfg deskSetConfig) *deskSet {
@@ -227,6 +229,7 @@
 	if service.Divided {
 		d.owners = s.ownersLocked(service.Name)
 		cfg.Owners = d.owners
+		cfg.KeyReturn = s.cfg.KeyReturn
 	}
 	d.desk = sluice.NewDesk(cfg)
 	return d
--- /dev/null
+++ b/jetty/exchange_test.go
@@ -0,0 +1,229 @@
+package jetty
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/gauge"
+)
+
+func metricsText(m *metrics) string {
+	w := httptest.NewRecorder()
+	gauge.Page{Scope: m.scope}.ServeHTTP(w, nil)
+	return w.Body.String()
+}
+
+// orderServer counts the orders that it accepts.
+type orderServer struct {
+	address string
+	mu      sync.Mutex
+	orders  int
+}
+
+func newOrderServer() *orderServer {
+	s := &orderServer{}
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.orders++
+	}))
+	DeferCleanup(server.Close)
+	s.address = strings.TrimPrefix(server.URL, "http://")
+	return s
+}
+
+func (s *orderServer) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.orders
+}
+
+// rawServer answers each request on a connection with the next of its texts,
+// in which ID stands for the request's id.
+type rawServer struct {
+	listener net.Listener
+	answers  []string
+	mu       sync.Mutex
+	accepted int
+}
+
+func newRawServer(answers ...string) *rawServer {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &rawServer{listener: l, answers: answers}
+	DeferCleanup(func() { _ = l.Close() })
+	go s.run()
+	return s
+}
+
+func (s *rawServer) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.accepted++
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+func (s *rawServer) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		if len(s.answers) == 0 {
+			s.mu.Unlock()
+			return
+		}
+		text := s.answers[0]
+		s.answers = s.answers[1:]
+		s.mu.Unlock()
+		_, err = c.Write([]byte(strings.ReplaceAll(text, "ID", r.Header.Get("Id"))))
+		if err != nil || strings.Contains(text, "cut") {
+			return
+		}
+	}
+}
+
+func (s *rawServer) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepted
+}
+
+// text builds an answer.
+func text(id, headers, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSigned: y\r\n%sContent-Length: %d\r\n\r\n%s", id, headers, len(body), body)
+}
+
+var _ = Describe("An exchange with a backend server", func() {
+	var u *upstream
+	var f *forwarder
+	var n int
+	BeforeEach(func() {
+		u, n = newUpstream(), 0
+		f = &forwarder{headers: fakeDialect{}.Headers(), upstream: u, logs: quietLogs(), metrics: newMetrics()}
+	})
+	ask := func(s *rawServer) (*passOn, error) {
+		n++
+		r := &request{
+			id: fmt.Sprintf("request-%d", n), route: &fairway.Route{Repeat: fairway.RepeatAllowed},
+			service: &fairway.Service{}, deadline: time.Now().Add(2 * time.Second), arrived: time.Now(),
+		}
+		r.message = message{Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Id": {r.id}}}
+		sighting := fairway.Sighting{ID: "s", Address: s.listener.Addr().String(), Born: 1}
+		ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
+		defer cancel()
+		return f.exchange(ctx, r, sighting, 0)
+	}
+	expectBody := func(a *passOn, err error, body string) {
+		GinkgoHelper()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(a.body)).To(Equal(body))
+	}
+	expectKind := func(err error, kind Kind) {
+		GinkgoHelper()
+		Expect(err).To(HaveOccurred())
+		Expect(kindOf(err)).To(Equal(kind))
+	}
+
+	It("reuses a connection", func() {
+		s := newRawServer(text("ID", "", "one"), text("ID", "", "two"))
+		a, err := ask(s)
+		expectBody(a, err, "one")
+		a, err = ask(s)
+		expectBody(a, err, "two")
+		Expect(s.connections()).To(Equal(1))
+	})
+
+	It("skips an answer to another request", func() {
+		s := newRawServer(text("request-77", "", "not yours") + text("ID", "", "yours"))
+		a, err := ask(s)
+		expectBody(a, err, "yours")
+	})
+
+	It("does not reuse a connection with bytes left over", func() {
+		s := newRawServer(text("ID", "", "one")+text("ID", "", "again"), text("ID", "", "two"))
+		a, err := ask(s)
+		expectBody(a, err, "one")
+		a, err = ask(s)
+		expectBody(a, err, "two")
+		Expect(s.connections()).To(Equal(2))
+	})
+
+	It("does not reuse a connection that the server closed", func() {
+		s := newRawServer(text("ID", "X: cut\r\n", "one"), text("ID", "", "two"))
+		a, err := ask(s)
+		expectBody(a, err, "one")
+		time.Sleep(20 * time.Millisecond)
+		a, err = ask(s)
+		expectBody(a, err, "two")
+	})
+
+	It("does not take a short body as whole", func() {
+		s := newRawServer("HTTP/1.1 200 OK\r\nId: ID\r\nSigned: y\r\nContent-Length: 9\r\n\r\ncut")
+		_, err := ask(s)
+		expectKind(err, KindReset)
+	})
+
+	It("does not take other bytes as an answer", func() {
+		s := newRawServer("garbage garbage cut\r\n\r\n")
+		_, err := ask(s)
+		expectKind(err, KindFaulty)
+	})
+
+	It("does not take an answer that names no request", func() {
+		s := newRawServer(text("", "", "whose"))
+		_, err := ask(s)
+		expectKind(err, KindFaulty)
+	})
+
+	It("does not take an encoded answer", func() {
+		s := newRawServer(text("ID", "Content-Encoding: gzip\r\n", "zip"))
+		_, err := ask(s)
+		expectKind(err, KindFaulty)
+	})
+
+	It("reads a body without a length to the end of the connection", func() {
+		s := newRawServer("HTTP/1.1 200 OK\r\nId: ID\r\nSigned: y\r\n\r\nall of it, then cut")
+		a, err := ask(s)
+		expectBody(a, err, "all of it, then cut")
+	})
+
+	It("tells that nothing was sent when the server refuses connections", func() {
+		s := newRawServer()
+		_ = s.listener.Close()
+		_, err := ask(s)
+		expectKind(err, KindNotSent)
+	})
+
+	It("keeps to its share of a server's connections", func() {
+		s := newRawServer()
+		sighting := fairway.Sighting{ID: "s", Address: s.listener.Addr().String(), Born: 1}
+		for range minConnections {
+			_, _, err := u.take(context.Background(), sighting, take{idlePart: 1})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, _, err := u.take(context.Background(), sighting, take{idlePart: 1})
+		Expect(err).To(MatchError(errTooMany))
+	})
+})
--- /dev/null
+++ b/jetty/fake_test.go
@@ -0,0 +1,199 @@
+package jetty
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/ledger"
+	"hornbeamwinch.example/mooring"
+)
+
+var errFake = errors.New("the fake store is out")
+
+// fakeStore answers watches from a queue and scans from its entries. It is out
+// while out is set.
+type fakeStore struct {
+	mu      sync.Mutex
+	entries map[string]ledger.Entry
+	changes []ledger.Change
+	rev     ledger.Revision
+	out     bool
+	err     error
+	renewed int
+	ended   []ledger.LeaseID
+	txns    []ledger.Txn
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{entries: make(map[string]ledger.Entry)}
+}
+
+func (s *fakeStore) set(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	e := ledger.Entry{Key: key, Value: []byte(value), Revision: s.rev}
+	s.entries[key] = e
+	s.changes = append(s.changes, ledger.Change{Entry: e})
+}
+
+func (s *fakeStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	delete(s.entries, key)
+	s.changes = append(s.changes, ledger.Change{Entry: ledger.Entry{Key: key, Revision: s.rev}, Removed: true})
+}
+
+func (s *fakeStore) setOut(out bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.out = out
+}
+
+// failNext makes the next watch fail with a kind.
+func (s *fakeStore) failNext(kind ledger.Kind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = &ledger.Error{Op: "watch", Kind: kind, Err: errFake}
+}
+
+func (s *fakeStore) failure() error {
+	if s.out {
+		return &ledger.Error{Op: "call", Kind: ledger.KindUnavailable, Err: errFake}
+	}
+	err := s.err
+	s.err = nil
+	return err
+}
+
+// Get implements ledger.TxnStore.
+func (s *fakeStore) Get(_ context.Context, key string) (ledger.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.failure(); err != nil {
+		return ledger.Entry{}, err
+	}
+	e, ok := s.entries[key]
+	if !ok {
+		return e, &ledger.Error{Op: "get", Kind: ledger.KindNotFound, Err: errFake}
+	}
+	return e, nil
+}
+
+// Scan implements ledger.TxnStore.
+func (s *fakeStore) Scan(context.Context, string) ([]ledger.Entry, ledger.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.failure(); err != nil {
+		return nil, 0, err
+	}
+	var all []ledger.Entry
+	for _, e := range s.entries {
+		all = append(all, e)
+	}
+	return all, s.rev, nil
+}
+
+// Changes implements ledger.TxnStore. It does not wait.
+func (s *fakeStore) Changes(_ context.Context, _ string, after ledger.Revision, _ time.Duration) ([]ledger.Change, ledger.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.failure(); err != nil {
+		return nil, 0, err
+	}
+	var found []ledger.Change
+	for _, c := range s.changes {
+		if c.Revision > after {
+			found = append(found, c)
+		}
+	}
+	return found, s.rev, nil
+}
+
+// Commit implements ledger.TxnStore.
+func (s *fakeStore) Commit(_ context.Context, txn ledger.Txn) (ledger.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.failure(); err != nil {
+		return 0, err
+	}
+	s.txns = append(s.txns, txn)
+	s.rev++
+	return s.rev, nil
+}
+
+// GrantLease implements ledger.TxnStore.
+func (s *fakeStore) GrantLease(context.Context, time.Duration) (ledger.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return "7", s.failure()
+}
+
+// RenewLease implements ledger.TxnStore.
+func (s *fakeStore) RenewLease(context.Context, ledger.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.failure(); err != nil {
+		return err
+	}
+	s.renewed++
+	return nil
+}
+
+// RevokeLease implements ledger.TxnStore.
+func (s *fakeStore) RevokeLease(_ context.Context, id ledger.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = append(s.ended, id)
+	return nil
+}
+
+// fakeDialect decodes keys like "server/ID" and "config/VERSION".
+type fakeDialect struct{ Dialect }
+
+// Headers implements Dialect.
+func (fakeDialect) Headers() Headers {
+	return Headers{RequestID: "Id", TimeLeft: "Left", ExpectedInstance: "Expected", Key: "Key", Signature: "Signed", NotRun: "Not-Run"}
+}
+
+// Decode implements Dialect.
+func (fakeDialect) Decode(e ledger.Entry, _ time.Time) Record {
+	if id, ok := strings.CutPrefix(e.Key, "server/"); ok {
+		return ServerRecord{ID: fairway.ServerID(id), Sighting: fairway.Sighting{ID: fairway.ServerID(id), Service: "readings"}}
+	}
+	if e.Key == "config" {
+		c, err := fairway.NewConfig(fairway.Version(len(e.Value)), fairway.Limits{}, nil, nil)
+		if err != nil {
+			return Unreadable{Key: e.Key, Err: err}
+		}
+		return ConfigRecord{Config: c}
+	}
+	return nil
+}
+
+// Removed implements Dialect.
+func (fakeDialect) Removed(key string) Record {
+	if id, ok := strings.CutPrefix(key, "server/"); ok {
+		return ServerRecord{ID: fairway.ServerID(id), Err: ErrRemoved}
+	}
+	return nil
+}
+
+// OrderCall implements Dialect.
+func (fakeDialect) OrderCall(mooring.Order) (string, []byte, error) {
+	return "/order", []byte("{}"), nil
+}
+
+// OrderAnswer implements Dialect.
+func (fakeDialect) OrderAnswer(status int, _ http.Header) (mooring.Result, string) {
+	if status == http.StatusOK {
+		return mooring.ResultAccepted, "handover"
+	}
+	return mooring.ResultNoAnswer, ""
+}
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -97,8 +97,9 @@
 		loads:    newLoads(),
 	}
 	h.desks = newDeskSet(deskSetConfig{
-		Domain: s.Domain,
-		Budget: sluice.BudgetConfig{Window: s.Bounds.BudgetWindow, Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra},
+		Domain:    s.Domain,
+		KeyReturn: min(grantHold, s.Bounds.MaxHold) + holdMargin,
+		Budget:    sluice.BudgetConfig{Window: s.Bounds.BudgetWindow, Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra},
 	})
 	h.watcher = &watcher{
 		store: cfg.Store, dialect: cfg.Dialect, views: h.views, desks: h.desks, logs: h.logs,
--- /dev/null
+++ b/jetty/watcher_test.go
@@ -0,0 +1,194 @@
+package jetty
+
+import (
+	"context"
+	"io"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/ledger"
+	"hornbeamwinch.example/mooring"
+)
+
+func quietLogs() *logs {
+	return newLogs(io.Discard, &Settings{Host: "h"})
+}
+
+var _ = Describe("The watcher", func() {
+	var s *fakeStore
+	var w *watcher
+	var changes int
+	step := func() error { return w.step(context.Background()) }
+	known := func() []string {
+		var ids []string
+		for id := range w.views.catalog().All() {
+			ids = append(ids, string(id))
+		}
+		return ids
+	}
+	BeforeEach(func() {
+		s = newFakeStore()
+		changes = 0
+		w = &watcher{
+			store: s, dialect: fakeDialect{}, views: newViews(fairway.NewBook()), desks: newDeskSet(deskSetConfig{}),
+			logs: quietLogs(), mirror: newMirror(), changed: func() { changes++ }, missing: make(map[fairway.ServerID]bool),
+		}
+		s.set("server/a", "x")
+		s.set("server/b", "x")
+		s.set("config", "123")
+		Expect(step()).To(Succeed())
+	})
+	// outage makes the store fail for longer than entries live without it.
+	outage := func() {
+		w.reachedAt = time.Now().Add(-2 * outageAfter)
+		w.unreached(errFake)
+	}
+
+	It("reads everything at first", func() {
+		Expect(known()).To(ConsistOf("a", "b"))
+		Expect(w.views.book.Current().Version).To(Equal(fairway.Version(3)))
+		Expect(changes).To(BeNumerically(">", 0))
+	})
+
+	It("drops a server whose entry is removed", func() {
+		s.remove("server/a")
+		Expect(step()).To(Succeed())
+		Expect(known()).To(ConsistOf("b"))
+	})
+
+	It("takes the last of several changes of a server", func() {
+		s.remove("server/a")
+		s.set("server/a", "y")
+		s.set("server/b", "y")
+		s.remove("server/b")
+		Expect(step()).To(Succeed())
+		Expect(known()).To(ConsistOf("a"))
+	})
+
+	It("keeps servers that are missing right after an outage for a while", func() {
+		outage()
+		s.remove("server/a")
+		Expect(step()).To(Succeed())
+		Expect(known()).To(ConsistOf("a", "b"))
+		w.doubtUntil = time.Now()
+		w.giveUpMissing()
+		Expect(known()).To(ConsistOf("b"))
+	})
+
+	It("keeps a server that comes back after an outage", func() {
+		outage()
+		s.remove("server/a")
+		Expect(step()).To(Succeed())
+		s.set("server/a", "y")
+		Expect(step()).To(Succeed())
+		w.doubtUntil = time.Now()
+		w.giveUpMissing()
+		Expect(known()).To(ConsistOf("a", "b"))
+	})
+
+	It("reads everything again when the history is gone", func() {
+		s.failNext(ledger.KindCompacted)
+		err := step()
+		Expect(ledger.IsKind(err, ledger.KindCompacted)).To(BeTrue())
+		w.scanned.Store(false)
+		delete(s.entries, "server/a")
+		Expect(step()).To(Succeed())
+		Expect(known()).To(ConsistOf("b"))
+	})
+
+	It("never takes an older configuration", func() {
+		s.set("config", "12345")
+		Expect(step()).To(Succeed())
+		s.set("config", "1234")
+		Expect(step()).To(Succeed())
+		Expect(w.views.book.Current().Version).To(Equal(fairway.Version(5)))
+	})
+
+	It("follows the placer and the tables, never back", func() {
+		s.set(placerKey, "10.0.0.1:1")
+		table, err := mooring.NewTable("readings").Encode()
+		Expect(err).NotTo(HaveOccurred())
+		s.set(tableKey("readings"), string(table))
+		Expect(step()).To(Succeed())
+		Expect(w.views.currentPlacer().address).To(Equal("10.0.0.1:1"))
+		revision := w.desks.ownersOf("readings").current.Load().revision
+		w.applyOwn(ledger.Change{Entry: ledger.Entry{Key: tableKey("readings"), Value: table, Revision: 1}})
+		Expect(w.desks.ownersOf("readings").current.Load().revision).To(Equal(revision))
+		s.remove(placerKey)
+		Expect(step()).To(Succeed())
+		Expect(w.views.currentPlacer().address).To(BeEmpty())
+	})
+})
+
+var _ = Describe("A term of the placer", func() {
+	claim := func(s *fakeStore, ttl time.Duration) (*term, error) {
+		return claimTerm(context.Background(), s, ttl, "10.0.0.1:1", quietLogs())
+	}
+
+	It("depends on the absence of another placer's record", func() {
+		s := newFakeStore()
+		t, err := claim(s, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.valid()).To(BeTrue())
+		Expect(s.txns).To(HaveLen(1))
+		Expect(s.txns[0].Expect).To(Equal([]ledger.Expectation{{Key: placerKey}}))
+		Expect(s.txns[0].Put[0].Lease).To(Equal(ledger.LeaseID("7")))
+	})
+
+	It("ends its lease when the outcome of the claim is not known", func() {
+		s := newFakeStore()
+		failing := &commitFails{fakeStore: s}
+		_, err := claimTerm(context.Background(), failing, time.Second, "10.0.0.1:1", quietLogs())
+		Expect(err).To(HaveOccurred())
+		Expect(s.ended).To(ConsistOf(ledger.LeaseID("7")))
+	})
+
+	It("ends before the lease when the store is out", func() {
+		s := newFakeStore()
+		const ttl = 500 * time.Millisecond
+		t, err := claim(s, ttl)
+		Expect(err).NotTo(HaveOccurred())
+		s.setOut(true)
+		ended := make(chan struct{})
+		began := time.Now()
+		go t.run(context.Background(), func() { close(ended) })
+		Eventually(t.valid).WithTimeout(2 * ttl).WithPolling(5 * time.Millisecond).Should(BeFalse())
+		Expect(time.Since(began)).To(BeNumerically("<", ttl))
+		Eventually(ended).WithTimeout(2 * time.Second).Should(BeClosed())
+	})
+
+	It("sends no order once it has ended", func() {
+		s := newFakeStore()
+		t, err := claim(s, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		server := newOrderServer()
+		o := &orderSender{dialect: fakeDialect{}, upstream: newUpstream(), logs: quietLogs(), metrics: newMetrics()}
+		order := mooring.Order{To: mooring.Holder{Server: "s", Address: server.address}}
+		Expect(o.send(context.Background(), t, order).Result).To(Equal(mooring.ResultAccepted))
+		t.until.Store(0)
+		Expect(o.send(context.Background(), t, order).Result).To(Equal(mooring.ResultNotTried))
+		Expect(server.count()).To(Equal(1))
+	})
+})
+
+// commitFails is a store whose commits have no known outcome.
+type commitFails struct{ *fakeStore }
+
+// Commit implements ledger.TxnStore.
+func (*commitFails) Commit(context.Context, ledger.Txn) (ledger.Revision, error) {
+	return 0, &ledger.Error{Op: "commit", Kind: ledger.KindUnknown, Err: errFake}
+}
+
+var _ = Describe("Metrics", func() {
+	It("are served as text", func() {
+		m := newMetrics()
+		m.answered(&request{route: &fairway.Route{Name: "r"}}, refuse{reason: "overload"}, time.Millisecond)
+		text := metricsText(m)
+		Expect(text).To(ContainSubstring("requests_total"))
+		Expect(strings.Count(text, `reason="overload"`)).To(Equal(1))
+	})
+})
--- a/sluice/desk.go
+++ b/sluice/desk.go
@@ -17,9 +17,9 @@
 	// keyPatience is how long a request may wait for the owner of its key to
 	// change. A planned move takes as long as the work under way.
 	keyPatience = 700 * time.Millisecond
-	// keyReturn is when a key without an owner is likely to have one: after
-	// the hold of a server that cannot be reached.
-	keyReturn = 2 * time.Second
+	// ownerReturn is when a key whose owner has left is asked for again, if the
+	// next owner has not been named in time.
+	ownerReturn = time.Second
 	// serverReturn is when a service without a server is asked for again.
 	serverReturn = time.Second
 	// minRetryAfter keeps those who are refused from coming back before
@@ -109,6 +109,9 @@
 	Domain fairway.Domain
 	// Owners is set for services that divide keys.
 	Owners Owners
+	// KeyReturn is how long after its owner was found silent a key has another
+	// one: the time that its hold takes to run out.
+	KeyReturn time.Duration
 }
 
 // Desk admits the requests of one service on one host.
@@ -442,7 +445,12 @@
 	if reason == ReasonOverload && now.Add(d.usual) > t.Deadline {
 		reason = ReasonTooLate
 	}
-	return Refuse{Reason: reason, RetryAfter: spread(max(end.Sub(limit), minRetryAfter), t.ID), Ahead: ahead}, true
+	back := max(end.Sub(limit), minRetryAfter)
+	if reason == ReasonNoOwner {
+		// What it waits for does not depend on its own deadline.
+		back = wait
+	}
+	return Refuse{Reason: reason, RetryAfter: spread(back, t.ID), Ahead: ahead}, true
 }
 
 // expectedWait returns how long t is likely to wait for a server.
@@ -481,10 +489,14 @@
 	at := d.ownerSeat(now, key)
 	if at == nil {
 		_, since, ok := d.cfg.Owners.Owner(key)
-		if !ok && now.Sub(since) < keyPatience {
+		switch {
+		case ok:
+			return ownerReturn, ReasonNoOwner
+		case now.Sub(since) < keyPatience:
 			return 0, ReasonNoOwner
+		default:
+			return max(since.Add(d.cfg.KeyReturn).Sub(now), keyPatience), ReasonNoOwner
 		}
-		return keyReturn, ReasonNoOwner
 	}
 	wait := time.Duration(float64(ahead+1) / at.rate(now, d.usual) * float64(time.Second))
 	if at.window.suspected(now) {
--- a/sluice/desk_test.go
+++ b/sluice/desk_test.go
@@ -168,8 +168,9 @@
 	key, orphan := mooring.Key(7), mooring.Key(8)
 	newDivided := func() *sluice.Desk {
 		d := sluice.NewDesk(sluice.DeskConfig{
-			Service: "readings",
-			Owners:  owners{key: {Server: "s1", Born: 1, Address: "10.0.0.1:80"}},
+			Service:   "readings",
+			Owners:    owners{key: {Server: "s1", Born: 1, Address: "10.0.0.1:80"}},
+			KeyReturn: 4 * time.Second,
 		})
 		d.SetServers(start, []fairway.Sighting{sighting("s1", "a"), sighting("s2", "a")}, 4)
 		return d
@@ -197,6 +198,14 @@
 		expectRefusal(d.Offer(later, keyed(2, later, orphan)), sluice.ReasonNoOwner)
 	})
 
+	It("tells when the hold of a silent owner will have run out", func() {
+		d := newDivided()
+		later := start.Add(1500 * time.Millisecond)
+		r := expectRefusal(d.Offer(later, keyed(1, later, orphan)), sluice.ReasonNoOwner)
+		Expect(r.RetryAfter).To(BeNumerically(">=", 2500*time.Millisecond))
+		Expect(r.RetryAfter).To(BeNumerically("<=", 3750*time.Millisecond))
+	})
+
 	It("lets a leaving owner serve on until the next one is named", func() {
 		d := newDivided()
 		leaving := sighting("s1", "a")
