Keep servers that answer requests though orders get no answer

Change: after two failures a server is in doubt and gets no grants. Hosts report which servers answer requests; one that was heard of since is granted again, one that was not for 1.6 s is silent. Load is observed each 0.5 s.

--- a/jetty/placer.go
+++ b/jetty/placer.go
@@ -18,8 +18,8 @@
 	claimSpread = 120 * time.Millisecond
 	// placerTick is the time between two looks of the placer at what is due.
 	placerTick = 40 * time.Millisecond
-	// observeEvery is the time over which load is counted.
-	observeEvery = time.Second
+	// observeEvery is the time over which load is counted, that of a report.
+	observeEvery = reportEvery
 	// orderWorkers bounds the orders under way. Servers that do not answer take
 	// one each until their order times out.
 	orderWorkers = 24
@@ -238,12 +238,14 @@
 	})
 	for service := range s.keepers {
 		speeds := make(map[fairway.ServerID]float64)
+		answered := make(map[fairway.ServerID]bool)
 		for _, sighting := range catalog.Of(service) {
+			answered[sighting.ID] = paces[sighting.ID].answers > 0
 			if slowness := s.slowness[sighting.ID]; slowness > 0 {
 				speeds[sighting.ID] = 1 / slowness
 			}
 		}
-		s.step(ctx, service, mooring.Observed{Requests: requests[service], Over: over, Speeds: speeds})
+		s.step(ctx, service, mooring.Observed{Requests: requests[service], Over: over, Answered: answered, Speeds: speeds})
 	}
 }
 
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -67,6 +67,8 @@
 	Requests map[Key]int
 	// Over is the time in which they were counted.
 	Over time.Duration
+	// Answered has the servers that answered requests in that time.
+	Answered map[fairway.ServerID]bool
 	// Speeds are the speeds of the servers relative to the mean of the service.
 	Speeds map[fairway.ServerID]float64
 }
--- a/mooring/keeper.go
+++ b/mooring/keeper.go
@@ -10,9 +10,14 @@
 const (
 	// clockDrift is the part by which a server's clock may run slow.
 	clockDrift = 0.02
-	// unreachableAfter is the number of failed renewals in a row after which a
-	// server is replaced. One may be lost by chance.
+	// unreachableAfter is the number of failed orders in a row after which a
+	// server is in doubt. One may be lost by chance.
 	unreachableAfter = 2
+	// silentAfter is how long a server may be in doubt before it is replaced:
+	// until the hosts would have reported answers of it.
+	silentAfter = 1600 * time.Millisecond
+	// reportLag is the time from an answer to its report by a host.
+	reportLag = 600 * time.Millisecond
 	// retryOrder is the pause before a failed order is sent again. It is a few
 	// round trips.
 	retryOrder = 100 * time.Millisecond
@@ -83,9 +88,12 @@
 	// are grants.
 	inFlight int
 	grants   int
-	// failures counts orders without success in a row.
-	failures int
-	retryAt  Instant
+	// failures counts orders without success in a row, since doubtedAt enough of
+	// them for a doubt. The last may have arrived if unanswered is set.
+	failures   int
+	doubtedAt  Instant
+	unanswered bool
+	retryAt    Instant
 	// avoidUntil keeps new keys away after failures.
 	avoidUntil Instant
 }
@@ -95,6 +103,18 @@
 	return s.inFlight < ordersPerServer && now >= s.retryAt
 }
 
+// doubted reports whether orders to the server fail.
+func (s *server) doubted() bool {
+	return s.failures >= unreachableAfter
+}
+
+// grantable reports whether a grant may be sent. A grant that gets no answer
+// lengthens the wait for the server's keys, so a server in doubt gets none until
+// it has been heard of or enough time has passed.
+func (s *server) grantable(now Instant) bool {
+	return s.free(now) && (!s.doubted() || !s.unanswered || now >= s.avoidUntil)
+}
+
 // rowID names a range under one token.
 type rowID struct {
 	Span  Span
@@ -153,6 +173,7 @@
 		k.answered(e)
 	case Observed:
 		k.load.observe(e)
+		k.heard(e)
 	case Tick:
 	}
 	k.plan()
@@ -232,7 +253,11 @@
 		s.retryAt = k.now.Add(retryOrder)
 	default:
 		s.failures++
+		s.unanswered = e.Result == ResultNoAnswer
 		s.retryAt = k.now.Add(retryOrder)
+		if s.failures == unreachableAfter {
+			s.doubtedAt = k.now
+		}
 		if s.failures >= unreachableAfter {
 			s.avoidUntil = k.now.Add(min(time.Duration(s.failures)*returnGrace/unreachableAfter, maxAvoid))
 		}
@@ -311,7 +336,7 @@
 	}
 	s := k.server(r.Owner)
 	due := !state.confirmed || k.now.Sub(state.granted) >= k.cfg.Timing.Renew
-	if due && !state.superseded && s.free(k.now) && k.fit(r.Owner) == "" {
+	if due && !state.superseded && s.grantable(k.now) && k.fit(r.Owner) == "" {
 		k.send(state, Order{Span: r.Span, Fence: r.Fence, To: r.Owner, Hold: k.cfg.Timing.Hold, Handover: r.Handover})
 	}
 }
@@ -365,19 +390,34 @@
 		return ReasonNewRun
 	case s.Draining:
 		return ReasonDraining
-	case k.now < k.server(h).avoidUntil:
+	case k.silent(k.server(h)):
 		return ReasonSilent
 	default:
 		return ""
 	}
 }
 
+// silent reports whether a server has been in doubt for too long. It is tried
+// again after a while.
+func (k *Keeper) silent(s *server) bool {
+	return s.doubted() && k.now.Sub(s.doubtedAt) > silentAfter && k.now < s.avoidUntil
+}
+
+// heard ends the doubt about servers that have answered requests since.
+func (k *Keeper) heard(e Observed) {
+	for h, s := range k.servers {
+		if s.doubted() && e.Answered[h.Server] && k.now.Sub(s.doubtedAt) > e.Over+reportLag && !k.silent(s) {
+			s.failures = 0
+		}
+	}
+}
+
 // candidates returns the servers that may be given keys, by id.
 func (k *Keeper) candidates() []fairway.Sighting {
 	var found []fairway.Sighting
 	for _, s := range k.catalog.Of(k.cfg.Service) {
 		h := holderOf(s)
-		if k.fit(h) == "" {
+		if k.fit(h) == "" && k.now >= k.server(h).avoidUntil {
 			found = append(found, s)
 		}
 	}
--- a/mooring/keeper_test.go
+++ b/mooring/keeper_test.go
@@ -102,6 +102,40 @@
 		expectSound(w)
 	})
 
+	It("keeps a server that answers requests though its orders get no answer", func() {
+		w := newWorld(4)
+		w.run(2 * time.Second)
+		before := w.revision
+		for range 16 {
+			w.servers["s1"].mute = !w.servers["s1"].mute
+			for range 2 {
+				w.step(w.term, mooring.Observed{
+					Over: 500 * time.Millisecond, Answered: map[fairway.ServerID]bool{"s0": true, "s1": true, "s2": true, "s3": true},
+				})
+				w.run(500 * time.Millisecond)
+			}
+		}
+		Expect(w.revision).To(Equal(before))
+		expectSound(w)
+	})
+
+	It("replaces a silent server that nobody hears of", func() {
+		w := newWorld(4)
+		w.run(2 * time.Second)
+		w.servers["s1"].cutUntil = w.now.Add(time.Minute)
+		for range 10 {
+			w.step(w.term, mooring.Observed{
+				Over: 500 * time.Millisecond, Answered: map[fairway.ServerID]bool{"s0": true, "s2": true, "s3": true},
+			})
+			w.run(500 * time.Millisecond)
+		}
+		w.run(timing.Renew)
+		for _, r := range w.recorded.Rows {
+			Expect(r.Owner.Server).NotTo(Equal(fairway.ServerID("s1")))
+		}
+		expectSound(w)
+	})
+
 	It("sends at most three orders to a server at a time", func() {
 		w := newWorld(4)
 		disturb(w)
--- a/mooring/load.go
+++ b/mooring/load.go
@@ -1,15 +1,16 @@
 package mooring
 
 import (
+	"math"
 	"time"
 
 	"hornbeamwinch.example/fairway"
 )
 
 const (
-	// loadMemory is the part of the old rate that a new second of counts
-	// leaves. Half of a change is seen after 1.4 s, which is less than a hot
-	// range takes to move and more than the noise of a second's counts.
+	// loadMemory is the part of the old rate that a second of counts leaves.
+	// Half of a change is seen after 1.4 s, which is less than a hot range takes
+	// to move and more than the noise of a second's counts.
 	loadMemory = 0.6
 	// evenPart is the part of the load that is taken as spread evenly over the
 	// keys, since keys without recent requests may get some.
@@ -39,10 +40,11 @@
 	if e.Over <= 0 {
 		return
 	}
+	memory := math.Pow(loadMemory, e.Over.Seconds())
 	for i := range m.rates {
-		m.rates[i] *= loadMemory
+		m.rates[i] *= memory
 	}
-	scale := (1 - loadMemory) / e.Over.Seconds()
+	scale := (1 - memory) / e.Over.Seconds()
 	for key, n := range e.Requests {
 		m.rates[key] += float64(n) * scale
 	}
