Take only entries of defined services as proof that an owner has ended

Cause (read in review): a server born later at an owner's address proves that the owner has ended, and its keys are given away at once. An entry of another writer may name any address and a service that nobody defined.

Change: the placer's keepers see servers of defined services only. The test is red without it.

--- a/fairway/catalog.go
+++ b/fairway/catalog.go
@@ -67,6 +67,18 @@
 	return newCatalog(servers)
 }
 
+// Within returns a catalog of the servers whose service config
+// defines.
+func (c *Catalog) Within(config *Config) *Catalog {
+	servers := make(map[ServerID]Sighting, len(c.servers))
+	for id, s := range c.servers {
+		if config.Services[s.Service] != nil {
+			servers[id] = s
+		}
+	}
+	return newCatalog(servers)
+}
+
 // Get returns the sighting of a server.
 func (c *Catalog) Get(id ServerID) (Sighting, bool) {
 	s, ok := c.servers[id]
--- a/fairway/config_test.go
+++ b/fairway/config_test.go
@@ -92,6 +92,12 @@
 })
 
 var _ = Describe("Catalog", func() {
+	It("leaves out servers of services that are not defined", func() {
+		c := fairway.NewCatalog([]fairway.Sighting{{ID: "a", Service: "readings"}, {ID: "b", Service: "forged"}})
+		Expect(c.Within(newConfig(1)).All()).To(HaveLen(1))
+		Expect(c.Len()).To(Equal(2))
+	})
+
 	It("returns changed copies", func() {
 		before := fairway.NewCatalog([]fairway.Sighting{{ID: "a", Service: "readings"}, {ID: "b", Service: "readings"}})
 		after := before.Apply([]fairway.Sighting{{ID: "c", Service: "invoices"}}, []fairway.ServerID{"a"})
--- a/jetty/placer.go
+++ b/jetty/placer.go
@@ -205,6 +205,9 @@
 		return
 	}
 	hold := min(grantHold, s.placer.maxHold)
+	// A server at the address of an owner proves that the owner has ended. An
+	// entry that names no service of ours was not written by a server.
+	sightings := s.placer.views.catalog().Within(config)
 	for _, service := range config.Divided() {
 		if s.keepers[service] == nil {
 			s.keepers[service] = mooring.NewKeeper(mooring.KeeperConfig{
@@ -216,7 +219,7 @@
 				},
 			})
 		}
-		s.step(ctx, service, mooring.Sighted{Catalog: s.placer.views.catalog()})
+		s.step(ctx, service, mooring.Sighted{Catalog: sightings})
 	}
 }
 
--- a/jetty/watcher_test.go
+++ b/jetty/watcher_test.go
@@ -192,3 +192,37 @@
 		Expect(strings.Count(text, `reason="overload"`)).To(Equal(1))
 	})
 })
+
+var _ = Describe("The placer's keepers", func() {
+	It("do not take an entry of an unknown service at an owner's address as proof of its end", func() {
+		owner := fairway.Sighting{ID: "a", Service: "readings", Address: "10.0.0.1:80", Born: 1, Slots: 4}
+		forged := fairway.Sighting{ID: "f", Service: "forged", Address: owner.Address, Born: 2, Slots: 4}
+		config, err := fairway.NewConfig(1, fairway.Limits{}, nil, []*fairway.Service{{Name: "readings", Divided: true}})
+		Expect(err).NotTo(HaveOccurred())
+		p := &placer{views: newViews(fairway.NewBook()), maxHold: grantHold}
+		p.views.book.Offer(config)
+		p.views.servers.Store(fairway.NewCatalog([]fairway.Sighting{owner, forged}))
+		s := &shift{
+			placer: p, term: &term{began: bootNow()}, orders: make(chan keeperOrder, 64),
+			keepers: make(map[fairway.ServiceName]*mooring.Keeper),
+		}
+		ctx := context.Background()
+		s.look(ctx)
+		table := mooring.NewTable("readings")
+		table.Rows[0].Owner = mooring.Holder{Server: "gone", Born: 1, Address: owner.Address}
+		table.Rows[0].Fence, table.NextFence = 1, 2
+		s.step(ctx, "readings", mooring.Loaded{Table: table, Revision: 1})
+		var written *mooring.Table
+		for len(s.orders) > 0 {
+			if w, ok := (<-s.orders).action.(mooring.Write); ok {
+				written = w.Table
+			}
+		}
+		Expect(written).NotTo(BeNil())
+		s.step(ctx, "readings", mooring.Recorded{Revision: 2})
+		for len(s.orders) > 0 {
+			order := <-s.orders
+			Expect(order.action).NotTo(BeAssignableToTypeOf(mooring.Write{}), "the former owner was cleared")
+		}
+	})
+})
