--- a/jetty/host.go
+++ b/jetty/host.go
@@ -153,8 +153,26 @@
 	h.placer.notify()
 }
 
-// Start listens and runs the loops.
+// Start listens and runs the loops. If it fails, nothing is left listening.
 func (h *Host) Start(context.Context) error {
+	if err := h.listen(); err != nil {
+		h.closeServers()
+		h.loops.Wait()
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.launch(ctx, h.watcher.run)
+	h.launch(ctx, h.placer.run)
+	h.launch(ctx, h.reporter.run)
+	h.launch(ctx, h.sweepLoop)
+	h.launch(ctx, h.reloadLoop)
+	h.logs.started(h.cfg.Settings)
+	return nil
+}
+
+// listen opens the host's addresses.
+func (h *Host) listen() error {
 	s := h.cfg.Settings
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB) * (1 << 20)))
@@ -175,18 +193,17 @@
 	if err := h.serve(&http.Server{Handler: h.adminHandler(), ErrorLog: h.logs.standard()}, s.AdminAddress); err != nil {
 		return err
 	}
-	if err := h.servePeers(s.PeerAddress); err != nil {
-		return err
+	return h.servePeers(s.PeerAddress)
+}
+
+// closeServers closes what is listening, and every connection.
+func (h *Host) closeServers() {
+	for _, server := range h.servers {
+		_ = server.Close()
+	}
+	if h.peers != nil {
+		h.peers.Stop()
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	h.cancel = cancel
-	h.launch(ctx, h.watcher.run)
-	h.launch(ctx, h.placer.run)
-	h.launch(ctx, h.reporter.run)
-	h.launch(ctx, h.sweepLoop)
-	h.launch(ctx, h.reloadLoop)
-	h.logs.started(s)
-	return nil
 }
 
 func (h *Host) launch(ctx context.Context, run func(context.Context)) {
@@ -325,10 +342,7 @@
 		pause(ctx, drainPoll)
 	}
 	h.cancel()
-	for _, server := range h.servers {
-		_ = server.Close()
-	}
-	h.peers.Stop()
+	h.closeServers()
 	h.loops.Wait()
 	h.logs.stopped()
 	h.logs.close()
