Name the options of taking a connection; describe the feeder in the package comment

Read as a newcomer: a type and a method shared the name take. No change of behaviour; the package's tests are green.

--- a/jetty/doc.go
+++ b/jetty/doc.go
@@ -3,8 +3,10 @@
 //
 // A [Host] has these parts, each with goroutines of its own:
 //
-//   - the watcher follows the store: configuration, backend servers, tables of
-//     owners, and the placer;
+//   - the watcher follows the store, itself or through the feeder of the failure
+//     domain: configuration, backend servers, tables of owners, and the placer;
+//   - the mirror keeps the store's latest changes, with which this host can be
+//     the feeder of others;
 //   - the front serves callers: it matches the route, waits for admission,
 //     forwards the request and passes on a whole answer;
 //   - the reporter tells the placer what was measured;
--- a/jetty/exchange_test.go
+++ b/jetty/exchange_test.go
@@ -220,10 +220,10 @@
 		s := newRawServer()
 		sighting := fairway.Sighting{ID: "s", Address: s.listener.Addr().String(), Born: 1}
 		for range minConnections {
-			_, _, err := u.take(context.Background(), sighting, take{idlePart: 1})
+			_, _, err := u.take(context.Background(), sighting, takeOptions{idlePart: 1})
 			Expect(err).NotTo(HaveOccurred())
 		}
-		_, _, err := u.take(context.Background(), sighting, take{idlePart: 1})
+		_, _, err := u.take(context.Background(), sighting, takeOptions{idlePart: 1})
 		Expect(err).To(MatchError(errTooMany))
 	})
 })
--- a/jetty/journey.go
+++ b/jetty/journey.go
@@ -315,7 +315,7 @@
 	if !r.repeatable() {
 		part = neverIdlePart
 	}
-	c, p, err := f.upstream.take(ctx, s, take{config: r.config, idlePart: part})
+	c, p, err := f.upstream.take(ctx, s, takeOptions{config: r.config, idlePart: part})
 	if err != nil {
 		return nil, err
 	}
--- a/jetty/orders.go
+++ b/jetty/orders.go
@@ -56,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s := fairway.Sighting{ID: order.To.Server, Address: order.To.Address, Born: order.To.Born}
-	c, p, err := o.upstream.take(ctx, s, take{idlePart: orderIdlePart})
+	c, p, err := o.upstream.take(ctx, s, takeOptions{idlePart: orderIdlePart})
 	if errors.Is(err, errTooMany) {
 		return mooring.ResultNotTried, "", err
 	}
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -72,8 +72,8 @@
 	return max(limit, minConnections)
 }
 
-// take says which connection is wanted.
-type take struct {
+// takeOptions says which connection is wanted.
+type takeOptions struct {
 	config *fairway.Config
 	// idlePart is the part of its idle limit for which a kept connection may
 	// have been unused.
@@ -81,7 +81,7 @@
 }
 
 // take returns a connection to a server, a kept one if possible.
-func (u *upstream) take(ctx context.Context, s fairway.Sighting, t take) (*connection, *pool, error) {
+func (u *upstream) take(ctx context.Context, s fairway.Sighting, opts takeOptions) (*connection, *pool, error) {
 	var stale []*connection
 	u.mu.Lock()
 	p := u.pools[s.ID]
@@ -89,7 +89,7 @@
 		if p != nil {
 			stale, p.idle, p.dropped = p.idle, nil, true
 		}
-		p = &pool{address: s.Address, born: s.Born, limit: u.limitOf(s, t.config)}
+		p = &pool{address: s.Address, born: s.Born, limit: u.limitOf(s, opts.config)}
 		u.pools[s.ID] = p
 	}
 	var found *connection
@@ -98,7 +98,7 @@
 		last := len(p.idle) - 1
 		c := p.idle[last]
 		p.idle = p.idle[:last]
-		if now.Sub(c.idleSince) < time.Duration(t.idlePart*float64(c.idleLimit)) && c.clean() {
+		if now.Sub(c.idleSince) < time.Duration(opts.idlePart*float64(c.idleLimit)) && c.clean() {
 			found = c
 		} else {
 			stale = append(stale, c)
