Renew grants while the store is out

The record of the owners cannot change without the store, so the placer goes on with the orders that it calls for, for 10 s after the store last confirmed its term. The next placer must not take that for granted to have ended: it reads the list of earlier placers, which is stored without a lease, asks them to end their terms, and waits out the 10 s for servers that do not answer it if it cannot ask. That also covers a record that the store removed before its lease had run out, which the former bound (the begin of the term) did not.

Ruled out: a longer hold, which would keep the keys of a lost server for as long.

--- a/jetty/feed.go
+++ b/jetty/feed.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"hornbeamwinch.example/ledger"
 	"hornbeamwinch.example/signal"
@@ -25,8 +24,6 @@
 	feedAvoid = 3 * time.Second
 	// feedPause lets changes in quick succession be fetched by one call.
 	feedPause = 15 * time.Millisecond
-	// maxFeedBytes bounds a reply.
-	maxFeedBytes = 16 << 20
 )
 
 var (
@@ -63,10 +60,7 @@
 func (f *feed) ask(ctx context.Context, feeder string, after ledger.Revision) ([]ledger.Change, ledger.Revision, error) {
 	if f.conn == nil || f.from != feeder {
 		f.hangUp()
-		conn, err := grpc.NewClient("passthrough:///"+feeder,
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFeedBytes)),
-		)
+		conn, err := dialPeer(feeder)
 		if err != nil {
 			return nil, 0, err
 		}
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -236,6 +236,7 @@
 	}))
 	hostsignal.RegisterLoadsServer(h.peers, h.loads)
 	hostsignal.RegisterFeedServer(h.peers, h.watcher.mirror)
+	hostsignal.RegisterTermsServer(h.peers, &terms{placer: h.placer})
 	l := &serverLoop{serve: h.peers.Serve, listener: listener, logs: h.logs}
 	h.loops.Go(l.run)
 	return nil
--- a/jetty/loads.go
+++ b/jetty/loads.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
 	"hornbeamwinch.example/fairway"
@@ -226,10 +225,7 @@
 func (r *reporter) call(ctx context.Context, placer string, report *signal.LoadReport) (*signal.LoadReply, error) {
 	if r.conn == nil || r.target != placer {
 		r.hangUp()
-		conn, err := grpc.NewClient("passthrough:///"+placer,
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: peerKeepAlive}),
-		)
+		conn, err := dialPeer(placer, grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: peerKeepAlive}))
 		if err != nil {
 			return nil, err
 		}
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -183,6 +183,11 @@
 	l.line(&l.belief, false).Str("event", event).Uint64("revision", uint64(revision)).Msg("placer_term")
 }
 
+// succeeded logs that the earlier placers have ended.
+func (l *logs) succeeded(earlier []string, after time.Duration) {
+	l.line(&l.belief, false).Strs("earlier", earlier).Dur("after", after).Msg("earlier_placers_ended")
+}
+
 // moved logs the changes of a table.
 func (l *logs) moved(service fairway.ServiceName, moves []mooring.Move, revision ledger.Revision) {
 	for _, m := range moves {
--- a/jetty/orders.go
+++ b/jetty/orders.go
@@ -73,8 +73,8 @@
 		},
 		Body: body,
 	}
-	// Nothing may be sent once another host may be the placer.
-	if !t.valid() {
+	// The next placer relies on the time after which nothing is sent.
+	if !t.mayOrder() {
 		o.upstream.put(p, c)
 		return mooring.ResultNotTried, "", errTermEnded
 	}
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -73,13 +73,27 @@
 	Speeds map[fairway.ServerID]float64
 }
 
-func (Tick) event()        {}
-func (Loaded) event()      {}
-func (Recorded) event()    {}
-func (WriteFailed) event() {}
-func (Sighted) event()     {}
-func (Answered) event()    {}
-func (Observed) event()    {}
+// WritesAllowed says whether the store takes writes of this placer. While it
+// does not, the keeper goes on with the orders that the record calls for.
+type WritesAllowed struct {
+	Allowed bool
+}
+
+// PredecessorEnded says that no order of an earlier placer has been sent since
+// At.
+type PredecessorEnded struct {
+	At Instant
+}
+
+func (Tick) event()             {}
+func (Loaded) event()           {}
+func (Recorded) event()         {}
+func (WriteFailed) event()      {}
+func (Sighted) event()          {}
+func (Answered) event()         {}
+func (Observed) event()         {}
+func (WritesAllowed) event()    {}
+func (PredecessorEnded) event() {}
 
 // Result is what became of an order.
 type Result int
--- a/mooring/keeper.go
+++ b/mooring/keeper.go
@@ -25,9 +25,13 @@
 // KeeperConfig configures a [Keeper].
 type KeeperConfig struct {
 	Service fairway.ServiceName
-	// Now is the moment since which no earlier placer has sent an order.
-	Now    Instant
-	Timing Timing
+	// Now is when the term began.
+	Now Instant
+	// PredecessorUntil is the latest moment at which an order of an earlier
+	// placer may arrive, unless [PredecessorEnded] brings an earlier one. A
+	// placer renews grants for a while after it has lost the store.
+	PredecessorUntil Instant
+	Timing           Timing
 }
 
 // Keeper keeps the assignment of one service. It is a pure state machine and
@@ -36,6 +40,11 @@
 	cfg KeeperConfig
 	// now is the time of the current step.
 	now Instant
+	// predecessorUntil is the latest moment at which a grant of an earlier
+	// placer may have arrived, as far as known.
+	predecessorUntil Instant
+	// writesBarred says that the store takes no writes of this placer.
+	writesBarred bool
 
 	recorded *Table
 	revision StoreRevision
@@ -77,12 +86,13 @@
 // NewKeeper returns a keeper that knows nothing yet.
 func NewKeeper(cfg KeeperConfig) *Keeper {
 	return &Keeper{
-		cfg:     cfg,
-		catalog: fairway.NewCatalog(nil),
-		servers: make(map[Holder]*server),
-		rows:    make(map[rowID]*rowState),
-		load:    newLoadModel(),
-		settle:  cfg.Now.Add(cfg.Timing.Settle),
+		cfg:              cfg,
+		predecessorUntil: max(cfg.PredecessorUntil, cfg.Now),
+		catalog:          fairway.NewCatalog(nil),
+		servers:          make(map[Holder]*server),
+		rows:             make(map[rowID]*rowState),
+		load:             newLoadModel(),
+		settle:           cfg.Now.Add(cfg.Timing.Settle),
 	}
 }
 
@@ -114,6 +124,10 @@
 	case Observed:
 		k.load.observe(e)
 		k.heard(e)
+	case WritesAllowed:
+		k.writesBarred = !e.Allowed
+	case PredecessorEnded:
+		k.predecessorUntil = min(k.predecessorUntil, e.At)
 	case Tick:
 	}
 	k.plan()
@@ -166,17 +180,22 @@
 	return state
 }
 
-// server returns the state of one run of a server. Nothing is known of grants
-// of an earlier placer but that they were sent before this one began.
+// server returns the state of one run of a server.
 func (k *Keeper) server(h Holder) *server {
 	s := k.servers[h]
 	if s == nil {
-		s = &server{lastGrant: k.cfg.Now}
+		s = &server{}
 		k.servers[h] = s
 	}
 	return s
 }
 
+// lastGrant returns the latest moment at which a grant may have arrived at a
+// server, whichever placer sent it.
+func (k *Keeper) lastGrant(s *server) Instant {
+	return max(s.lastGrant, k.predecessorUntil)
+}
+
 func (k *Keeper) answered(e Answered) {
 	s := k.server(e.Order.To)
 	s.inFlight--
@@ -242,18 +261,22 @@
 }
 
 // plan sends the orders that are due and writes the changes that are needed.
+//
+// A record that is being read again may be older than the one in the store.
+// Its orders are safe all the same: they bear tokens that are not above those
+// of the newer record, and a grant delays the end of the hold that the newer
+// record waits for.
 func (k *Keeper) plan() {
 	if k.recorded == nil {
-		k.reload()
-		return
-	}
-	if k.loading {
+		if !k.writesBarred {
+			k.reload()
+		}
 		return
 	}
 	for i := range k.recorded.Rows {
 		k.order(&k.recorded.Rows[i])
 	}
-	if k.pending == nil {
+	if k.pending == nil && !k.loading && !k.writesBarred {
 		k.write()
 	}
 	k.forget()
--- a/mooring/keeper_test.go
+++ b/mooring/keeper_test.go
@@ -88,6 +88,38 @@
 		expectSound(w)
 	})
 
+	It("keeps every key held while nothing can be written", func() {
+		w := newWorld(5)
+		w.run(2 * time.Second)
+		w.step(w.term, mooring.WritesAllowed{Allowed: false})
+		before, written := w.calls, w.revision
+		w.servers["s1"].draining = true
+		w.sightingsChanged()
+		w.servers["s1"].draining = false
+		w.sightingsChanged()
+		for range 8 {
+			w.run(time.Second)
+			expectSound(w)
+		}
+		Expect(w.calls).To(Equal(before), "calls to the store")
+		w.step(w.term, mooring.WritesAllowed{Allowed: true})
+		w.servers["s1"].draining = true
+		w.sightingsChanged()
+		w.run(time.Second)
+		Expect(w.revision).To(BeNumerically(">", written))
+		expectSound(w)
+	})
+
+	It("waits for the grants of a predecessor that cannot be asked", func() {
+		w := newWorld(4)
+		w.run(2 * time.Second)
+		w.partition()
+		w.run(partitionTime)
+		Expect(w.broken).To(BeEmpty())
+		w.run(settleTime)
+		expectSound(w)
+	})
+
 	It("waits for the hold of a grant without an answer", func() {
 		w := newWorld(4)
 		w.run(2 * time.Second)
--- a/mooring/reach.go
+++ b/mooring/reach.go
@@ -33,7 +33,8 @@
 
 // server is what the keeper knows of one run of a backend server.
 type server struct {
-	// lastGrant is the latest moment at which a grant may have arrived.
+	// lastGrant is the latest moment at which a grant of this placer may have
+	// arrived.
 	lastGrant Instant
 	// inFlight counts orders without an answer, grants those among them that
 	// are grants.
@@ -73,7 +74,7 @@
 		return true
 	}
 	s := k.server(h)
-	return s.grants == 0 && k.now.Sub(s.lastGrant) > k.holdBound()
+	return s.grants == 0 && k.now.Sub(k.lastGrant(s)) > k.holdBound()
 }
 
 // holdBound is the longest time that a server holds keys after a grant.
@@ -167,7 +168,7 @@
 	for h, s := range k.servers {
 		// A run that was granted keys may come up again while it still holds
 		// them, so its last grant is kept for that long.
-		if !used[h] && s.inFlight == 0 && k.now.Sub(s.lastGrant) > k.holdBound() {
+		if !used[h] && s.inFlight == 0 && k.now.Sub(k.lastGrant(s)) > k.holdBound() {
 			delete(k.servers, h)
 		}
 	}
