Feed the latest change of each key; choose a feeder that the store answers

The store had refused their feeder for 9 s; the placer went on naming it, since it chose by reports alone. Afterwards they read every version of the tables that they had missed, 30 to 50 KB each, over links of 10 Mbit/s: at 13.5 s they had come as far as revision 555 of 940.

A feeder is now one that the store answers, with a fast link. It keeps the latest change of each key, and sends all that exists to a host that may have missed a removal, so nobody has to turn to the store for that. A host that was cut off from the store reads its state instead of its history.

Ruled out: slow processing (c-14 forwards a request in 90 ms at that time).

--- a/jetty/feed.go
+++ b/jetty/feed.go
@@ -29,7 +29,6 @@
 var (
 	errNotDirect = errors.New("the feeder does not follow the store itself")
 	errStaleFeed = errors.New("the store has not answered the feeder for too long")
-	errMissed    = errors.New("the feeder does not know all changes since")
 )
 
 // feed follows the store through another entry host of the failure domain,
@@ -46,23 +45,31 @@
 	return feeder != "" && (feeder != f.avoid || time.Now().After(f.until))
 }
 
+// fed is what a feeder told.
+type fed struct {
+	changes  []ledger.Change
+	revision ledger.Revision
+	// snapshot says that the changes are all keys that exist.
+	snapshot bool
+}
+
 // changes asks the feeder for the changes after a revision. After an error the
 // store is to be asked.
-func (f *feed) changes(ctx context.Context, feeder string, after ledger.Revision) ([]ledger.Change, ledger.Revision, error) {
-	changes, revision, err := f.ask(ctx, feeder, after)
+func (f *feed) changes(ctx context.Context, feeder string, after ledger.Revision) (fed, error) {
+	told, err := f.ask(ctx, feeder, after)
 	if err != nil {
 		f.avoid, f.until = feeder, time.Now().Add(feedAvoid)
 		f.hangUp()
 	}
-	return changes, revision, err
+	return told, err
 }
 
-func (f *feed) ask(ctx context.Context, feeder string, after ledger.Revision) ([]ledger.Change, ledger.Revision, error) {
+func (f *feed) ask(ctx context.Context, feeder string, after ledger.Revision) (fed, error) {
 	if f.conn == nil || f.from != feeder {
 		f.hangUp()
 		conn, err := dialPeer(feeder)
 		if err != nil {
-			return nil, 0, err
+			return fed{}, err
 		}
 		f.conn, f.from = conn, feeder
 	}
@@ -73,22 +80,24 @@
 	})
 	switch {
 	case err != nil:
-		return nil, 0, err
+		return fed{}, err
 	case !reply.Direct:
-		return nil, 0, errNotDirect
+		return fed{}, errNotDirect
 	case time.Duration(reply.AgeMillis)*time.Millisecond > feedMaxAge:
-		return nil, 0, errStaleFeed
-	case reply.Compacted:
-		return nil, 0, errMissed
+		return fed{}, errStaleFeed
+	}
+	told := fed{
+		changes:  make([]ledger.Change, 0, len(reply.Changes)),
+		revision: ledger.Revision(reply.Revision),
+		snapshot: reply.Snapshot,
 	}
-	changes := make([]ledger.Change, 0, len(reply.Changes))
 	for _, c := range reply.Changes {
-		changes = append(changes, ledger.Change{
+		told.changes = append(told.changes, ledger.Change{
 			Entry:   ledger.Entry{Key: c.Key, Value: c.Value, Revision: ledger.Revision(c.Revision)},
 			Removed: c.Removed,
 		})
 	}
-	return changes, ledger.Revision(reply.Revision), nil
+	return told, nil
 }
 
 func (f *feed) hangUp() {
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -121,7 +121,8 @@
 	}
 	h.loads.isPlacer = h.placer.active
 	h.reporter = &reporter{
-		host: s.Host, domain: s.Domain, address: s.PeerAddress, views: h.views, desks: h.desks, loads: h.loads, logs: h.logs,
+		host: s.Host, domain: s.Domain, address: s.PeerAddress, linkMbps: s.LinkMbps,
+		views: h.views, desks: h.desks, loads: h.loads, mirror: h.watcher.mirror, logs: h.logs,
 		hostsChanged: h.refresh, leaving: h.leaving.Load,
 	}
 	h.callers = newCallerConns()
--- a/jetty/loads.go
+++ b/jetty/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -20,7 +21,8 @@
 	reportTimeout = 300 * time.Millisecond
 	// hostTimeout is how long a host counts after its last report.
 	hostTimeout = 3 * time.Second
-	// feederTimeout is how long a host may feed others after its last report.
+	// feederTimeout is how long a host may feed others after its last report, of
+	// which one may be lost.
 	feederTimeout = 1200 * time.Millisecond
 	// peerKeepAlive finds connections between hosts that went silent.
 	peerKeepAlive = 2 * time.Second
@@ -37,6 +39,8 @@
 	requests map[fairway.ServiceName]map[mooring.Key]int
 	paces    map[fairway.ServerID]pace
 	seen     map[HostID]reportingHost
+	// feeders has the host of each failure domain that feeds the others.
+	feeders map[fairway.Domain]HostID
 }
 
 // reportingHost is an entry host that reports to the placer.
@@ -45,10 +49,25 @@
 	address string
 	first   time.Time
 	last    time.Time
+	// linkMbps is the bandwidth of the host's link.
+	linkMbps uint32
+	// answeredAt is when the store last answered the host itself, or zero if it
+	// is fed by another.
+	answeredAt time.Time
+}
+
+// reporting reports whether the host is there.
+func (h reportingHost) reporting(now time.Time) bool {
+	return now.Sub(h.last) <= feederTimeout
+}
+
+// reaches reports whether the store answers the host.
+func (h reportingHost) reaches(now time.Time) bool {
+	return h.reporting(now) && now.Sub(h.answeredAt) <= feedMaxAge
 }
 
 func newLoads() *loads {
-	l := &loads{seen: make(map[HostID]reportingHost)}
+	l := &loads{seen: make(map[HostID]reportingHost), feeders: make(map[fairway.Domain]HostID)}
 	l.drain()
 	return l
 }
@@ -97,10 +116,13 @@
 		delete(l.seen, id)
 	} else {
 		h, known := l.seen[id]
-		if !known || h.address != r.Address || now.Sub(h.last) > feederTimeout {
+		if !known || h.address != r.Address || !h.reporting(now) {
 			h = reportingHost{domain: fairway.Domain(r.Domain), address: r.Address, first: now}
 		}
-		h.last = now
+		h.last, h.linkMbps, h.answeredAt = now, r.LinkMbps, time.Time{}
+		if r.Direct {
+			h.answeredAt = now.Add(-time.Duration(r.StoreAgeMillis) * time.Millisecond)
+		}
 		l.seen[id] = h
 	}
 	for id, h := range l.seen {
@@ -111,31 +133,45 @@
 	return max(len(l.seen), 1), l.feeder(fairway.Domain(r.Domain), now)
 }
 
-// feeder returns the address of the host of a failure domain that has reported
-// for the longest time without a gap.
+// feeder returns the address of the host of a failure domain that follows the
+// store for the others: one that the store answers, the one with the fastest
+// link and among these the one that has reported for the longest time. It stays
+// the same as long as the store answers it. If the store answers none, every
+// host has to try for itself.
 func (l *loads) feeder(domain fairway.Domain, now time.Time) string {
+	if h, ok := l.seen[l.feeders[domain]]; ok && h.domain == domain && h.reaches(now) {
+		return h.address
+	}
 	var best reportingHost
 	var bestID HostID
 	for id, h := range l.seen {
-		if h.domain != domain || now.Sub(h.last) > feederTimeout {
-			continue
-		}
-		if bestID == "" || h.first.Before(best.first) || h.first.Equal(best.first) && id < bestID {
+		if h.domain == domain && h.reaches(now) && (bestID == "" || h.before(best) || !best.before(h) && id < bestID) {
 			best, bestID = h, id
 		}
 	}
+	l.feeders[domain] = bestID
 	return best.address
 }
 
+// before reports whether h is a better feeder than other.
+func (h reportingHost) before(other reportingHost) bool {
+	if h.linkMbps != other.linkMbps {
+		return h.linkMbps > other.linkMbps
+	}
+	return h.first.Before(other.first)
+}
+
 // reporter tells the placer what this host has measured.
 type reporter struct {
-	host    HostID
-	domain  fairway.Domain
-	address string
-	views   *views
-	desks   *deskSet
-	loads   *loads
-	logs    *logs
+	host     HostID
+	domain   fairway.Domain
+	address  string
+	linkMbps int
+	views    *views
+	desks    *deskSet
+	loads    *loads
+	mirror   *mirror
+	logs     *logs
 	// hostsChanged is called when the number of hosts has changed.
 	hostsChanged func()
 	leaving      func() bool
@@ -200,7 +236,11 @@
 		Leaving:        r.leaving(),
 		Domain:         string(r.domain),
 		Address:        r.address,
+		LinkMbps:       uint32(r.linkMbps),
 	}
+	direct, answeredAt := r.mirror.contact()
+	report.Direct = direct
+	report.StoreAgeMillis = uint32(min(now.Sub(answeredAt).Milliseconds(), math.MaxUint32))
 	r.sentAt = now
 	for name, d := range r.desks.all() {
 		if d.owners == nil {
--- a/jetty/mirror.go
+++ b/jetty/mirror.go
@@ -1,7 +1,9 @@
 package jetty
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,20 +11,24 @@
 	"hornbeamwinch.example/signal"
 )
 
-// mirrorHistory is the number of changes that are kept for other hosts. A host
-// that has missed more reads the store.
-const mirrorHistory = 1024
+// maxRemovals is the number of removals that are kept for other hosts. A host
+// that may have missed more gets all keys that exist.
+const maxRemovals = 512
 
-// mirror keeps the latest changes of the store for the other hosts of the
-// failure domain. It implements signal.FeedServer.
+// mirror keeps the latest change of each key of the store for the other hosts of
+// the failure domain. Earlier changes of a key are not kept: nobody needs them,
+// and a host that catches up over a slow link could not read them all. It
+// implements signal.FeedServer.
 type mirror struct {
 	signal.UnimplementedFeedServer
 
-	mu      sync.Mutex
-	history []ledger.Change
-	// floor is the revision after which history is complete, and revision the
-	// one up to which it is known.
+	mu     sync.Mutex
+	latest map[string]ledger.Change
+	// removals counts the removals among them. Those before floor are not
+	// known.
+	removals int
 	floor    ledger.Revision
+	// revision is the one up to which the store is known.
 	revision ledger.Revision
 	// answeredAt is when the store last answered.
 	answeredAt time.Time
@@ -31,14 +37,19 @@
 }
 
 func newMirror() *mirror {
-	return &mirror{changed: make(chan struct{})}
+	return &mirror{latest: make(map[string]ledger.Change), changed: make(chan struct{})}
 }
 
-// reset forgets the history: what is known up to revision came from a scan.
-func (m *mirror) reset(revision ledger.Revision) {
+// reset takes all entries that existed at a revision.
+func (m *mirror) reset(entries []ledger.Entry, revision ledger.Revision, direct bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.history, m.floor, m.revision = nil, revision, revision
+	m.latest = make(map[string]ledger.Change, len(entries))
+	for _, e := range entries {
+		m.latest[e.Key] = ledger.Change{Entry: e}
+	}
+	m.removals, m.floor, m.revision = 0, revision, revision
+	m.answered(direct)
 	m.note()
 }
 
@@ -46,19 +57,50 @@
 func (m *mirror) add(changes []ledger.Change, revision ledger.Revision, direct bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.history = append(m.history, changes...)
-	if over := len(m.history) - mirrorHistory; over > 0 {
-		m.floor = m.history[over-1].Revision
-		m.history = append([]ledger.Change(nil), m.history[over:]...)
+	for _, c := range changes {
+		if m.latest[c.Key].Removed {
+			m.removals--
+		}
+		if c.Removed {
+			m.removals++
+		}
+		m.latest[c.Key] = c
+	}
+	if m.removals > maxRemovals {
+		m.forgetRemovals()
 	}
 	m.revision = max(m.revision, revision)
+	m.answered(direct)
+	if len(changes) > 0 {
+		m.note()
+	}
+}
+
+// forgetRemovals forgets the older half of the removals.
+func (m *mirror) forgetRemovals() {
+	var removed []ledger.Change
+	for _, c := range m.latest {
+		if c.Removed {
+			removed = append(removed, c)
+		}
+	}
+	slices.SortFunc(removed, byRevision)
+	for _, c := range removed[:len(removed)/2] {
+		delete(m.latest, c.Key)
+		m.floor = c.Revision
+		m.removals--
+	}
+}
+
+func byRevision(a, b ledger.Change) int {
+	return cmp.Compare(a.Revision, b.Revision)
+}
+
+func (m *mirror) answered(direct bool) {
 	m.direct = direct
 	if direct {
 		m.answeredAt = time.Now()
 	}
-	if len(changes) > 0 {
-		m.note()
-	}
 }
 
 func (m *mirror) note() {
@@ -66,12 +108,20 @@
 	m.changed = make(chan struct{})
 }
 
+// contact reports whether this host follows the store itself, and when the
+// store last answered it.
+func (m *mirror) contact() (direct bool, answeredAt time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.direct, m.answeredAt
+}
+
 // Changes implements signal.FeedServer.
 func (m *mirror) Changes(ctx context.Context, r *signal.ChangesRequest) (*signal.ChangesReply, error) {
 	timeout := time.After(time.Duration(r.WaitMillis) * time.Millisecond)
 	for {
 		reply, changed := m.reply(ledger.Revision(r.After))
-		if len(reply.Changes) > 0 || reply.Compacted || !reply.Direct {
+		if len(reply.Changes) > 0 || reply.Snapshot || !reply.Direct {
 			return reply, nil
 		}
 		select {
@@ -93,17 +143,19 @@
 		Revision:  uint64(max(m.revision, after)),
 		AgeMillis: uint32(time.Since(m.answeredAt).Milliseconds()),
 		Direct:    m.direct,
-		Compacted: after < m.floor,
-	}
-	if reply.Compacted {
-		return reply, m.changed
+		Snapshot:  after < m.floor,
 	}
-	for _, c := range m.history {
-		if c.Revision > after {
-			reply.Changes = append(reply.Changes, &signal.StoreChange{
-				Key: c.Key, Value: c.Value, Revision: uint64(c.Revision), Removed: c.Removed,
-			})
+	var changes []ledger.Change
+	for _, c := range m.latest {
+		if reply.Snapshot && !c.Removed || !reply.Snapshot && c.Revision > after {
+			changes = append(changes, c)
 		}
 	}
+	slices.SortFunc(changes, byRevision)
+	for _, c := range changes {
+		reply.Changes = append(reply.Changes, &signal.StoreChange{
+			Key: c.Key, Value: c.Value, Revision: uint64(c.Revision), Removed: c.Removed,
+		})
+	}
 	return reply, m.changed
 }
--- a/jetty/settings.go
+++ b/jetty/settings.go
@@ -22,6 +22,8 @@
 	StoreAddress string
 	// MemoryMB bounds the memory of the process; 0 means no bound.
 	MemoryMB int
+	// LinkMbps is the bandwidth of the host's link; 0 means that it is not known.
+	LinkMbps int
 	// ServerHeartbeat is the time between two heartbeats of a backend server.
 	ServerHeartbeat time.Duration
 	// MinLease is the shortest time to live of a lease in the store.
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -127,6 +127,10 @@
 	if feeder := w.views.feederAddress(); feeder != w.address && w.feed.usable(feeder) {
 		return w.stepFeed(ctx, feeder)
 	}
+	if w.lost && time.Since(w.reachedAt) > outageAfter {
+		// What was missed may be many changes of the same keys.
+		return w.scan(ctx)
+	}
 	changes, revision, err := w.store.Changes(ctx, "", w.revision, wait)
 	if err != nil {
 		return err
@@ -141,13 +145,21 @@
 // stepFeed asks the feeder for changes. If it fails, the next step asks the
 // store.
 func (w *watcher) stepFeed(ctx context.Context, feeder string) error {
-	changes, revision, err := w.feed.changes(ctx, feeder, w.revision)
+	told, err := w.feed.changes(ctx, feeder, w.revision)
 	if err != nil {
 		w.logs.feedFailed(feeder, w.revision, err)
 		return nil
 	}
-	w.advance(changes, revision, false)
-	if len(changes) > 0 {
+	if told.snapshot {
+		entries := make([]ledger.Entry, 0, len(told.changes))
+		for _, c := range told.changes {
+			entries = append(entries, c.Entry)
+		}
+		w.adopt(entries, told.revision, false)
+		return nil
+	}
+	w.advance(told.changes, told.revision, false)
+	if len(told.changes) > 0 {
 		pause(ctx, feedPause)
 	}
 	return nil
@@ -172,12 +184,20 @@
 	return otherPause
 }
 
-// scan reads everything. Servers that are not listed any more are gone.
+// scan reads everything from the store.
 func (w *watcher) scan(ctx context.Context) error {
 	entries, revision, err := w.store.Scan(ctx, "")
 	if err != nil {
 		return err
 	}
+	w.adopt(entries, revision, true)
+	w.scanned.Store(true)
+	return nil
+}
+
+// adopt takes all entries that existed at a revision. Servers that are not
+// listed any more are gone.
+func (w *watcher) adopt(entries []ledger.Entry, revision ledger.Revision, direct bool) {
 	w.noteOutage()
 	changes := make([]ledger.Change, 0, len(entries))
 	listed := make(map[string]bool, len(entries))
@@ -203,11 +223,9 @@
 	}
 	w.updateServers(nil, gone)
 	w.revision = revision
-	w.mirror.reset(revision)
-	w.scanned.Store(true)
+	w.mirror.reset(entries, revision, direct)
 	w.reached()
 	w.changed()
-	return nil
 }
 
 // apply takes changes in the order of their revisions.
--- a/jetty/watcher_test.go
+++ b/jetty/watcher_test.go
@@ -90,6 +90,16 @@
 		Expect(known()).To(ConsistOf("a", "b"))
 	})
 
+	It("reads everything again after an outage, not each change that it missed", func() {
+		outage()
+		s.remove("server/a")
+		s.changes = nil
+		Expect(step()).To(Succeed())
+		w.doubtUntil = time.Now()
+		w.giveUpMissing()
+		Expect(known()).To(ConsistOf("b"))
+	})
+
 	It("reads everything again when the history is gone", func() {
 		s.failNext(ledger.KindCompacted)
 		err := step()
