Let each host prefer other servers

A host now chooses among 12 servers with room in an order of its own (rendezvous hashing, every second one of its failure domain). It also keeps fewer connections.

--- a/jetty/desks.go
+++ b/jetty/desks.go
@@ -225,6 +225,7 @@
 }
 
 type deskSetConfig struct {
+	Host   HostID
 	Domain fairway.Domain
 	Budget sluice.BudgetConfig
 	// KeyReturn is how long a key is without an owner after a silent one.
@@ -270,7 +271,7 @@
 }
 
 func (s *deskSet) newDesk(service *fairway.Service) *desk {
-	cfg := sluice.DeskConfig{Service: service.Name, Domain: s.cfg.Domain}
+	cfg := sluice.DeskConfig{Service: service.Name, Domain: s.cfg.Domain, Host: string(s.cfg.Host)}
 	d := &desk{
 		budget:   sluice.NewBudget(s.cfg.Budget),
 		waiting:  make(map[sluice.TicketID]chan sluice.Decision),
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -97,6 +97,7 @@
 		loads:    newLoads(),
 	}
 	h.desks = newDeskSet(deskSetConfig{
+		Host:      s.Host,
 		Domain:    s.Domain,
 		KeyReturn: min(grantHold, s.Bounds.MaxHold) + holdMargin,
 		Budget:    sluice.BudgetConfig{Window: s.Bounds.BudgetWindow, Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra},
--- a/sluice/desk.go
+++ b/sluice/desk.go
@@ -1,10 +1,13 @@
 package sluice
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/mooring"
 )
@@ -22,6 +25,10 @@
 	ownerGrace = 800 * time.Millisecond
 	// coldFactor is how much slower a server is right after its start.
 	coldFactor = 2
+	// choices is the number of servers with room among which a request goes to
+	// the one that is likely to answer first. Hosts that chose among all would
+	// all choose the same one, and would keep connections to every server.
+	choices = 12
 )
 
 // TicketID names a waiting request on its host.
@@ -98,6 +105,8 @@
 	Service fairway.ServiceName
 	// Domain is the failure domain of this host.
 	Domain fairway.Domain
+	// Host tells the hosts apart, so that each prefers other servers.
+	Host string
 	// Owners is set for services that divide keys.
 	Owners Owners
 	// KeyReturn is how long after its owner was found silent a key has another
@@ -119,6 +128,8 @@
 type seat struct {
 	sighting fairway.Sighting
 	window   *window
+	// weight is this host's preference for the server.
+	weight uint64
 	// leaving servers get nothing new, except requests for keys that they own
 	// for a while longer; they stay until their last request ends.
 	leaving bool
@@ -139,7 +150,7 @@
 		listed[s.ID] = true
 		at := d.seats[s.ID]
 		if at == nil || at.sighting.Born != s.Born || at.sighting.Address != s.Address {
-			at = &seat{window: newWindow(now, s.Slots, hosts)}
+			at = &seat{window: newWindow(now, s.Slots, hosts), weight: d.weight(s.ID)}
 			d.seats[s.ID] = at
 		}
 		at.sighting = s
@@ -158,12 +169,37 @@
 	for _, at := range d.seats {
 		d.order = append(d.order, at)
 	}
-	slices.SortFunc(d.order, func(a, b *seat) int {
-		if a.sighting.ID < b.sighting.ID {
-			return -1
+	d.rank()
+}
+
+// rank brings the servers into this host's order of preference, by rendezvous
+// hashing: every server is preferred by as many hosts, and a change of the
+// servers changes little. Every second one is of the own failure domain, as
+// long as there are such.
+func (d *Desk) rank() {
+	slices.SortFunc(d.order, func(a, b *seat) int { return cmp.Compare(b.weight, a.weight) })
+	var near, far []*seat
+	for _, at := range d.order {
+		if at.sighting.Domain == d.cfg.Domain {
+			near = append(near, at)
+		} else {
+			far = append(far, at)
 		}
-		return 1
-	})
+	}
+	d.order = d.order[:0]
+	for i := 0; i < max(len(near), len(far)); i++ {
+		if i < len(near) {
+			d.order = append(d.order, near[i])
+		}
+		if i < len(far) {
+			d.order = append(d.order, far[i])
+		}
+	}
+}
+
+// weight returns this host's preference for a server.
+func (d *Desk) weight(id fairway.ServerID) uint64 {
+	return xxhash.Sum64String(d.cfg.Host + "/" + string(id))
 }
 
 // SetCrowded brings what all hosts together know of how crowded the servers are.
@@ -337,7 +373,8 @@
 	return resolved
 }
 
-// pick returns the server with room that is likely to answer first.
+// pick returns the server that is likely to answer first among the preferred
+// ones with room.
 func (d *Desk) pick(now mooring.Instant, t *Ticket) (*seat, bool) {
 	if t.Key != nil {
 		at := d.ownerSeat(now, *t.Key)
@@ -345,10 +382,15 @@
 	}
 	var best *seat
 	bestCost := math.Inf(1)
+	found := 0
 	for _, at := range d.order {
+		if found == choices {
+			break
+		}
 		if at.leaving || !at.window.room(now) || slices.Contains(t.Tried, at.sighting.ID) {
 			continue
 		}
+		found++
 		if cost := d.cost(now, at, t); cost < bestCost {
 			best, bestCost = at, cost
 		}
