Send nothing to servers that are missing from the list while most are listed

They were in touch again 3 s after the cut had healed and still sent it requests.

A host cannot tell its own cut from an outage, but the list can: after an outage most entries are missing. Missing servers are marked as doubtful; they get requests that any server may answer only while more are missing than listed. Keys still go to their owner by the table, which the host reads at the same time.

Ruled out: no time of doubt at all (an outage would move every key), a shorter one (the platform states about two seconds).

--- a/fairway/catalog.go
+++ b/fairway/catalog.go
@@ -24,6 +24,9 @@
 	Born     Birth
 	Slots    int
 	Draining bool
+	// Doubtful says that the server is missing from the list, but only since an
+	// outage during which its entry may have expired.
+	Doubtful bool
 	// WarmIn is how much longer the server is slow after its start.
 	WarmIn time.Duration
 	// SeenAt is when the sighting was read, to tell how old WarmIn is.
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -307,8 +307,11 @@
 	}
 	var certain []fairway.ServerID
 	for _, id := range gone {
-		if time.Now().Before(w.doubtUntil) {
+		s, known := w.views.catalog().Get(id)
+		if known && time.Now().Before(w.doubtUntil) {
 			w.missing[id] = true
+			s.Doubtful = true
+			seen = append(seen, s)
 		} else {
 			certain = append(certain, id)
 		}
--- a/sluice/desk.go
+++ b/sluice/desk.go
@@ -120,6 +120,8 @@
 	seats   map[fairway.ServerID]*seat
 	order   []*seat
 	waiting []*Ticket
+	// useDoubtful says that servers which are missing from the list get requests.
+	useDoubtful bool
 	// usual is the mean time of an answer.
 	usual time.Duration
 }
@@ -130,6 +132,8 @@
 	window   *window
 	// weight is this host's preference for the server.
 	weight uint64
+	// doubtful servers are missing from the list since an outage.
+	doubtful bool
 	// leaving servers get nothing new, except requests for keys that they own
 	// for a while longer; they stay until their last request ends.
 	leaving bool
@@ -154,6 +158,7 @@
 			d.seats[s.ID] = at
 		}
 		at.sighting = s
+		at.doubtful = s.Doubtful
 		at.setLeaving(now, s.Draining)
 		at.window.setLimit(s.Slots, hosts)
 	}
@@ -170,6 +175,24 @@
 		d.order = append(d.order, at)
 	}
 	d.rank()
+	d.judgeDoubtful()
+}
+
+// judgeDoubtful decides whether servers that are missing from the list since an
+// outage get requests. If most are missing, the list itself is not complete yet.
+// If few are, this host was cut off and they have left.
+func (d *Desk) judgeDoubtful() {
+	listed, doubtful := 0, 0
+	for _, at := range d.order {
+		switch {
+		case at.leaving:
+		case at.doubtful:
+			doubtful++
+		default:
+			listed++
+		}
+	}
+	d.useDoubtful = doubtful > listed
 }
 
 // rank brings the servers into this host's order of preference, by rendezvous
@@ -387,7 +410,7 @@
 		if found == choices {
 			break
 		}
-		if at.leaving || !at.window.room(now) || slices.Contains(t.Tried, at.sighting.ID) {
+		if !d.usable(at) || !at.window.room(now) || slices.Contains(t.Tried, at.sighting.ID) {
 			continue
 		}
 		found++
@@ -398,6 +421,12 @@
 	return best, best != nil
 }
 
+// usable reports whether a server may be given requests that any server may
+// answer.
+func (d *Desk) usable(at *seat) bool {
+	return !at.leaving && (!at.doubtful || d.useDoubtful)
+}
+
 // cost estimates how long an answer takes, weighted by the price of passing it
 // between failure domains.
 func (d *Desk) cost(now mooring.Instant, at *seat, t *Ticket) float64 {
--- a/sluice/desk_test.go
+++ b/sluice/desk_test.go
@@ -86,6 +86,24 @@
 		expectRefusal(newDesk(s).Offer(start, ticket(1, start)), sluice.ReasonNoServer)
 	})
 
+	It("sends nothing to a server that is missing after an outage while most are listed", func() {
+		listed, missing := sighting("s1", "a"), sighting("s2", "a")
+		missing.Doubtful = true
+		d := newDesk(listed, missing)
+		for id := sluice.TicketID(1); id <= 3; id++ {
+			if dispatch, ok := d.Offer(start, ticket(id, start)).(sluice.Dispatch); ok {
+				Expect(dispatch.Server.ID).To(Equal(listed.ID))
+			}
+		}
+	})
+
+	It("uses servers that are missing after an outage while most are missing", func() {
+		a, b := sighting("s1", "a"), sighting("s2", "a")
+		a.Doubtful, b.Doubtful = true, true
+		d := newDesk(a, b)
+		expectDispatch(d.Offer(start, ticket(1, start)))
+	})
+
 	It("dispatches a waiting request when another ends", func() {
 		d := newDesk(sighting("s1", "a"))
 		id := sluice.TicketID(1)
--- a/sluice/queue.go
+++ b/sluice/queue.go
@@ -130,7 +130,7 @@
 	soonest := time.Duration(0)
 	reason := ReasonNoServer
 	for _, at := range d.order {
-		if at.leaving || slices.Contains(t.Tried, at.sighting.ID) {
+		if !d.usable(at) || slices.Contains(t.Tried, at.sighting.ID) {
 			continue
 		}
 		if at.window.suspected(now) {
