Spread hot neighbours over all servers at once, under one token

Cause: with 168 servers, 200 hot neighbouring keys with 44% of the load stayed at one server: after 3 s it had 75 times the mean. Eight ranges moved a second, none while any range waited for a former owner, pieces below a part of the overloaded server's load did not count, and each range was released by an order of its own.

While a server has more than 1.6 times its share, as many ranges move as there are servers. Ranges that move in one write bear one token, and neighbours that leave one server are released by one order; the handover is good for all of them. Small changes of load are judged by a memory of 5 s, hot and cooled blocks of keys by one of 1.4 s.

Red first: 'are spread over 21 (168) servers within 3 s', 'are spread while a range waits for a server that cannot be reached'. The matrix holds with shared releases.

--- a/jetty/shift.go
+++ b/jetty/shift.go
@@ -33,6 +33,9 @@
 	firstSettleMost = 4 * time.Second
 	// balanceEvery is the time between two looks at the load.
 	balanceEvery = time.Second
+	// writeGap lets the releases of one write, which end one after the other,
+	// be followed by few writes. Requests for the keys wait for up to 0.7 s.
+	writeGap = 60 * time.Millisecond
 	// paceAnswers is the number of answers after which old ones count for half
 	// in a server's speed. Times of answers spread by about a third.
 	paceAnswers = 20
@@ -181,7 +184,7 @@
 				PredecessorUntil: s.predecessorUntil,
 				Timing: mooring.Timing{
 					Hold: hold, Renew: grantRenew, Margin: holdMargin, Balance: balanceEvery,
-					Settle: firstSettle, SettleMost: firstSettleMost,
+					Settle: firstSettle, SettleMost: firstSettleMost, WriteGap: writeGap,
 				},
 			})
 		}
--- a/mooring/balance.go
+++ b/mooring/balance.go
@@ -9,12 +9,19 @@
 	// keys are moved away from it. The estimate of a rate is off by about a
 	// tenth.
 	imbalance = 1.25
-	// movesPerRound bounds the keys that are without an owner at a time.
+	// severe is how far above it a server cannot bear its load: keys are moved
+	// away then however many moves that takes, up to one a server.
+	severe = 1.6
+	// movesPerRound bounds the ranges that are without an owner at a time, while
+	// no server is severely loaded.
 	movesPerRound = 8
-	// rowsPerServer bounds the rows, each of which costs a grant at each
-	// renewal.
+	// The rows are bounded by rowsPerServer for few servers, and for many by
+	// rowsAtLeast and rowsPerMany: each costs a grant at each renewal and a place
+	// in the table, which every host reads at each change.
 	rowsPerServer = 6
-	// worthMoving is the smallest part of a server's load that is moved.
+	rowsAtLeast   = 100
+	rowsPerMany   = 2
+	// worthMoving is the smallest part of a server's even share that is moved.
 	worthMoving = 0.04
 )
 
@@ -36,6 +43,9 @@
 	seats  []*seat
 	byOwn  map[Holder]*seat
 	target float64
+	// fence is the token of all changes, or 0 before the first. With one token,
+	// one release takes back neighbouring ranges from their former owner.
+	fence Fence
 }
 
 func newAllocation(table *Table, model *loadModel, candidates []fairway.Sighting) *allocation {
@@ -89,7 +99,10 @@
 		s.load -= load
 	}
 	to.load += load
-	a.table.reassign(i, to.holder)
+	if a.fence == 0 {
+		a.fence = a.table.takeFence()
+	}
+	a.table.reassign(i, to.holder, a.fence)
 	return Move{Span: span, From: from.Server, To: to.holder.Server, Fence: a.table.Rows[i].Fence, Reason: reason}
 }
 
@@ -154,23 +167,21 @@
 	if !k.load.known() || k.now.Sub(k.balance) < k.cfg.Timing.Balance || len(candidates) < 2 {
 		return nil
 	}
-	for i := range next.Rows {
-		if next.Rows[i].Moving() {
-			return nil
-		}
-	}
 	k.balance = k.now
 	a := newAllocation(next, k.load, candidates)
 	var moves []Move
 	done := make(map[*seat]bool)
-	for len(moves) < movesPerRound {
+	for under := next.movingRows(); under < len(a.seats); under++ {
 		from := a.most(done)
 		if from == nil || from.utilization() < imbalance*a.target {
 			break
 		}
+		if under >= movesPerRound && from.utilization() < severe*a.target {
+			break
+		}
 		to := a.least()
 		span, load, ok := k.piece(a, from, to)
-		if !ok || load < worthMoving*from.load {
+		if !ok || load < worthMoving*a.target*to.capacity {
 			done[from] = true
 			continue
 		}
@@ -182,11 +193,16 @@
 	return moves
 }
 
+// maxRows returns the number of rows from which none is cut any more.
+func maxRows(servers int) int {
+	return min(rowsPerServer*servers, rowsAtLeast+rowsPerMany*servers)
+}
+
 // piece picks the keys to move between two servers: the largest end of a row
-// that does not overshoot.
+// that neither leaves from too little nor overloads to.
 func (k *Keeper) piece(a *allocation, from, to *seat) (Span, float64, bool) {
-	limit := min(from.load-a.target*from.capacity, a.target*to.capacity-to.load)
-	whole := len(a.table.Rows) >= rowsPerServer*len(a.seats)
+	limit := min(from.load-a.target*from.capacity, imbalance*a.target*to.capacity-to.load)
+	whole := len(a.table.Rows) >= maxRows(len(a.seats))
 	var best Span
 	bestLoad, found := 0.0, false
 	consider := func(s Span, load float64, ok bool, row Span) {
--- a/mooring/keeper.go
+++ b/mooring/keeper.go
@@ -20,6 +20,9 @@
 	SettleMost time.Duration
 	// Balance is the time between two looks at the load.
 	Balance time.Duration
+	// WriteGap is the least time between two writes, which lets changes be
+	// written together.
+	WriteGap time.Duration
 }
 
 // KeeperConfig configures a [Keeper].
@@ -57,6 +60,8 @@
 	rows    map[rowID]*rowState
 	load    *loadModel
 	balance Instant
+	// wrote is when the last write was sent.
+	wrote Instant
 	// settle is when the first assignment is made, for as many servers as known.
 	settle Instant
 	known  int
@@ -224,18 +229,21 @@
 }
 
 func (k *Keeper) released(e Answered, _ *server) {
-	state := k.rows[rowID{Span: e.Order.Span, Fence: e.Order.Fence}]
-	if state == nil {
-		return
-	}
-	state.inFlight = false
-	switch e.Result {
-	case ResultAccepted:
-		state.cleared[e.Order.To] = true
-		state.handover = e.Handover
-	case ResultElsewhere:
-		state.cleared[e.Order.To] = true
-	default:
+	for i := range k.recorded.Rows {
+		r := &k.recorded.Rows[i]
+		if r.Fence != e.Order.Fence || r.From < e.Order.Span.From || r.To > e.Order.Span.To {
+			continue
+		}
+		state := k.row(r)
+		state.inFlight = false
+		switch e.Result {
+		case ResultAccepted:
+			state.cleared[e.Order.To] = true
+			state.handover = e.Handover
+		case ResultElsewhere:
+			state.cleared[e.Order.To] = true
+		default:
+		}
 	}
 }
 
@@ -274,43 +282,68 @@
 		return
 	}
 	for i := range k.recorded.Rows {
-		k.order(&k.recorded.Rows[i])
+		k.order(i)
 	}
-	if k.pending == nil && !k.loading && !k.writesBarred {
+	if k.pending == nil && !k.loading && !k.writesBarred && k.now.Sub(k.wrote) >= k.cfg.Timing.WriteGap {
 		k.write()
 	}
 	k.forget()
 }
 
-// order sends what is due for one recorded row.
-func (k *Keeper) order(r *Row) {
+// order sends what is due for the recorded row at index i.
+func (k *Keeper) order(i int) {
+	r := &k.recorded.Rows[i]
 	state := k.row(r)
 	if state.inFlight || r.Owner.Server == "" {
 		return
 	}
 	if r.Moving() {
-		for _, h := range r.Former {
-			if !k.clear(r, h) && k.server(h).free(k.now) {
-				k.send(state, Order{Span: r.Span, Fence: r.Fence, To: h, Release: true})
-				return
-			}
+		if h, ok := k.unreleased(r); ok && k.server(h).free(k.now) {
+			k.release(i, h)
 		}
 		return
 	}
 	s := k.server(r.Owner)
 	due := !state.confirmed || k.now.Sub(state.granted) >= k.cfg.Timing.Renew
 	if due && !state.superseded && s.grantable(k.now) && k.fit(r.Owner) == "" {
-		k.send(state, Order{Span: r.Span, Fence: r.Fence, To: r.Owner, Hold: k.cfg.Timing.Hold, Handover: r.Handover})
+		state.inFlight = true
+		k.send(Order{Span: r.Span, Fence: r.Fence, To: r.Owner, Hold: k.cfg.Timing.Hold, Handover: r.Handover})
+	}
+}
+
+// unreleased returns the first former owner of a row that may hold keys of it.
+func (k *Keeper) unreleased(r *Row) (Holder, bool) {
+	for _, h := range r.Former {
+		if !k.clear(r, h) {
+			return h, true
+		}
+	}
+	return Holder{}, false
+}
+
+// release takes back the row at index i from a former owner, together with the
+// rows after it that went away from the same owner under the same token.
+func (k *Keeper) release(i int, h Holder) {
+	first := &k.recorded.Rows[i]
+	o := Order{Span: first.Span, Fence: first.Fence, To: h, Release: true}
+	for j := i; j < len(k.recorded.Rows); j++ {
+		r := &k.recorded.Rows[j]
+		state := k.row(r)
+		if other, ok := k.unreleased(r); !ok || other != h || r.Fence != first.Fence || state.inFlight {
+			break
+		}
+		state.inFlight = true
+		o.Span.To = r.To
 	}
+	k.send(o)
 }
 
-func (k *Keeper) send(state *rowState, o Order) {
+func (k *Keeper) send(o Order) {
 	s := k.server(o.To)
 	s.inFlight++
 	if !o.Release {
 		s.grants++
 	}
-	state.inFlight = true
 	k.actions = append(k.actions, Send{Order: o})
 }
 
@@ -332,6 +365,7 @@
 		}
 	}
 	k.pending = next
+	k.wrote = k.now
 	k.actions = append(k.actions, Write{Table: next, Revision: k.revision, Moves: moves})
 }
 
--- a/mooring/keeper_test.go
+++ b/mooring/keeper_test.go
@@ -241,3 +241,69 @@
 		}
 	})
 })
+
+// hotLoad is the load of a large service: an even part on all keys and 200 hot
+// neighbours that take the rest.
+func hotLoad(perS int, hotPart float64, first int) map[mooring.Key]int {
+	const hotKeys, spacing = 200, 61
+	load := map[mooring.Key]int{}
+	hot := int(hotPart * float64(perS))
+	for i := range hot {
+		load[mooring.Key(first+i%hotKeys)]++
+	}
+	for i := range perS - hot {
+		load[mooring.Key(i*spacing%65536)]++
+	}
+	return load
+}
+
+// busiest returns the load of the busiest server over the mean.
+func busiest(w *world, load map[mooring.Key]int, servers int) float64 {
+	sums := map[fairway.ServerID]int{}
+	total := 0
+	for key, n := range load {
+		sums[w.recorded.Find(key).Owner.Server] += n
+		total += n
+	}
+	most := 0
+	for _, n := range sums {
+		most = max(most, n)
+	}
+	return float64(most) * float64(servers) / float64(total)
+}
+
+var _ = Describe("Hot neighbours", func() {
+	// The servers of a large site can bear twice the mean each.
+	const bearable = 2.0
+	for _, servers := range []int{21, 168} {
+		It(fmt.Sprintf("are spread over %d servers within 3 s", servers), func() {
+			w := newWorld(servers)
+			w.run(2 * time.Second)
+			perS := 8 * servers
+			for _, first := range []int{20000, 50000} {
+				load := hotLoad(perS, 0.44, first)
+				for range 6 {
+					w.step(w.term, mooring.Observed{Requests: load, Over: time.Second})
+					w.run(500 * time.Millisecond)
+				}
+				Expect(busiest(w, load, servers)).To(BeNumerically("<=", bearable), "hot from key %d on", first)
+			}
+			w.run(time.Second)
+			expectSound(w)
+		})
+	}
+
+	It("are spread while a range waits for a server that cannot be reached", func() {
+		w := newWorld(21)
+		w.run(2 * time.Second)
+		w.servers["s1"].cutUntil = w.now.Add(time.Minute)
+		w.at(time.Second, func() { w.servers["s1"].listed = false; w.sightingsChanged() })
+		w.run(1500 * time.Millisecond)
+		load := hotLoad(160, 0.44, 50000)
+		for range 6 {
+			w.step(w.term, mooring.Observed{Requests: load, Over: time.Second})
+			w.run(500 * time.Millisecond)
+		}
+		Expect(busiest(w, load, 21)).To(BeNumerically("<=", bearable))
+	})
+})
--- a/mooring/load.go
+++ b/mooring/load.go
@@ -8,10 +8,19 @@
 )
 
 const (
-	// loadMemory is the part of the old rate that a second of counts leaves.
-	// Half of a change is seen after 1.4 s, which is less than a hot range takes
-	// to move and more than the noise of a second's counts.
-	loadMemory = 0.6
+	// recentMemory is the part of the old rate that a second of counts leaves in
+	// the short memory. Half of a change is seen after 1.4 s.
+	recentMemory = 0.6
+	// steadyMemory is the same for the long memory: half is seen after 5 s. At a
+	// large site a server gets some 8 requests a second, whose number in a second
+	// or two says little.
+	steadyMemory = 0.87
+	// hotRate, in requests a second, and hotFactor say from when the recent rate
+	// of a block of keys differs from the steady one by more than chance.
+	hotRate   = 1.0
+	hotFactor = 2.0
+	// blockSize is the number of keys of a block. It divides that of all keys.
+	blockSize = 64
 	// evenPart is the part of the load that is taken as spread evenly over the
 	// keys, since keys without recent requests may get some.
 	evenPart = 0.1
@@ -26,13 +35,20 @@
 // loadModel estimates the requests a second of each key, and how fast the
 // servers are.
 type loadModel struct {
+	// recent and steady are the rates by a short and by a long memory, and rates
+	// what the keeper goes by.
+	recent []float64
+	steady []float64
 	rates  []float64
 	total  float64
 	speeds map[fairway.ServerID]float64
 }
 
 func newLoadModel() *loadModel {
-	return &loadModel{rates: make([]float64, keyCount), speeds: make(map[fairway.ServerID]float64)}
+	return &loadModel{
+		recent: make([]float64, keyCount), steady: make([]float64, keyCount), rates: make([]float64, keyCount),
+		speeds: make(map[fairway.ServerID]float64),
+	}
 }
 
 // observe takes a set of counts into the estimate.
@@ -40,21 +56,46 @@
 	if e.Over <= 0 {
 		return
 	}
-	memory := math.Pow(loadMemory, e.Over.Seconds())
-	for i := range m.rates {
-		m.rates[i] *= memory
-	}
-	scale := (1 - memory) / e.Over.Seconds()
-	for key, n := range e.Requests {
-		m.rates[key] += float64(n) * scale
-	}
+	remember(m.recent, e, recentMemory)
+	remember(m.steady, e, steadyMemory)
 	m.total = 0
-	for _, rate := range m.rates {
-		m.total += rate
+	for first := 0; first < keyCount; first += blockSize {
+		m.estimate(first, first+blockSize)
 	}
 	m.speeds = e.Speeds
 }
 
+// estimate sets the rates of a block of neighbouring keys. The short memory is
+// believed where the difference cannot be chance: a busy block that has become
+// hot, or has cooled. Busy keys are close to one another.
+func (m *loadModel) estimate(first, end int) {
+	recent, steady := 0.0, 0.0
+	for i := first; i < end; i++ {
+		recent += m.recent[i]
+		steady += m.steady[i]
+	}
+	from := m.steady
+	if max(recent, steady) > hotRate && max(recent, steady) > hotFactor*min(recent, steady) {
+		from = m.recent
+	}
+	for i := first; i < end; i++ {
+		m.rates[i] = from[i]
+		m.total += from[i]
+	}
+}
+
+// remember takes counts into moving averages.
+func remember(rates []float64, e Observed, memory float64) {
+	kept := math.Pow(memory, e.Over.Seconds())
+	for i := range rates {
+		rates[i] *= kept
+	}
+	scale := (1 - kept) / e.Over.Seconds()
+	for key, n := range e.Requests {
+		rates[key] += float64(n) * scale
+	}
+}
+
 // known reports whether enough was measured to move keys for it.
 func (m *loadModel) known() bool {
 	return m.total > 0
--- a/mooring/table.go
+++ b/mooring/table.go
@@ -126,10 +126,21 @@
 	return i + at
 }
 
-// reassign names another owner for the row at index i. A range that still
-// waits for a former owner has not been granted to anyone under its token, so
-// it keeps the token and the list.
-func (t *Table) reassign(i int, to Holder) {
+// movingRows returns the number of ranges that wait for a former owner.
+func (t *Table) movingRows() int {
+	n := 0
+	for i := range t.Rows {
+		if t.Rows[i].Moving() {
+			n++
+		}
+	}
+	return n
+}
+
+// reassign names another owner for the row at index i, under a token that was
+// taken for the purpose. A range that still waits for a former owner has not
+// been granted to anyone under its token, so it keeps the token and the list.
+func (t *Table) reassign(i int, to Holder, fence Fence) {
 	r := &t.Rows[i]
 	if r.Moving() {
 		r.Owner = to
@@ -140,7 +151,7 @@
 	}
 	r.Owner = to
 	r.Handover = ""
-	r.Fence = t.takeFence()
+	r.Fence = fence
 }
 
 // join merges neighbouring rows of one owner, except those that are moving or
--- a/mooring/world_test.go
+++ b/mooring/world_test.go
@@ -26,6 +26,7 @@
 	Settle:     500 * time.Millisecond,
 	SettleMost: 2 * time.Second,
 	Balance:    time.Second,
+	WriteGap:   60 * time.Millisecond,
 }
 
 const (
