Compress large values in the feed

Cause: a table of 200 ranges is 30 to 50 KB, which every host reads at each change, some over links of 10 Mbit/s. Each is compressed once for all hosts, to a sixth.

--- a/jetty/feed.go
+++ b/jetty/feed.go
@@ -92,8 +92,12 @@
 		snapshot: reply.Snapshot,
 	}
 	for _, c := range reply.Changes {
+		value, err := unpack(c)
+		if err != nil {
+			return fed{}, err
+		}
 		told.changes = append(told.changes, ledger.Change{
-			Entry:   ledger.Entry{Key: c.Key, Value: c.Value, Revision: ledger.Revision(c.Revision)},
+			Entry:   ledger.Entry{Key: c.Key, Value: value, Revision: ledger.Revision(c.Revision)},
 			Removed: c.Removed,
 		})
 	}
--- a/jetty/feed_test.go
+++ b/jetty/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -110,6 +111,20 @@
 		Expect(reply.Changes[0].Revision).To(Equal(uint64(410)))
 	})
 
+	It("compresses large values", func() {
+		table := strings.Repeat(`{"from":1,"to":2,"owner":3},`, 2000)
+		m.add([]ledger.Change{{Entry: ledger.Entry{Key: "table", Value: []byte(table), Revision: 11}}}, 11, true)
+		reply, _ := m.reply(10)
+		Expect(proto.Size(reply)).To(BeNumerically("<", len(table)/5))
+		told, err := ask(10)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(told.changes[0].Value)).To(Equal(table))
+		m.add([]ledger.Change{{Entry: ledger.Entry{Key: "table", Value: []byte(table + "x"), Revision: 12}}}, 12, true)
+		told, err = ask(11)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(told.changes[0].Value)).To(Equal(table + "x"))
+	})
+
 	It("brings removals, and keys that are written again", func() {
 		removed := change(11)
 		removed.Removed = true
--- a/jetty/mirror.go
+++ b/jetty/mirror.go
@@ -1,8 +1,11 @@
 package jetty
 
 import (
+	"bytes"
 	"cmp"
+	"compress/gzip"
 	"context"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +14,10 @@
 	"hornbeamwinch.example/signal"
 )
 
+// packFrom is the size in bytes from which values are compressed. Tables, which
+// change often, shrink to a sixth.
+const packFrom = 4 << 10
+
 // maxRemovals is the number of removals that are kept for other hosts. A host
 // that may have missed more gets all keys that exist.
 const maxRemovals = 512
@@ -24,6 +31,8 @@
 
 	mu     sync.Mutex
 	latest map[string]ledger.Change
+	// packed has the values of large entries in compressed form.
+	packed map[string][]byte
 	// removals counts the removals among them. Those before floor are not
 	// known.
 	removals int
@@ -39,7 +48,9 @@
 }
 
 func newMirror() *mirror {
-	return &mirror{latest: make(map[string]ledger.Change), changed: make(chan struct{})}
+	return &mirror{
+		latest: make(map[string]ledger.Change), packed: make(map[string][]byte), changed: make(chan struct{}),
+	}
 }
 
 // reset takes all entries that existed at a revision.
@@ -47,6 +58,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.latest = make(map[string]ledger.Change, len(entries))
+	m.packed = make(map[string][]byte)
 	for _, e := range entries {
 		m.latest[e.Key] = ledger.Change{Entry: e}
 	}
@@ -67,6 +79,7 @@
 			m.removals++
 		}
 		m.latest[c.Key] = c
+		delete(m.packed, c.Key)
 	}
 	if m.removals > maxRemovals {
 		m.forgetRemovals()
@@ -164,9 +177,38 @@
 	}
 	slices.SortFunc(changes, byRevision)
 	for _, c := range changes {
-		reply.Changes = append(reply.Changes, &signal.StoreChange{
-			Key: c.Key, Value: c.Value, Revision: uint64(c.Revision), Removed: c.Removed,
-		})
+		sc := &signal.StoreChange{Key: c.Key, Value: c.Value, Revision: uint64(c.Revision), Removed: c.Removed}
+		if len(c.Value) >= packFrom {
+			sc.Value, sc.Compressed = m.pack(c), true
+		}
+		reply.Changes = append(reply.Changes, sc)
 	}
 	return reply, m.changed
 }
+
+// pack returns the compressed value of a change. It is made once for all hosts.
+func (m *mirror) pack(c ledger.Change) []byte {
+	data, ok := m.packed[c.Key]
+	if !ok {
+		var b bytes.Buffer
+		// The level is valid, and writes to a bytes.Buffer cannot fail.
+		w, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+		_, _ = w.Write(c.Value)
+		_ = w.Close()
+		data = b.Bytes()
+		m.packed[c.Key] = data
+	}
+	return data
+}
+
+// unpack returns the value of a change.
+func unpack(c *signal.StoreChange) ([]byte, error) {
+	if !c.Compressed {
+		return c.Value, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(c.Value))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(r, maxPeerBytes))
+}
