Add a fault soak of entry hosts as separate processes

Hosts are real processes; proxies harm their paths to the store and to the servers, signals stop, pause, kill and reload them, and the stand-ins misbehave.

--- /dev/null
+++ b/cmd/soak/soak_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+	"github.com/sirupsen/logrus"
+)
+
+func TestSoak(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "soak")
+}
+
+var _ = Describe("The schedule", func() {
+	It("depends on the seed alone", func() {
+		a, b := newSchedule(7, 20*time.Second, 5), newSchedule(7, 20*time.Second, 5)
+		Expect(a).To(Equal(b))
+		Expect(newSchedule(8, 20*time.Second, 5)).NotTo(Equal(a))
+	})
+
+	It("has every kind of fault, some of them at the same time", func() {
+		seen := map[fault]bool{}
+		overlapping := 0
+		for seed := range uint64(20) {
+			steps := newSchedule(seed, 20*time.Second, 5)
+			for i, s := range steps {
+				seen[s.fault] = true
+				if i > 0 && steps[i-1].at+steps[i-1].lasts > s.at {
+					overlapping++
+				}
+			}
+		}
+		Expect(seen).To(HaveLen(len(kinds)))
+		Expect(overlapping).To(BeNumerically(">", 100))
+	})
+})
+
+// seeds are played in every run: some of different kinds, and each that ever
+// failed, with its cause.
+var seeds = []uint64{1, 2}
+
+var _ = Describe("Hosts under faults", Ordered, func() {
+	var daemon string
+	BeforeAll(func() {
+		logrus.SetLevel(logrus.PanicLevel)
+		var err error
+		daemon, err = gexec.Build("hornbeamwinch.example/cmd/hornbeamwinchd")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(gexec.CleanupBuildArtifacts)
+	})
+
+	for _, seed := range seeds {
+		It("keep their promises", func() {
+			dir, err := os.MkdirTemp("", "soak")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(os.RemoveAll, dir)
+			w, err := newWorld(worldConfig{Daemon: daemon, Hosts: 4, Callers: 4, Dir: dir, Seed: seed})
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(w.close)
+			Expect(w.settle()).To(Succeed())
+			w.inject(newSchedule(seed, 8*time.Second, 4))
+			w.finish()
+			Expect(w.judge.violations()).To(BeEmpty(), "seed %d", seed)
+		})
+	}
+})
