Pause longer between calls to a store that is out

Cause: while the store is out each host asks it 2.7 times a second, and every refused call is paid for. What a host needs from the store after its return can wait for half a second: configurations have 2 s, and grants go on without it.

--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -26,7 +26,7 @@
 	// watchRetry is the pause after a failed call; it doubles up to
 	// maxWatchRetry, since a store that is out is paid for each call too.
 	watchRetry    = 50 * time.Millisecond
-	maxWatchRetry = 250 * time.Millisecond
+	maxWatchRetry = 600 * time.Millisecond
 	// outageAfter is how long the store must have been out of reach for the
 	// entries of servers to have expired in the meantime.
 	outageAfter = feedMaxAge
