Give a server that answers with errors little, however fast it is

The recent share of errors makes a server count as up to 21 times as slow; its time is not taken from errors. It is tried again as they are forgotten. Spoilt answers count as errors; the server's word that a deadline passed does not.

--- a/jetty/journey.go
+++ b/jetty/journey.go
@@ -188,6 +188,8 @@
 		if a.status == http.StatusMisdirectedRequest {
 			outcome = sluice.OutcomeMisdirected
 		}
+	} else if a.status >= http.StatusInternalServerError && a.status != http.StatusGatewayTimeout {
+		outcome = sluice.OutcomeErred
 	}
 	d.finish(s.ID, outcome, took, r.route.Objective)
 	if outcome == sluice.OutcomeAnswered {
--- a/sluice/desk.go
+++ b/sluice/desk.go
@@ -25,6 +25,9 @@
 	ownerGrace = 800 * time.Millisecond
 	// coldFactor is how much slower a server is right after its start.
 	coldFactor = 2
+	// errorCost is how many times as slow a server counts that only answers with
+	// errors. It is tried again as its errors are forgotten.
+	errorCost = 20.0
 	// choices is the number of servers with room among which a request goes to
 	// the one that is likely to answer first. Hosts that chose among all would
 	// all choose the same one, and would keep connections to every server.
@@ -275,6 +278,8 @@
 const (
 	// OutcomeAnswered is a whole answer.
 	OutcomeAnswered Outcome = iota + 1
+	// OutcomeErred is an answer that says the server failed.
+	OutcomeErred
 	// OutcomeTurnedAway is a refusal by the server for lack of room.
 	OutcomeTurnedAway
 	// OutcomeMisdirected is a refusal because the server does not hold the
@@ -305,6 +310,8 @@
 	case OutcomeAnswered:
 		w.answered(now, took, objective)
 		d.usual += time.Duration(usualWeight * float64(took-d.usual))
+	case OutcomeErred:
+		w.erred(now)
 	case OutcomeTurnedAway, OutcomeReset:
 		w.turnedAway(now, objective)
 	case OutcomeUnreachable:
@@ -315,7 +322,9 @@
 		} else {
 			w.shrink(now, lateShrink)
 		}
-	case OutcomeFaulty, OutcomeMisdirected, OutcomeAbandoned:
+	case OutcomeFaulty:
+		w.noteError(now, 1)
+	case OutcomeMisdirected, OutcomeAbandoned:
 	}
 	w.ended(now, d.usual)
 	return d.serve(now)
@@ -431,6 +440,7 @@
 // between failure domains.
 func (d *Desk) cost(now mooring.Instant, at *seat, t *Ticket) float64 {
 	cost := float64(at.window.expected(now, d.usual)) * float64(at.window.inFlight+1)
+	cost *= 1 + errorCost*at.window.errorShare(now)
 	if at.sighting.Domain != d.cfg.Domain {
 		cost *= 1 + t.Bytes/farBytes
 	}
--- a/sluice/desk_test.go
+++ b/sluice/desk_test.go
@@ -155,6 +155,42 @@
 		}
 	})
 
+	// errorLoad sends 50 requests a second to four servers, each of which takes
+	// 120 ms but answers with an error at once if erring returns true. It returns
+	// the number of requests by server.
+	errorLoad := func(erring func(server fairway.ServerID, nth int) bool) map[fairway.ServerID]int {
+		const asked, pause, work = 1000, 20 * time.Millisecond, 120 * time.Millisecond
+		d := newDesk(sighting("s1", "a"), sighting("s2", "a"), sighting("s3", "a"), sighting("s4", "a"))
+		sent := map[fairway.ServerID]int{}
+		var working []fairway.ServerID
+		for n := 1; n <= asked; n++ {
+			now := start.Add(time.Duration(n) * pause)
+			if len(working) == int(work/pause) {
+				d.Finish(now, working[0], sluice.OutcomeAnswered, work, objective)
+				working = working[1:]
+			}
+			server := expectDispatch(d.Offer(now, ticket(sluice.TicketID(n), now)))
+			sent[server]++
+			if erring(server, sent[server]) {
+				d.Finish(now, server, sluice.OutcomeErred, time.Millisecond, objective)
+			} else {
+				working = append(working, server)
+			}
+		}
+		return sent
+	}
+
+	It("gives a server that answers with errors little, however fast it is", func() {
+		sent := errorLoad(func(server fairway.ServerID, _ int) bool { return server == "s2" })
+		Expect(sent["s2"]).To(BeNumerically("<=", 50))
+		Expect(sent["s2"]).To(BeNumerically(">=", 3), "it may have recovered")
+	})
+
+	It("does not mind an error now and then", func() {
+		sent := errorLoad(func(server fairway.ServerID, nth int) bool { return server == "s2" && nth%100 == 0 })
+		Expect(sent["s2"]).To(BeNumerically(">=", 150))
+	})
+
 	It("puts urgent requests first", func() {
 		d := newDesk(sighting("s1", "a"))
 		var urgent sluice.TicketID
--- a/sluice/window.go
+++ b/sluice/window.go
@@ -50,6 +50,11 @@
 	// latencyMemory is the time after which an old average counts for a third,
 	// so that a server which was slow is tried again.
 	latencyMemory = 3 * time.Second
+	// errorWeight is the weight of an answer in the share of errors, and
+	// errorMemory the time after which old errors count for a third. Servers
+	// answer one request in 250 with an error at any time.
+	errorWeight = 0.25
+	errorMemory = 3 * time.Second
 	// initialLatency stands for a server that has not answered yet.
 	initialLatency = 50 * time.Millisecond
 	// firstSuspicion is how long a server gets nothing after a failed
@@ -76,6 +81,9 @@
 	relaxedUntil mooring.Instant
 	// relaxFrom is from when that word is taken.
 	relaxFrom mooring.Instant
+	// errors is the moving share of answers that were errors, at errorsAt.
+	errors   float64
+	errorsAt mooring.Instant
 	// failures counts failed connections and silence in a row.
 	failures     int
 	suspectUntil mooring.Instant
@@ -164,9 +172,32 @@
 	return time.Duration(weight*float64(w.latency) + (1-weight)*float64(usual))
 }
 
+// errorShare returns the share of recent answers that were errors.
+func (w *window) errorShare(now mooring.Instant) float64 {
+	if w.errors == 0 {
+		return 0
+	}
+	return w.errors * math.Exp(-float64(now.Sub(w.errorsAt))/float64(errorMemory))
+}
+
+// noteError takes one more answer into the share of errors.
+func (w *window) noteError(now mooring.Instant, erred float64) {
+	share := w.errorShare(now)
+	w.errors = share + errorWeight*(erred-share)
+	w.errorsAt = now
+}
+
+// erred takes an answer into account that says the server failed. Its time says
+// nothing: errors are often fast.
+func (w *window) erred(now mooring.Instant) {
+	w.failures = 0
+	w.noteError(now, 1)
+}
+
 // answered takes a whole answer into account.
 func (w *window) answered(now mooring.Instant, took, objective time.Duration) {
 	w.failures = 0
+	w.noteError(now, 0)
 	if w.latency == 0 {
 		w.latency = took
 	}
