--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -67,11 +67,26 @@
 )
 
 var kinds = []fault{
-	hostKilled{}, hostStopped{}, hostPaused{}, hostReloads{},
-	storePath{harmSlow}, storePath{harmReset}, storePath{harmSilent}, storePath{harmOneWay}, storePath{harmRefused},
-	storeOut{}, storeLosesAnswers{}, storeForgets{},
-	serverKilled{}, serverReborn{}, serverLeaves{}, serverMute{},
-	serverPath{harmSlow}, serverPath{harmReset}, serverPath{harmSilent}, serverPath{harmOneWay},
+	hostKilled{},
+	hostStopped{},
+	hostPaused{},
+	hostReloads{},
+	storePath{harmSlow},
+	storePath{harmReset},
+	storePath{harmSilent},
+	storePath{harmOneWay},
+	storePath{harmRefused},
+	storeOut{},
+	storeLosesAnswers{},
+	storeForgets{},
+	serverKilled{},
+	serverReborn{},
+	serverLeaves{},
+	serverMute{},
+	serverPath{harmSlow},
+	serverPath{harmReset},
+	serverPath{harmSilent},
+	serverPath{harmOneWay},
 }
 
 // step is one fault of a schedule.
--- a/jetty/doc.go
+++ b/jetty/doc.go
@@ -15,8 +15,11 @@
 //
 // Backend servers refuse requests for keys that they do not hold, so a host
 // forwards by the newest table it knows and needs no lease of its own to do so.
-// Only the placer's orders need one: they are sent while its lease surely
-// lasts, and the next placer begins after that.
+//
+// A placer's [term] lets it write while its lease lasts. Its orders to backend
+// servers, which only follow the record, go on for a while without the store.
+// The next placer ends the terms of earlier ones by asking their hosts; see
+// [succession].
 //
 // Lock order: deskSet.mu before desk.mu. Every other mutex is a leaf.
 //
--- a/mooring/doc.go
+++ b/mooring/doc.go
@@ -23,13 +23,21 @@
 // seen. Step 4 relies on the record of step 3 alone, so a placer that takes
 // over goes on from the record.
 //
+// Ranges that change hands in one write bear one token, so that one release
+// takes back all neighbours among them from their former owner.
+//
+// While the store cannot be written, the keeper goes on renewing grants and
+// sending releases that the record calls for. A keeper that takes over counts
+// grants of earlier ones as possible until [PredecessorEnded], or until
+// KeeperConfig.PredecessorUntil.
+//
 // # Usage
 //
 //	keeper := mooring.NewKeeper(mooring.KeeperConfig{Service: "readings", Now: now, Timing: timing})
 //	for _, action := range keeper.Step(now, mooring.Tick{}) {
 //		switch a := action.(type) {
-//		case mooring.SendGrant:
-//			// grant a.Span to a.To
+//		case mooring.Send:
+//			// send a.Order to its server, then step with an Answered
 //		}
 //	}
 package mooring
--- a/sluice/doc.go
+++ b/sluice/doc.go
@@ -10,6 +10,11 @@
 // long for it: an answer after the objective is worth a third, so a queue that
 // is longer than the objective would make every answer late.
 //
+// A request that any server may answer goes to the one that is likely to answer
+// first among a few that this host prefers, which differ from host to host. A
+// [Pressure] puts together what all hosts see of the servers, for hosts that
+// have few requests at each.
+//
 // A [Budget] bounds the sends beyond the first of each request.
 //
 // All decisions take the time as an argument. The package has no goroutines
