--- a/mooring/keeper_test.go
+++ b/mooring/keeper_test.go
@@ -113,8 +113,8 @@
 	It("waits for the grants of a predecessor that cannot be asked", func() {
 		w := newWorld(4)
 		w.run(2 * time.Second)
-		w.partition()
-		w.run(partitionTime)
+		w.partition(reach - time.Second)
+		w.run(reach)
 		Expect(w.broken).To(BeEmpty())
 		w.run(settleTime)
 		expectSound(w)
--- a/mooring/world_test.go
+++ b/mooring/world_test.go
@@ -236,22 +236,22 @@
 
 // partition cuts the placer and every second server off from the store and the
 // rest, where another placer takes over.
-func (w *world) partition() {
+func (w *world) partition(lasts time.Duration) {
 	if w.keeper == nil || w.former != nil {
 		return
 	}
-	healed := w.now.Add(partitionTime)
+	healed := w.now.Add(lasts)
 	for id, s := range w.servers {
 		if id[1]%2 == 0 {
 			s.cutUntil = healed
 			w.at(2600*time.Millisecond, func() { s.listed = false; w.sightingsChanged() })
-			w.at(partitionTime+time.Second, func() { s.listed = true; w.sightingsChanged() })
+			w.at(lasts+time.Second, func() { s.listed = true; w.sightingsChanged() })
 		}
 	}
 	w.former, w.formerTerm = w.keeper, w.term
 	w.killPlacer()
 	w.step(w.formerTerm, mooring.WritesAllowed{Allowed: false})
-	w.at(partitionTime+latency, func() {
+	w.at(lasts+latency, func() {
 		w.former = nil
 		w.step(w.term, mooring.PredecessorEnded{At: w.now})
 	})
@@ -326,7 +326,7 @@
 	case faultPlacerDies:
 		w.killPlacer()
 	case faultPartition:
-		w.partition()
+		w.partition(partitionTime)
 	default:
 	}
 }
