Keep soaks that run side by side apart

Three soaks started at once chose the same ports, and their requests had the same ids: callers of one reached hosts of another, and requests of two soaks counted as run twice. Ports and ids now depend on the process.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -53,7 +54,7 @@
 
 // send sends one request and checks that its answer is whole and its own.
 func (c *caller) send(ctx context.Context, h *host, method, path string, key int) answer {
-	a := answer{id: fmt.Sprintf("q%d", nextRequest.Add(1))}
+	a := answer{id: fmt.Sprintf("q%d-%d", os.Getpid(), nextRequest.Add(1))}
 	body := ""
 	if method == http.MethodPost {
 		body = "amount of " + a.id
--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -50,9 +50,13 @@
 // zones is the number of failure domains.
 const zones = 2
 
-// portBase is the first port that hosts listen on, below those that the kernel
-// gives to outgoing connections.
-const portBase = 21000
+// Ports that hosts listen on are below those that the kernel gives to outgoing
+// connections. Soaks that run side by side begin at different ones.
+const (
+	portBase  = 21000
+	portLast  = 32000
+	portsEach = 200
+)
 
 func newHost(n int, cfg worldConfig, store string) (*host, error) {
 	path, err := newLink(fmt.Sprintf("store of host %d", n), store)
@@ -72,12 +76,11 @@
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
-var nextPort = portBase
+var nextPort = portBase + os.Getpid()*portsEach%(portLast-portBase)
 
 // freePorts returns neighbouring ports that nothing listens on.
 func freePorts(count int) ([]int, error) {
-	const last = 32000
-	for ; nextPort+count < last; nextPort += count {
+	for ; nextPort+count < portLast; nextPort += count {
 		var ports []int
 		for p := nextPort; p < nextPort+count; p++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
@@ -92,6 +95,7 @@
 			return ports, nil
 		}
 	}
+	nextPort = portBase
 	return nil, errors.New("no free ports")
 }
 
