Give each soak a loopback address of its own

A host that starts again leaves its ports free for a moment, so different first ports do not prevent it. Hosts now listen on a loopback address of the process.

--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -35,7 +35,7 @@
 
 // settingsText is the platform's settings file.
 const settingsText = `node_name: "host-%d"
-ip: "127.0.0.1"
+ip: "%s"
 zone: "zone-%d"
 listen_addrs:
   front: "%s"
@@ -51,13 +51,20 @@
 const zones = 2
 
 // Ports that hosts listen on are below those that the kernel gives to outgoing
-// connections. Soaks that run side by side begin at different ones.
+// connections.
 const (
-	portBase  = 21000
-	portLast  = 32000
-	portsEach = 200
+	portBase = 21000
+	portLast = 32000
 )
 
+// ownIP is an address of the loopback network that depends on the process.
+// Soaks that run side by side would take each other's ports while a host starts
+// again.
+func ownIP() string {
+	const values = 250
+	return fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()/values%values, 1+os.Getpid()%values)
+}
+
 func newHost(n int, cfg worldConfig, store string) (*host, error) {
 	path, err := newLink(fmt.Sprintf("store of host %d", n), store)
 	if err != nil {
@@ -69,21 +76,21 @@
 	}
 	h := &host{
 		n: n, daemon: cfg.Daemon, dir: cfg.Dir, path: path,
-		front: fmt.Sprintf("127.0.0.1:%d", ports[0]), ready: fmt.Sprintf("127.0.0.1:%d", ports[1]),
+		front: fmt.Sprintf("%s:%d", ownIP(), ports[0]), ready: fmt.Sprintf("%s:%d", ownIP(), ports[1]),
 		settings: filepath.Join(cfg.Dir, fmt.Sprintf("seed-%d-host-%d.yaml", cfg.Seed, n)),
 	}
-	text := fmt.Sprintf(settingsText, n, n%zones, h.front, h.ready, ports[2], ports[3], path.address())
+	text := fmt.Sprintf(settingsText, n, ownIP(), n%zones, h.front, h.ready, ports[2], ports[3], path.address())
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
-var nextPort = portBase + os.Getpid()*portsEach%(portLast-portBase)
+var nextPort = portBase
 
 // freePorts returns neighbouring ports that nothing listens on.
 func freePorts(count int) ([]int, error) {
 	for ; nextPort+count < portLast; nextPort += count {
 		var ports []int
 		for p := nextPort; p < nextPort+count; p++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ownIP(), p))
 			if err != nil {
 				break
 			}
