Do not count the end of a request at a server's former run

Cause: a desk counted requests by server, so a request that ended after its server had started again under its id was taken off the new run's count, which fell below zero. A window that needs the count to be zero, as after a failed connection, then stayed closed: the host refused every request for the server's keys for good.

Red first: 'is not blocked by requests that end at a server's former run'.

--- a/jetty/desks.go
+++ b/jetty/desks.go
@@ -77,17 +77,17 @@
 }
 
 // finish ends a dispatched request.
-func (d *desk) finish(id fairway.ServerID, outcome sluice.Outcome, took, objective time.Duration) {
+func (d *desk) finish(run sluice.Run, outcome sluice.Outcome, took, objective time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch outcome {
 	case sluice.OutcomeAnswered:
-		d.visited(id, sluice.Pressed(took, objective))
+		d.visited(run.Server, sluice.Pressed(took, objective))
 	case sluice.OutcomeTurnedAway, sluice.OutcomeReset:
-		d.visited(id, true)
+		d.visited(run.Server, true)
 	default:
 	}
-	d.deliver(d.desk.Finish(steadyNow(), id, outcome, took, objective))
+	d.deliver(d.desk.Finish(steadyNow(), run, outcome, took, objective))
 }
 
 // notePressure counts a refusal for lack of room at one server.
--- a/jetty/journey.go
+++ b/jetty/journey.go
@@ -160,11 +160,11 @@
 // offered to the desk again.
 func (f *forwarder) send(ctx context.Context, r *request, d *desk, t *sluice.Ticket, s fairway.Sighting) (reply, bool) {
 	if ctx.Err() != nil {
-		d.finish(s.ID, sluice.OutcomeAbandoned, 0, 0)
+		d.finish(sluice.RunOf(s), sluice.OutcomeAbandoned, 0, 0)
 		return f.ended(ctx, r), false
 	}
 	if r.sends > 0 && !d.takeBudget() {
-		d.finish(s.ID, sluice.OutcomeAbandoned, 0, 0)
+		d.finish(sluice.RunOf(s), sluice.OutcomeAbandoned, 0, 0)
 		return f.exhausted(r, reasonRetryBudget), false
 	}
 	f.metrics.sent(r.service.Name, r.sends > 0)
@@ -191,7 +191,7 @@
 	} else if a.status >= http.StatusInternalServerError && a.status != http.StatusGatewayTimeout {
 		outcome = sluice.OutcomeErred
 	}
-	d.finish(s.ID, outcome, took, r.route.Objective)
+	d.finish(sluice.RunOf(s), outcome, took, r.route.Objective)
 	if outcome == sluice.OutcomeAnswered {
 		d.passed(r.route.Name, s.ID, len(a.body), took)
 	}
@@ -264,7 +264,7 @@
 func (f *forwarder) failed(ctx context.Context, r *request, d *desk, s fairway.Sighting, took time.Duration, err error) (reply, bool) {
 	kind := kindOf(err)
 	if kind == KindGivenUp || errors.Is(ctx.Err(), context.Canceled) {
-		d.finish(s.ID, sluice.OutcomeAbandoned, took, 0)
+		d.finish(sluice.RunOf(s), sluice.OutcomeAbandoned, took, 0)
 		return gone{}, false
 	}
 	outcome := sluice.OutcomeFaulty
@@ -283,7 +283,7 @@
 	if kind != KindNotSent {
 		r.mayHaveRun = true
 	}
-	d.finish(s.ID, outcome, took, r.route.Objective)
+	d.finish(sluice.RunOf(s), outcome, took, r.route.Objective)
 	f.logs.sendFailed(r, s, "", err)
 	if (kind == KindNotSent || r.repeatable()) && f.mayTryAgain(ctx, r) {
 		return nil, true
--- a/sluice/desk.go
+++ b/sluice/desk.go
@@ -234,11 +234,23 @@
 	OutcomeAbandoned
 )
 
+// Run is one run of a server, to which a request was dispatched.
+type Run struct {
+	Server fairway.ServerID
+	Born   fairway.Birth
+}
+
+// RunOf returns the run that a sighting is of.
+func RunOf(s fairway.Sighting) Run {
+	return Run{Server: s.ID, Born: s.Born}
+}
+
 // Finish takes the end of a dispatched request into account and returns the
-// decisions on waiting ones that it brings about.
-func (d *Desk) Finish(now mooring.Instant, id fairway.ServerID, outcome Outcome, took, objective time.Duration) []Resolution {
-	at := d.seats[id]
-	if at == nil {
+// decisions on waiting ones that it brings about. Requests of a server's former
+// run say nothing of the present one.
+func (d *Desk) Finish(now mooring.Instant, run Run, outcome Outcome, took, objective time.Duration) []Resolution {
+	at := d.seats[run.Server]
+	if at == nil || at.sighting.Born != run.Born {
 		return nil
 	}
 	w := at.window
--- a/sluice/desk_test.go
+++ b/sluice/desk_test.go
@@ -31,6 +31,11 @@
 	return fairway.Sighting{ID: id, Service: "invoices", Address: "10.0.0.1:80", Domain: domain, Born: 1, Slots: 4}
 }
 
+// run returns the first run of a server.
+func run(id fairway.ServerID) sluice.Run {
+	return sluice.RunOf(sighting(id, ""))
+}
+
 func newDesk(servers ...fairway.Sighting) *sluice.Desk {
 	d := sluice.NewDesk(sluice.DeskConfig{Service: "invoices", Domain: "a"})
 	d.SetServers(start, servers, 4)
@@ -113,7 +118,7 @@
 			}
 		}
 		Expect(d.Waiting()).To(Equal(1))
-		resolved := d.Finish(start.Add(50*time.Millisecond), "s1", sluice.OutcomeAnswered, 50*time.Millisecond, objective)
+		resolved := d.Finish(start.Add(50*time.Millisecond), run("s1"), sluice.OutcomeAnswered, 50*time.Millisecond, objective)
 		Expect(resolved).To(HaveLen(1))
 		Expect(resolved[0].Ticket).To(Equal(id))
 		expectDispatch(resolved[0].Decision)
@@ -122,22 +127,35 @@
 	It("gives an unreachable server one request at a time until it answers", func() {
 		d := newDesk(sighting("s1", "a"))
 		expectDispatch(d.Offer(start, ticket(1, start)))
-		d.Finish(start, "s1", sluice.OutcomeUnreachable, 0, objective)
+		d.Finish(start, run("s1"), sluice.OutcomeUnreachable, 0, objective)
 		expectWait(d.Offer(start, ticket(2, start)))
 		later := start.Add(time.Second)
 		resolved := d.Sweep(later)
 		Expect(resolved).To(HaveLen(1))
 		expectWait(d.Offer(later, ticket(3, later)))
-		resolved = d.Finish(later, "s1", sluice.OutcomeAnswered, 10*time.Millisecond, objective)
+		resolved = d.Finish(later, run("s1"), sluice.OutcomeAnswered, 10*time.Millisecond, objective)
 		Expect(resolved).To(HaveLen(1))
 	})
 
+	It("is not blocked by requests that end at a server's former run", func() {
+		d := newDesk(sighting("s1", "a"))
+		expectDispatch(d.Offer(start, ticket(1, start)))
+		again := sighting("s1", "a")
+		again.Born++
+		d.SetServers(start, []fairway.Sighting{again}, 4)
+		d.Finish(start, run("s1"), sluice.OutcomeReset, 0, objective)
+		expectDispatch(d.Offer(start, ticket(2, start)))
+		d.Finish(start, sluice.RunOf(again), sluice.OutcomeUnreachable, 0, objective)
+		later := start.Add(10 * time.Second)
+		expectDispatch(d.Offer(later, ticket(3, later)))
+	})
+
 	It("does not suspect a server that answers others while one request is silent", func() {
 		d := newDesk(sighting("s1", "a"))
 		expectDispatch(d.Offer(start, ticket(1, start)))
 		expectDispatch(d.Offer(start, ticket(2, start)))
-		d.Finish(start.Add(900*time.Millisecond), "s1", sluice.OutcomeAnswered, 100*time.Millisecond, objective)
-		d.Finish(start.Add(time.Second), "s1", sluice.OutcomeSilent, time.Second, objective)
+		d.Finish(start.Add(900*time.Millisecond), run("s1"), sluice.OutcomeAnswered, 100*time.Millisecond, objective)
+		d.Finish(start.Add(time.Second), run("s1"), sluice.OutcomeSilent, time.Second, objective)
 		expectDispatch(d.Offer(start.Add(time.Second), ticket(3, start.Add(time.Second))))
 	})
 
@@ -151,7 +169,7 @@
 			if id%2 == 0 {
 				outcome, took = sluice.OutcomeAnswered, 50*time.Millisecond
 			}
-			d.Finish(now, "s1", outcome, took, objective)
+			d.Finish(now, run("s1"), outcome, took, objective)
 		}
 	})
 
@@ -166,13 +184,13 @@
 		for n := 1; n <= asked; n++ {
 			now := start.Add(time.Duration(n) * pause)
 			if len(working) == int(work/pause) {
-				d.Finish(now, working[0], sluice.OutcomeAnswered, work, objective)
+				d.Finish(now, run(working[0]), sluice.OutcomeAnswered, work, objective)
 				working = working[1:]
 			}
 			server := expectDispatch(d.Offer(now, ticket(sluice.TicketID(n), now)))
 			sent[server]++
 			if erring(server, sent[server]) {
-				d.Finish(now, server, sluice.OutcomeErred, time.Millisecond, objective)
+				d.Finish(now, run(server), sluice.OutcomeErred, time.Millisecond, objective)
 			} else {
 				working = append(working, server)
 			}
@@ -202,7 +220,7 @@
 			}
 			d.Offer(start, t)
 		}
-		resolved := d.Finish(start, "s1", sluice.OutcomeAnswered, time.Millisecond, objective)
+		resolved := d.Finish(start, run("s1"), sluice.OutcomeAnswered, time.Millisecond, objective)
 		Expect(resolved[0].Ticket).To(Equal(urgent))
 	})
 
@@ -328,7 +346,7 @@
 		} else {
 			l.late++
 		}
-		l.resolve(now, l.desk.Finish(now, r.server, sluice.OutcomeAnswered, l.service, objective))
+		l.resolve(now, l.desk.Finish(now, run(r.server), sluice.OutcomeAnswered, l.service, objective))
 	}
 }
 
--- a/sluice/fleet_test.go
+++ b/sluice/fleet_test.go
@@ -121,7 +121,7 @@
 			}
 			took := now.Sub(v.came)
 			l.unreported[v.host].count(sluice.Pressed(took, objective))
-			l.resolve(now, v.host, l.desks[v.host].Finish(now, "s1", sluice.OutcomeAnswered, took, objective))
+			l.resolve(now, v.host, l.desks[v.host].Finish(now, run("s1"), sluice.OutcomeAnswered, took, objective))
 		}
 		for due += l.arrivals(tick); due >= 1; due-- {
 			l.asked++
@@ -222,7 +222,7 @@
 		if !l.server.arrive(now, visit{host: host, ticket: t, work: l.work()}) {
 			l.turnedAway++
 			l.unreported[host].count(true)
-			l.resolve(now, host, l.desks[host].Finish(now, "s1", sluice.OutcomeTurnedAway, 0, objective))
+			l.resolve(now, host, l.desks[host].Finish(now, run("s1"), sluice.OutcomeTurnedAway, 0, objective))
 		}
 	case sluice.Refuse:
 		l.refused++
--- a/sluice/spread_test.go
+++ b/sluice/spread_test.go
@@ -64,7 +64,7 @@
 				} else {
 					l.late++
 				}
-				l.resolve(now, v.host, l.desks[v.host].Finish(now, id, sluice.OutcomeAnswered, now.Sub(v.came), objective))
+				l.resolve(now, v.host, l.desks[v.host].Finish(now, run(id), sluice.OutcomeAnswered, now.Sub(v.came), objective))
 			}
 		}
 		for due += l.perS * tick.Seconds() * 2 * l.rng.Float64(); due >= 1; due-- {
@@ -96,7 +96,7 @@
 		work := time.Duration(float64(s.work) * math.Exp(spread*l.rng.NormFloat64()-spread*spread/2))
 		if !s.arrive(now, visit{host: host, ticket: t, work: work}) {
 			l.turnedAway++
-			l.resolve(now, host, l.desks[host].Finish(now, id, sluice.OutcomeTurnedAway, 0, objective))
+			l.resolve(now, host, l.desks[host].Finish(now, run(id), sluice.OutcomeTurnedAway, 0, objective))
 		}
 	case sluice.Refuse:
 		l.refused++
