Stop sending to a server whose address another one has taken

Servers of payments had ended and their addresses gone to catalogo-pdf; hosts that the store refused did not know.

For requests that any server may answer, that answer now counts as a server that cannot be reached. For keys it may only mean that the key is held elsewhere.

--- a/jetty/journey.go
+++ b/jetty/journey.go
@@ -182,21 +182,31 @@
 
 // settle tells the desk how an answer bears on its server.
 func (f *forwarder) settle(r *request, d *desk, s fairway.Sighting, a *passOn, took time.Duration) {
-	outcome := sluice.OutcomeAnswered
-	if f.notRun(a) {
-		outcome = sluice.OutcomeTurnedAway
-		if a.status == http.StatusMisdirectedRequest {
-			outcome = sluice.OutcomeMisdirected
-		}
-	} else if a.status >= http.StatusInternalServerError && a.status != http.StatusGatewayTimeout {
-		outcome = sluice.OutcomeErred
-	}
+	outcome := f.outcome(r, a)
 	d.finish(sluice.RunOf(s), outcome, took, r.route.Objective)
 	if outcome == sluice.OutcomeAnswered {
 		d.passed(r.route.Name, s.ID, len(a.body), took)
 	}
 }
 
+// outcome tells what an answer means for the server that was asked.
+func (f *forwarder) outcome(r *request, a *passOn) sluice.Outcome {
+	switch {
+	case a.status == http.StatusMisdirectedRequest && r.key == nil:
+		// Another server has the address now. It gets no more requests that
+		// are meant for the one that had it.
+		return sluice.OutcomeUnreachable
+	case a.status == http.StatusMisdirectedRequest:
+		return sluice.OutcomeMisdirected
+	case f.notRun(a):
+		return sluice.OutcomeTurnedAway
+	case a.status >= http.StatusInternalServerError && a.status != http.StatusGatewayTimeout:
+		return sluice.OutcomeErred
+	default:
+		return sluice.OutcomeAnswered
+	}
+}
+
 // notRun reports whether the server said that the request did not run.
 func (f *forwarder) notRun(a *passOn) bool {
 	return a.header.Get(f.headers.NotRun) != "" || a.status == http.StatusMisdirectedRequest
