--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -46,6 +46,9 @@
 	// Two soaks side by side had hosts on the same ports, and requests with the
 	// same ids.
 	1000, 1009, 1025,
+	// A host refused the keys of a server that had started again under its id,
+	// likely because its window there stayed closed.
+	3047,
 }
 
 var _ = Describe("Hosts under faults", Ordered, func() {
