Keep the platform's names out of the soak

Cause: the soak wrote the platform's headers, settings file, configuration and call names itself. It now takes the headers and the probe's path from platform.Dialect, and the files from platformtest, which is in platform/.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -11,6 +11,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"hornbeamwinch.example/platform"
+	"hornbeamwinch.example/platform/platformtest"
 )
 
 // callerPause is the time between two requests of a caller.
@@ -18,6 +21,9 @@
 
 var nextRequest atomic.Uint64
 
+// headers are the names that callers and servers use.
+var headers = platform.Dialect{}.Headers()
+
 // caller sends requests over connections that it keeps open.
 type caller struct {
 	world  *world
@@ -59,14 +65,14 @@
 	if method == http.MethodPost {
 		body = "amount of " + a.id
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.front+path, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.callers+path, strings.NewReader(body))
 	if err != nil {
 		return a
 	}
-	r.Host = "soak.example"
-	r.Header.Set("Hornbeamwinch-Request-Id", a.id)
-	r.Header.Set("Hornbeamwinch-Deadline-Ms", "1500")
-	r.Header.Set("Hornbeamwinch-Shard-Key", fmt.Sprint(key))
+	r.Host = platformtest.CallerHost
+	r.Header.Set(headers.RequestID, a.id)
+	r.Header.Set(headers.TimeLeft, "1500")
+	r.Header.Set(headers.Key, fmt.Sprint(key))
 	w, err := c.client.Do(r)
 	if err != nil {
 		c.world.judge.ended(a.id, 0)
@@ -78,7 +84,7 @@
 		c.world.judge.ended(a.id, 0)
 		return a
 	}
-	a.status, a.signed = w.StatusCode, w.Header.Get("Hornbeamwinch-Server-Signature") != ""
+	a.status, a.signed = w.StatusCode, w.Header.Get(headers.Signature) != ""
 	c.world.judge.ended(a.id, a.status)
 	if a.status != http.StatusOK {
 		return a
@@ -86,7 +92,7 @@
 	if want := fmt.Sprintf("%s %s %d %s", method, path, key, body); string(data) != want {
 		c.world.judge.violation("%s: host %d answered %q, not %q", a.id, h.n, data, want)
 	}
-	if echo := w.Header.Get("Hornbeamwinch-Request-Id"); echo != a.id || !a.signed {
+	if echo := w.Header.Get(headers.RequestID); echo != a.id || !a.signed {
 		c.world.judge.violation("%s: host %d answered for %q, signed %v", a.id, h.n, echo, a.signed)
 	}
 	return a
@@ -118,7 +124,7 @@
 		if time.Since(last) > changeEvery {
 			last = time.Now()
 			o.version++
-			o.world.store.Put("op/config", configText(o.version))
+			o.world.store.Put("op/config", platformtest.Configuration(o.version))
 			o.world.judge.note("configuration %d", o.version)
 		}
 		h := o.world.hosts[o.caller.rng.IntN(len(o.world.hosts))]
--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -13,6 +13,9 @@
 	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
+
+	"hornbeamwinch.example/platform"
+	"hornbeamwinch.example/platform/platformtest"
 )
 
 // host is an entry host, a process of its own that is started again and again.
@@ -22,7 +25,7 @@
 	dir    string
 	// settings is the path of its settings file.
 	settings string
-	front    string
+	callers  string
 	ready    string
 	path     *link
 
@@ -33,22 +36,8 @@
 	starts int
 }
 
-// settingsText is the platform's settings file.
-const settingsText = `node_name: "host-%d"
-ip: "%s"
-zone: "zone-%d"
-listen_addrs:
-  front: "%s"
-  ready: "%s"
-internal_port_range: [%d, %d]
-limits: {memory_mb: 200, link_mbps: 1000}
-heartbeat_s: 0.87
-bounds: ["grace_s=6", "max_hold_s=10", "retry_budget_ratio=0.2", "budget_window_s=10", "budget_extra=64"]
-provider: {address: "%s", min_ttl_s: 1}
-`
-
-// zones is the number of failure domains.
-const zones = 2
+// domains is the number of failure domains.
+const domains = 2
 
 // Ports that hosts listen on are below those that the kernel gives to outgoing
 // connections.
@@ -76,11 +65,14 @@
 	}
 	h := &host{
 		n: n, daemon: cfg.Daemon, dir: cfg.Dir, path: path,
-		front: fmt.Sprintf("%s:%d", ownIP(), ports[0]), ready: fmt.Sprintf("%s:%d", ownIP(), ports[1]),
+		callers: fmt.Sprintf("%s:%d", ownIP(), ports[0]), ready: fmt.Sprintf("%s:%d", ownIP(), ports[1]),
 		settings: filepath.Join(cfg.Dir, fmt.Sprintf("seed-%d-host-%d.yaml", cfg.Seed, n)),
 	}
-	text := fmt.Sprintf(settingsText, n, ownIP(), n%zones, h.front, h.ready, ports[2], ports[3], path.address())
-	return h, os.WriteFile(h.settings, []byte(text), 0o600)
+	settings := platformtest.HostSettings{
+		Name: fmt.Sprintf("host-%d", n), IP: ownIP(), Domain: fmt.Sprintf("domain-%d", n%domains),
+		Callers: h.callers, Ready: h.ready, Ports: [2]int{ports[2], ports[3]}, Store: path.address(),
+	}
+	return h, os.WriteFile(h.settings, settings.Encode(), 0o600)
 }
 
 var nextPort = portBase
@@ -172,7 +164,7 @@
 // isReady reports whether the balancer would send callers here.
 func (h *host) isReady() bool {
 	c := http.Client{Timeout: time.Second}
-	w, err := c.Get("http://" + h.ready + "/-/readyz")
+	w, err := c.Get("http://" + h.ready + platform.Dialect{}.ReadyPath())
 	if err != nil {
 		return false
 	}
--- a/cmd/soak/server.go
+++ b/cmd/soak/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"sync"
 	"time"
 
@@ -11,7 +10,7 @@
 
 // server is a backend server behind a proxy.
 type server struct {
-	worker  *platformtest.Worker
+	process *platformtest.Worker
 	id      string
 	service string
 	path    *link
@@ -29,12 +28,6 @@
 	n   int
 }
 
-// Services of the configuration.
-const (
-	keyed   = "gauges"
-	unkeyed = "billing"
-)
-
 // start starts a server; an empty id draws a new one.
 func (s *servers) start(service, id string) error {
 	s.mu.Lock()
@@ -46,8 +39,8 @@
 	var path *link
 	var linkErr error
 	w, err := platformtest.StartWorker(platformtest.WorkerConfig{
-		Store: s.store, ID: id, Service: service, Zone: fmt.Sprintf("zone-%d", s.n%zones), Slots: 4,
-		Sharded: service == keyed, Work: 15 * time.Millisecond,
+		Store: s.store, ID: id, Service: service, Zone: fmt.Sprintf("domain-%d", s.n%domains), Slots: 4,
+		Sharded: service == platformtest.Keyed, Work: 15 * time.Millisecond,
 		Via: func(address string) string {
 			if path, linkErr = newLink(id, address); linkErr != nil {
 				return address
@@ -61,7 +54,7 @@
 	if linkErr != nil {
 		return linkErr
 	}
-	s.all = append(s.all, &server{worker: w, id: id, service: service, path: path, up: true})
+	s.all = append(s.all, &server{process: w, id: id, service: service, path: path, up: true})
 	return nil
 }
 
@@ -83,13 +76,13 @@
 	s.mu.Lock()
 	v.up = false
 	s.mu.Unlock()
-	v.worker.Kill()
+	v.process.Kill()
 	v.path.close()
 }
 
 // drain lets a server announce that it leaves.
 func (s *servers) drain(v *server) {
-	v.worker.Drain()
+	v.process.Drain()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v.leftAt = time.Now()
@@ -110,7 +103,7 @@
 func (s *servers) holders(key int) []string {
 	var ids []string
 	for _, v := range s.list() {
-		if v.up && v.service == keyed && v.worker.Holds(key) {
+		if v.up && v.service == platformtest.Keyed && v.process.Holds(key) {
 			ids = append(ids, v.id)
 		}
 	}
@@ -120,21 +113,7 @@
 // close ends all servers.
 func (s *servers) close() {
 	for _, v := range s.list() {
-		v.worker.Kill()
+		v.process.Kill()
 		v.path.close()
 	}
 }
-
-// configText returns version n of the configuration. Each version has a route
-// of its own that replaces the one of the version before.
-func configText(n int) []byte {
-	text := `{"version":"rN","limits":{"max_header_bytes":8192,"max_body_bytes":1048576,"header_timeout_s":2.5,"idle_timeout_s":12},
-"listeners":[{"host":"soak.example","rules":[
- {"name":"pay","type":"unsafe","target_latency_s":0.6,"priority":1,"match":{"prefix":"/pay/"},"action":{"service":"billing","timeout_s":1.5,"max_attempts":2}},
- {"name":"read","type":"safe","target_latency_s":0.4,"priority":2,"match":{"prefix":"/read/"},"action":{"service":"gauges","timeout_s":1.25,"max_attempts":3}},
- {"name":"vN","type":"safe","target_latency_s":0.4,"priority":2,"match":{"prefix":"/vN/"},"action":{"service":"billing","timeout_s":1.25,"max_attempts":3}}]}],
-"clusters":[
- {"name":"gauges","health_check_path":"/healthz","max_connections":90,"protocol":"h1","sharded":true,"warmup_s":1,"grants":"call"},
- {"name":"billing","health_check_path":"/healthz","max_connections":90,"protocol":"h1"}]}`
-	return []byte(strings.NewReplacer("rN", fmt.Sprintf("r%d", n), "vN", fmt.Sprintf("v%d", n)).Replace(text))
-}
--- a/cmd/soak/world.go
+++ b/cmd/soak/world.go
@@ -74,11 +74,11 @@
 	w.web = httptest.NewServer(w.store)
 	w.servers = &servers{store: w.store}
 	w.op = &operator{world: w, caller: newCaller(w, -1), version: 1}
-	w.store.Put("op/config", configText(1))
+	w.store.Put("op/config", platformtest.Configuration(1))
 	for i := range keyedServers + unkeyedServers {
-		service := keyed
+		service := platformtest.Keyed
 		if i >= keyedServers {
-			service = unkeyed
+			service = platformtest.Unkeyed
 		}
 		if err := w.servers.start(service, ""); err != nil {
 			return nil, errors.Join(err, w.closed())
@@ -244,7 +244,7 @@
 	case storeLosesAnswers:
 		n := 0
 		w.storeFault(s.lasts, func(op string) platformtest.Fault {
-			if n++; op == "kv-txn" && n%2 == 0 {
+			if n++; op == platformtest.OpCommit && n%2 == 0 {
 				return platformtest.FaultAnswerLost
 			}
 			return platformtest.FaultNone
@@ -261,7 +261,7 @@
 	case serverKilled:
 		w.servers.kill(v)
 		time.Sleep(expiry)
-		v.worker.Forget()
+		v.process.Forget()
 		w.startServer(v.service, "")
 	case serverReborn:
 		w.servers.kill(v)
@@ -271,13 +271,13 @@
 		w.servers.drain(v)
 		time.Sleep(2*drainBound + s.lasts)
 		w.servers.kill(v)
-		v.worker.Forget()
+		v.process.Forget()
 	case serverPath:
 		w.harm(v.path, f.harm, s.lasts)
 	case serverMute:
-		v.worker.LoseAnswers(true)
+		v.process.LoseAnswers(true)
 		time.Sleep(s.lasts)
-		v.worker.LoseAnswers(false)
+		v.process.LoseAnswers(false)
 	}
 }
 
@@ -347,9 +347,9 @@
 func (w *world) checkRuns() {
 	runs := make(map[string]int)
 	for _, v := range w.servers.list() {
-		for _, r := range v.worker.Runs() {
+		for _, r := range v.process.Runs() {
 			runs[r.ID]++
-			if v.service == unkeyed && w.judge.wasRefused(r.ID) && r.Unsafe {
+			if v.service == platformtest.Unkeyed && w.judge.wasRefused(r.ID) && r.Unsafe {
 				w.judge.violation("%s was refused as not run, and ran on %s", r.ID, v.id)
 			}
 			if r.Unsafe && runs[r.ID] > 1 {
