--- /dev/null
+++ b/jetty/callers_server_test.go
@@ -0,0 +1,147 @@
+package jetty
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// countingListener counts the bytes that are read from its connections.
+type countingListener struct {
+	net.Listener
+	read *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{Conn: nc, read: l.read}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// callerServer is an HTTP server on loopback whose connections are tracked.
+type callerServer struct {
+	callers *callerConns
+	address string
+	// onIdle is called after a connection was marked as idle.
+	onIdle func()
+	// arrived receives the path of each request, and release lets one request
+	// be answered.
+	arrived chan string
+	release chan struct{}
+	// read is the number of bytes that the server has read.
+	read atomic.Int64
+}
+
+func startCallerServer() *callerServer {
+	GinkgoHelper()
+	s := &callerServer{
+		callers: newCallerConns(), onIdle: func() {},
+		arrived: make(chan string, 10), release: make(chan struct{}, 10),
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s.address = l.Addr().String()
+	server := &http.Server{Handler: s, ConnState: s.onStateChange, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		_ = server.Serve(&callerListener{Listener: countingListener{Listener: l, read: &s.read}, callers: s.callers})
+	}()
+	DeferCleanup(server.Close)
+	return s
+}
+
+func (s *callerServer) onStateChange(nc net.Conn, state http.ConnState) {
+	s.callers.onStateChange(nc, state)
+	if state == http.StateIdle {
+		s.onIdle()
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.arrived <- r.URL.Path
+	select {
+	case <-s.release:
+		_, _ = io.WriteString(w, r.URL.Path)
+	case <-r.Context().Done():
+	}
+}
+
+// sweep closes the unused connections as a stop does.
+func (s *callerServer) sweep() int {
+	return s.callers.closeIdle(0, 0)
+}
+
+// send sends one request for each path in a single write.
+func send(nc net.Conn, paths ...string) {
+	GinkgoHelper()
+	var text string
+	for _, path := range paths {
+		text += fmt.Sprintf("GET %s HTTP/1.1\r\nHost: test\r\n\r\n", path)
+	}
+	_, err := io.WriteString(nc, text)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func expectAnswer(reader *bufio.Reader, path string) {
+	GinkgoHelper()
+	resp, err := http.ReadResponse(reader, nil)
+	Expect(err).NotTo(HaveOccurred(), "answer to %s", path)
+	body, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(body)).To(Equal(path))
+}
+
+var _ = Describe("A sweep for unused connections", func() {
+	var s *callerServer
+	var nc net.Conn
+	var reader *bufio.Reader
+	BeforeEach(func() {
+		s = startCallerServer()
+		var err error
+		nc, err = net.Dial("tcp", s.address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(nc.Close)
+		reader = bufio.NewReader(nc)
+	})
+
+	It("closes a connection whose only request has been answered", func() {
+		send(nc, "/first")
+		s.release <- struct{}{}
+		expectAnswer(reader, "/first")
+		Eventually(s.sweep).Should(BeZero())
+		_, err := reader.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	})
+
+	It("spares a connection whose request was read together with the one before", func() {
+		send(nc, "/first", "/second")
+		s.release <- struct{}{}
+		expectAnswer(reader, "/first")
+		Eventually(s.arrived).Should(Receive(Equal("/first")))
+		Eventually(s.arrived).Should(Receive(Equal("/second")))
+		Expect(s.sweep()).To(Equal(1))
+		s.release <- struct{}{}
+		expectAnswer(reader, "/second")
+	})
+})
