--- a/jetty/callers_server_test.go
+++ b/jetty/callers_server_test.go
@@ -144,4 +144,23 @@
 		s.release <- struct{}{}
 		expectAnswer(reader, "/second")
 	})
+
+	It("spares a connection whose next request has begun to arrive", func() {
+		swept := make(chan int, 1)
+		s.onIdle = func() {
+			s.onIdle = func() {}
+			swept <- s.sweep()
+		}
+		send(nc, "/first")
+		Eventually(s.arrived).Should(Receive(Equal("/first")))
+		before := s.read.Load()
+		send(nc, "/second")
+		// net/http reads the first byte while the handler runs.
+		Eventually(s.read.Load).Should(BeNumerically(">", before))
+		s.release <- struct{}{}
+		expectAnswer(reader, "/first")
+		Expect(<-swept).To(Equal(1))
+		s.release <- struct{}{}
+		expectAnswer(reader, "/second")
+	})
 })
