--- a/cmd/hornbeamwinchd/signal_test.go
+++ b/cmd/hornbeamwinchd/signal_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/onsi/gomega/gexec"
 
 	"hornbeamwinch.example/platform/platformtest"
@@ -68,6 +69,19 @@
 	}).WithTimeout(10 * time.Second).WithPolling(time.Microsecond).Should(Succeed())
 }
 
+func (d *daemon) waitStarted() {
+	GinkgoHelper()
+	Eventually(d.Out).WithTimeout(10 * time.Second).Should(gbytes.Say("host_started"))
+}
+
+// expectEnded checks that the daemon ends by itself, not by a signal.
+func (d *daemon) expectEnded() {
+	GinkgoHelper()
+	Eventually(d).WithTimeout(10 * time.Second).Should(gexec.Exit())
+	Expect(d.ExitCode()).To(BeZero(), "128 + the signal that ended it; its output:\n%s", d.Out.Contents())
+	Expect(d.Out).To(gbytes.Say("host_stopped"))
+}
+
 var _ = Describe("A signal to the daemon", Ordered, ContinueOnFailure, func() {
 	// daemons is how many daemons a test starts, to hit a short moment.
 	const daemons = 8
@@ -90,4 +104,22 @@
 			Consistently(d.ExitCode).WithTimeout(300*time.Millisecond).ShouldNot(Equal(128+int(syscall.SIGHUP)), "ended by SIGHUP")
 		}
 	})
+
+	It("does not end it if it is a SIGHUP at any moment of a stop", func() {
+		for range daemons {
+			d := startDaemon(binary, store)
+			d.waitStarted()
+			time.Sleep(100 * time.Millisecond)
+			d.Terminate()
+			for ended := false; !ended; {
+				d.Signal(syscall.SIGHUP)
+				select {
+				case <-d.Exited:
+					ended = true
+				case <-time.After(100 * time.Microsecond):
+				}
+			}
+			d.expectEnded()
+		}
+	})
 })
