--- a/cmd/hornbeamwinchd/signal_test.go
+++ b/cmd/hornbeamwinchd/signal_test.go
@@ -122,4 +122,16 @@
 			d.expectEnded()
 		}
 	})
+
+	It("does not cut a stop short if it is a second SIGTERM", func() {
+		d := startDaemon(binary, store)
+		d.waitStarted()
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		d.Terminate()
+		time.Sleep(100 * time.Millisecond)
+		d.Terminate()
+		d.expectEnded()
+		Expect(time.Since(began)).To(BeNumerically(">", 400*time.Millisecond))
+	})
 })
