--- a/cmd/hornbeamwinchd/signal_test.go
+++ b/cmd/hornbeamwinchd/signal_test.go
@@ -134,4 +134,13 @@
 		d.expectEnded()
 		Expect(time.Since(began)).To(BeNumerically(">", 400*time.Millisecond))
 	})
+
+	It("stops it in order if it is a SIGTERM right after it has begun to listen", func() {
+		for range daemons {
+			d := startDaemon(binary, store)
+			d.waitListening()
+			d.Terminate()
+			d.expectEnded()
+		}
+	})
 })
