Log what a shutdown leaves unfinished

Change: host_stopped has took, connections_cut and reads_discarded. No decision changed. go test ./jetty: ok.

--- a/jetty/callers.go
+++ b/jetty/callers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,9 @@
 type callerConns struct {
 	mu    sync.Mutex
 	conns map[*callerConn]bool
+	// discarded counts the reads whose data was dropped, since the connection
+	// had been closed as idle.
+	discarded atomic.Int64
 }
 
 func newCallerConns() *callerConns {
@@ -36,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: nc, idle: true, unused: true, idleSince: time.Now()}
+	c := &callerConn{Conn: nc, discarded: &l.callers.discarded, idle: true, unused: true, idleSince: time.Now()}
 	l.callers.mu.Lock()
 	l.callers.conns[c] = true
 	l.callers.mu.Unlock()
@@ -85,6 +89,7 @@
 // request has begun to arrive, and it stays open.
 type callerConn struct {
 	net.Conn
+	discarded *atomic.Int64
 
 	mu sync.Mutex
 	// idle means that no request is being read or answered, and unused that
@@ -104,6 +109,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
+		c.discarded.Add(1)
 		return 0, io.EOF
 	}
 	c.idle, c.unused = false, false
--- a/jetty/callers_test.go
+++ b/jetty/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -35,7 +36,7 @@
 	}
 	BeforeEach(func() {
 		hooked = &hookedConn{onRead: func() {}}
-		c = &callerConn{Conn: hooked, idle: true, idleSince: time.Now().Add(-2 * limit)}
+		c = &callerConn{Conn: hooked, discarded: &atomic.Int64{}, idle: true, idleSince: time.Now().Add(-2 * limit)}
 	})
 
 	It("is closed when it has been unused for too long", func() {
@@ -62,6 +63,7 @@
 		n, err := c.Read(make([]byte, 64))
 		Expect(n).To(BeZero())
 		Expect(err).To(HaveOccurred())
+		Expect(c.discarded.Load()).To(Equal(int64(1)))
 		expectClosed(true)
 	})
 })
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -340,6 +340,7 @@
 }
 
 func (h *Host) stop(ctx context.Context) {
+	began := time.Now()
 	h.logs.stopping()
 	h.shuttingDown.Store(true)
 	h.ingress.closeConns.Store(true)
@@ -349,12 +350,14 @@
 	if err := h.ingressListener.Close(); err != nil {
 		h.logs.operationFailed("close listener for callers", err)
 	}
-	for h.callers.closeIdle(0, firstRequestGrace) > 0 && time.Now().Before(deadline) {
+	left := h.callers.closeIdle(0, firstRequestGrace)
+	for left > 0 && time.Now().Before(deadline) {
 		pause(ctx, drainPollInterval)
+		left = h.callers.closeIdle(0, firstRequestGrace)
 	}
 	h.cancel()
 	h.closeServers()
 	h.loops.Wait()
-	h.logs.stopped()
+	h.logs.stopped(stopSummary{took: time.Since(began), connectionsCut: left, readsDiscarded: h.callers.discarded.Load()})
 	h.logs.close()
 }
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -140,7 +140,24 @@
 
 func (l *logs) stopping() { l.logger.Info().Msg(string(eventHostStopping)) }
 
-func (l *logs) stopped() { l.logger.Info().Msg(string(eventHostStopped)) }
+// stopSummary says what a shutdown did not complete.
+type stopSummary struct {
+	took time.Duration
+	// connectionsCut counts the callers' connections that were closed while a
+	// request was being read or answered.
+	connectionsCut int
+	// readsDiscarded counts the reads from connections that had been closed as
+	// idle, since the host started.
+	readsDiscarded int64
+}
+
+func (l *logs) stopped(s stopSummary) {
+	l.logger.Info().
+		Dur("took", s.took).
+		Int("connections_cut", s.connectionsCut).
+		Int64("reads_discarded", s.readsDiscarded).
+		Msg(string(eventHostStopped))
+}
 
 func (l *logs) settingsReloaded(err error) {
 	l.logger.Info().Err(err).Msg(string(eventSettingsReloaded))
--- a/jetty/logs_test.go
+++ b/jetty/logs_test.go
@@ -45,7 +45,7 @@
 		l := newLogs(&b, &Settings{Host: "h"})
 		l.stopping()
 		l.close()
-		l.stopped()
+		l.stopped(stopSummary{})
 		Expect(b.String()).To(ContainSubstring("host_stopping"))
 	})
 
