Refuse requests that a stopping host cannot finish

Cause: Host.stop served whatever it had read until 0.6 s before SIGKILL and then closed all connections. A request that still waited in the admission queue, or one read so late that its server was at work then, was cut.

Change: when the host stops to take connections, the drain begins. From then on a request is forwarded, or sent again, only if its own deadline is before the end of the drain; any other one, waiting ones included, is refused at once with 503 (host_stopping). It has not run, and another host can serve it. If an earlier send may have run, it gets 502. Before the drain nothing changes: the load balancer may still send requests, and nearly all of them end in time.

--- a/jetty/events.go
+++ b/jetty/events.go
@@ -99,6 +99,7 @@
 	reasonRetryBudget     reason = "retry_budget"
 	reasonDeadline        reason = "deadline"
 	reasonServerFailed    reason = "server_failed"
+	reasonHostStopping    reason = "host_stopping"
 	reasonUnsigned        reason = "unsigned_answer"
 	// reasonStatus is a prefix, followed by the HTTP status of the server's
 	// response.
@@ -107,7 +108,7 @@
 
 var reasons = []reason{
 	reasonNoConfiguration, reasonNoRoute, reasonNoKey, reasonHeaderTooLarge, reasonBodyTooLarge, reasonServerRejected,
-	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonUnsigned, reasonStatus,
+	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonHostStopping, reasonUnsigned, reasonStatus,
 	reason(sluice.ReasonOverload), reason(sluice.ReasonTooLate), reason(sluice.ReasonNoServer),
 	reason(sluice.ReasonSuspected), reason(sluice.ReasonNoOwner),
 }
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -99,6 +99,7 @@
 	admissions   *admissionSet
 	upstream     *upstream
 	clusterState *clusterState
+	drain        *drain
 	logs         *logs
 	metrics      *metrics
 }
@@ -117,9 +118,9 @@
 		Deadline:      instantOf(r.deadline),
 		ResponseBytes: adm.recordArrival(r.route.Name, r.key),
 	}
-	for {
+	for !f.drain.excludes(r.deadline) {
 		start := time.Now()
-		decision := adm.acquire(ctx, req)
+		decision := f.acquire(ctx, r, adm, req)
 		f.metrics.requestQueued(r.service.Name, time.Since(start))
 		if r.key != nil {
 			r.token, r.tableRevision = adm.owners.tokenOf(*r.key)
@@ -133,9 +134,29 @@
 				return res
 			}
 		default:
-			return f.interrupted(ctx, r)
+			if ctx.Err() != nil {
+				return f.interrupted(ctx, r)
+			}
 		}
 	}
+	return f.stopped(r)
+}
+
+// acquire waits for admission. It returns nil if ctx is done before that, or if a
+// drain begins that excludes r.
+func (f *forwarder) acquire(ctx context.Context, r *request, adm *admission, req *sluice.Request) sluice.Decision {
+	ctx, unbind := f.drain.bindQueued(ctx, r.deadline)
+	defer unbind()
+	return adm.acquire(ctx, req)
+}
+
+// stopped returns the result of a request that is not sent, or not sent again,
+// since the host is stopping.
+func (f *forwarder) stopped(r *request) result {
+	if r.mayHaveRun {
+		return gatewayError{status: http.StatusBadGateway, reason: reasonHostStopping}
+	}
+	return refusal{reason: reasonHostStopping, retryAfter: stoppingRetryAfter}
 }
 
 // refuse returns the result of a request that was not admitted. If a server may
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -76,6 +76,7 @@
 	loadCollector *loadCollector
 	ingress       *ingress
 	callers       *callerConns
+	drain         *drain
 
 	httpServers     []*http.Server
 	ingressListener net.Listener
@@ -97,6 +98,7 @@
 		upstream:      newUpstream(requestConnections),
 		orderUpstream: newUpstream(orderConnections),
 		loadCollector: newLoadCollector(),
+		drain:         newDrain(),
 	}
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		Host:              s.Host,
@@ -137,7 +139,7 @@
 		metrics:      h.metrics,
 		forwarder: &forwarder{
 			headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, clusterState: h.clusterState,
-			logs: h.logs, metrics: h.metrics,
+			drain: h.drain, logs: h.logs, metrics: h.metrics,
 		},
 	}
 	return h, nil
@@ -350,14 +352,22 @@
 	if err := h.ingressListener.Close(); err != nil {
 		h.logs.operationFailed("close listener for callers", err)
 	}
-	left := h.callers.closeIdle(0, firstRequestGrace)
-	for left > 0 && time.Now().Before(deadline) {
-		pause(ctx, drainPollInterval)
-		left = h.callers.closeIdle(0, firstRequestGrace)
-	}
+	h.drain.begin(deadline)
+	left := h.awaitCallers(ctx, deadline)
 	h.cancel()
 	h.closeServers()
 	h.loops.Wait()
 	h.logs.stopped(stopSummary{took: time.Since(began), connectionsCut: left, readsDiscarded: h.callers.discarded.Load()})
 	h.logs.close()
 }
+
+// awaitCallers closes the connections of callers as they become idle. It returns
+// the number of those left once there are none or deadline has passed.
+func (h *Host) awaitCallers(ctx context.Context, deadline time.Time) int {
+	left := h.callers.closeIdle(0, firstRequestGrace)
+	for left > 0 && time.Now().Before(deadline) {
+		pause(ctx, drainPollInterval)
+		left = h.callers.closeIdle(0, firstRequestGrace)
+	}
+	return left
+}
