Answer the requests that are in progress when a stop ends

Cause: the end of the shutdown was http.Server.Close. The handlers took the closed connection for a caller that had left, logged caller_left, and wrote nothing.

Evidence, on: "gets an answer although its server is at work when the host ends": connection of long ended without an answer after 2.42 s (unexpected EOF). On the log of the unchanged host such a request has the outcome caller_left.

Change: at the end of the drain the contexts of the requests in progress are canceled with a cause of their own. The connection to the server is reset, so that nothing arrives there later; a request that may have run gets 502, any other 503, both with the reason host_stopping. Connections are closed 0.3 s later.

Why 502: the server may have run the request, so 503 would not be true.

--- a/jetty/drain.go
+++ b/jetty/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
@@ -10,13 +11,18 @@
 // forward. Another host can serve them at once.
 const stoppingRetryAfter = 10 * time.Millisecond
 
+var errHostStopping = errors.New("the host is stopping")
+
 // drain is the part of a host's shutdown in which requests in progress complete
 // and no new ones are accepted. While it lasts, a request is forwarded only if its
 // own deadline is before the end of the drain.
 type drain struct {
-	// started is done once the drain has begun.
+	// started is done once the drain has begun, and ended once the requests
+	// still in progress are to be answered at once.
 	started context.Context
+	ended   context.Context
 	start   context.CancelFunc
+	end     context.CancelFunc
 
 	mu       sync.Mutex
 	deadline time.Time
@@ -25,6 +31,7 @@
 func newDrain() *drain {
 	d := &drain{}
 	d.started, d.start = context.WithCancel(context.Background())
+	d.ended, d.end = context.WithCancel(context.Background())
 	return d
 }
 
@@ -44,17 +51,29 @@
 	return !d.deadline.IsZero() && deadline.After(d.deadline)
 }
 
+// bind returns a context that is also canceled, with the cause errHostStopping,
+// when the drain ends.
+func (d *drain) bind(ctx context.Context) (context.Context, context.CancelFunc) {
+	return bindTo(ctx, d.ended, func() bool { return true })
+}
+
 // bindQueued returns a context for the wait for admission of a request. It is also
 // canceled when the drain begins, if the request is excluded.
 func (d *drain) bindQueued(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(d.started, func() {
-		if d.excludes(deadline) {
-			cancel()
+	return bindTo(ctx, d.started, func() bool { return d.excludes(deadline) })
+}
+
+// bindTo returns a context that is canceled together with ctx, and once trigger is
+// done if applies returns true then.
+func bindTo(ctx, trigger context.Context, applies func() bool) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(trigger, func() {
+		if applies() {
+			cancel(errHostStopping)
 		}
 	})
 	return ctx, func() {
 		stop()
-		cancel()
+		cancel(nil)
 	}
 }
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -109,6 +109,8 @@
 func (f *forwarder) forward(ctx context.Context, r *request) result {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	ctx, unbind := f.drain.bind(ctx)
+	defer unbind()
 	adm := f.admissions.get(r.service, f.clusterState.catalog())
 	req := &sluice.Request{
 		Priority:      r.route.Priority,
@@ -170,11 +172,14 @@
 	return refusal{reason: reason(decision.Reason), retryAfter: decision.RetryAfter}
 }
 
-// interrupted returns the result of a request whose deadline passed, or whose
-// caller left, before a response came.
+// interrupted returns the result of a request whose deadline passed, whose caller
+// left, or which a drain ended before a response came.
 func (f *forwarder) interrupted(ctx context.Context, r *request) result {
+	cause := context.Cause(ctx)
 	switch {
-	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(cause, errHostStopping):
+		return f.stopped(r)
+	case !errors.Is(cause, context.DeadlineExceeded):
 		return callerLeft{}
 	case r.mayHaveRun:
 		return gatewayError{status: http.StatusGatewayTimeout, reason: reasonDeadline}
@@ -306,8 +311,9 @@
 func (f *forwarder) handleFailure(ctx context.Context, r *request, adm *admission, s fairway.Endpoint, elapsed time.Duration, err error) (result, bool) {
 	kind := kindOf(err)
 	if kind == KindCanceled || errors.Is(ctx.Err(), context.Canceled) {
+		r.mayHaveRun = r.mayHaveRun || kind != KindNotSent
 		adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, elapsed, 0)
-		return callerLeft{}, false
+		return f.interrupted(ctx, r), false
 	}
 	outcome := sluice.OutcomeInvalidResponse
 	switch kind {
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -30,6 +30,9 @@
 	balancerWait = 3 * time.Second
 	// exitMargin is the time reserved for the last steps before SIGKILL.
 	exitMargin = 600 * time.Millisecond
+	// lastAnswersTime is the part of exitMargin in which the requests that the
+	// shutdown interrupts are answered.
+	lastAnswersTime = 300 * time.Millisecond
 	// drainPollInterval is the time between two checks during shutdown whether
 	// all callers have been served.
 	drainPollInterval = 20 * time.Millisecond
@@ -354,6 +357,10 @@
 	}
 	h.drain.begin(deadline)
 	left := h.awaitCallers(ctx, deadline)
+	if left > 0 {
+		h.drain.end()
+		left = h.awaitCallers(ctx, deadline.Add(lastAnswersTime))
+	}
 	h.cancel()
 	h.closeServers()
 	h.loops.Wait()
