Count the time of a stop from its signal

A placer that is stopped while the store does not answer could be killed with requests in progress.

Cause: the deadline of the shutdown was set after the call with which the placer gives up its lease, which may take 1 s. 6 s of grace then ended 0.4 s before the host did.

Change: the deadline, and the time for which new connections are taken, count from the signal. The call stays where it is: its time is spent while the host still serves.

--- a/jetty/host.go
+++ b/jetty/host.go
@@ -346,12 +346,13 @@
 
 func (h *Host) stop(ctx context.Context) {
 	began := time.Now()
+	limit := h.cfg.Settings.Bounds.Shutdown - exitMargin
+	deadline := began.Add(limit)
 	h.logs.stopping()
 	h.shuttingDown.Store(true)
 	h.ingress.closeConns.Store(true)
 	h.election.resign(ctx)
-	deadline := time.Now().Add(h.cfg.Settings.Bounds.Shutdown - exitMargin)
-	pause(ctx, min(balancerWait, time.Until(deadline)/2))
+	pause(ctx, time.Until(began.Add(min(balancerWait, limit/2))))
 	if err := h.ingressListener.Close(); err != nil {
 		h.logs.operationFailed("close listener for callers", err)
 	}
