Keep an attempt until another one has answered

Not only at a stop: a download or a lookup that a server was still working on ended with 502, long before its deadline.

Cause: a request that may be repeated waited for a part of its time, then the host broke it off and asked for another server. Only then did it learn that there was none: the queue was full (overload), the budget of retries was used up (retry_budget), or the second server failed (server_failed). The first server's work was lost for nothing. The class: what one has is given up before its replacement is secured.

Change: the response time-out no longer ends an attempt. The admission controller learns that it is overdue, as before, and a second attempt begins beside it if admission, budget and route allow; the first answer counts and the other attempt is canceled. If no second attempt can begin or it fails, the first one has until the request's deadline. Which requests may be sent twice, and how often, does not change.

Ruled out: asking for a slot and a retry before breaking off. The second server may still fail, and then both are lost.

--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -92,6 +92,13 @@
 	a.deliver(a.controller.Finish(monotonicNow(), instance, outcome, latency, objective))
 }
 
+// recordOverdue records that a dispatched request has waited for too long.
+func (a *admission) recordOverdue(instance sluice.ServerInstance, elapsed time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.RecordOverdue(monotonicNow(), instance, elapsed)
+}
+
 // recordRefusal counts a refusal for lack of room at one server as an overload
 // sample.
 func (a *admission) recordRefusal(decision sluice.Decision) {
--- a/jetty/connection_test.go
+++ b/jetty/connection_test.go
@@ -134,7 +134,7 @@
 		endpoint := fairway.Endpoint{ID: "s", Address: s.listener.Addr().String(), Incarnation: 1}
 		ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
 		defer cancel()
-		return f.roundTrip(ctx, r, endpoint, 0)
+		return f.roundTrip(ctx, r, endpoint)
 	}
 	expectBody := func(resp *backendResponse, err error, body string) {
 		GinkgoHelper()
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -19,7 +19,7 @@
 	// still be retried.
 	maxBufferedBytes = 1 << 20
 	// responseTimeoutFactor is how many mean latencies a repeatable request
-	// waits for a response before it is sent to another server.
+	// waits for a response before it is sent to another server as well.
 	responseTimeoutFactor = 4
 	// minResponseTimeoutFraction is the part of the remaining time that a
 	// repeatable request waits at least.
@@ -120,36 +120,11 @@
 		Deadline:      instantOf(r.deadline),
 		ResponseBytes: adm.recordArrival(r.route.Name, r.key),
 	}
-	for !f.drain.excludes(r.deadline) {
-		start := time.Now()
-		decision := f.acquire(ctx, r, adm, req)
-		f.metrics.requestQueued(r.service.Name, time.Since(start))
-		if r.key != nil {
-			r.token, r.tableRevision = adm.owners.tokenOf(*r.key)
-		}
-		switch decision := decision.(type) {
-		case sluice.Refuse:
-			return f.refuse(r, decision)
-		case sluice.Dispatch:
-			res, retry := f.sendOnce(ctx, r, adm, req, decision.Server)
-			if !retry {
-				return res
-			}
-		default:
-			if ctx.Err() != nil {
-				return f.interrupted(ctx, r)
-			}
-		}
+	e := &exchange{
+		forwarder: f, r: r, adm: adm, req: req, parallel: true,
+		ended: make(chan *attempt), over: make(chan struct{}),
 	}
-	return f.stopped(r)
-}
-
-// acquire waits for admission. It returns nil if ctx is done before that, or if a
-// drain begins that excludes r.
-func (f *forwarder) acquire(ctx context.Context, r *request, adm *admission, req *sluice.Request) sluice.Decision {
-	ctx, unbind := f.drain.bindQueued(ctx, r.deadline)
-	defer unbind()
-	return adm.acquire(ctx, req)
+	return e.run(ctx)
 }
 
 // stopped returns the result of a request that is not sent, or not sent again,
@@ -188,30 +163,6 @@
 	}
 }
 
-// sendOnce sends r to a server once. It reports true if the request should be
-// offered for admission again.
-func (f *forwarder) sendOnce(ctx context.Context, r *request, adm *admission, req *sluice.Request, s fairway.Endpoint) (result, bool) {
-	if ctx.Err() != nil {
-		adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0)
-		return f.interrupted(ctx, r), false
-	}
-	if r.sends > 0 && !adm.allowRetry() {
-		adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0)
-		return f.retriesExhausted(r, reasonRetryBudget), false
-	}
-	f.metrics.requestSent(r.service.Name, r.sends > 0)
-	r.sends++
-	req.Tried = append(req.Tried, s.ID)
-	start := time.Now()
-	resp, err := f.roundTrip(ctx, r, s, f.responseTimeout(r, adm, s))
-	elapsed := time.Since(start)
-	if err != nil {
-		return f.handleFailure(ctx, r, adm, s, elapsed, err)
-	}
-	f.recordOutcome(r, adm, s, resp, elapsed)
-	return f.handleResponse(ctx, r, resp, s)
-}
-
 // recordOutcome records at the admission controller what a response says about
 // its server.
 func (f *forwarder) recordOutcome(r *request, adm *admission, s fairway.Endpoint, resp *backendResponse, elapsed time.Duration) {
@@ -308,31 +259,18 @@
 
 // handleFailure decides how to proceed after an attempt without a response. It
 // reports true if the request should be offered for admission again.
-func (f *forwarder) handleFailure(ctx context.Context, r *request, adm *admission, s fairway.Endpoint, elapsed time.Duration, err error) (result, bool) {
-	kind := kindOf(err)
-	if kind == KindCanceled || errors.Is(ctx.Err(), context.Canceled) {
-		r.mayHaveRun = r.mayHaveRun || kind != KindNotSent
-		adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, elapsed, 0)
-		return f.interrupted(ctx, r), false
-	}
-	outcome := sluice.OutcomeInvalidResponse
-	switch kind {
-	case KindNotSent:
-		outcome = sluice.OutcomeUnreachable
-		if errors.Is(err, errConnectionLimit) {
-			outcome = sluice.OutcomeRejected
-		}
-	case KindReset:
-		outcome = sluice.OutcomeReset
-	case KindTimeout:
-		outcome = sluice.OutcomeTimeout
-	default:
-	}
+func (f *forwarder) handleFailure(ctx context.Context, r *request, adm *admission, a *attempt) (result, bool) {
+	kind := kindOf(a.err)
 	if kind != KindNotSent {
 		r.mayHaveRun = true
 	}
-	adm.finish(sluice.ServerInstanceOf(s), outcome, elapsed, r.route.Objective)
-	f.logs.sendFailed(r, s, "", err)
+	instance := sluice.ServerInstanceOf(a.server)
+	if kind == KindCanceled || errors.Is(ctx.Err(), context.Canceled) {
+		adm.finish(instance, sluice.OutcomeCanceled, a.took, 0)
+		return f.interrupted(ctx, r), false
+	}
+	adm.finish(instance, failureOutcome(a), a.took, r.route.Objective)
+	f.logs.sendFailed(r, a.server, "", a.err)
 	if (kind == KindNotSent || r.repeatable()) && f.mayRetry(ctx, r) {
 		return nil, true
 	}
@@ -342,9 +280,29 @@
 	return f.retriesExhausted(r, reasonServerFailed), false
 }
 
+// failureOutcome returns what an attempt without a response says about its server.
+func failureOutcome(a *attempt) sluice.Outcome {
+	switch kindOf(a.err) {
+	case KindNotSent:
+		if errors.Is(a.err, errConnectionLimit) {
+			return sluice.OutcomeRejected
+		}
+		return sluice.OutcomeUnreachable
+	case KindReset:
+		return sluice.OutcomeReset
+	case KindTimeout:
+		if a.overdue {
+			return sluice.OutcomeCanceled
+		}
+		return sluice.OutcomeTimeout
+	default:
+		return sluice.OutcomeInvalidResponse
+	}
+}
+
 // responseTimeout returns how long to wait for a response before another server
-// is tried, or zero to wait until the deadline.
-func (f *forwarder) responseTimeout(r *request, adm *admission, _ fairway.Endpoint) time.Duration {
+// is tried as well, or zero to wait until the deadline.
+func (f *forwarder) responseTimeout(r *request, adm *admission) time.Duration {
 	if !r.repeatable() || r.key != nil || r.sends >= r.route.MaxAttempts {
 		return 0
 	}
@@ -353,12 +311,7 @@
 }
 
 // roundTrip sends r to s and reads the response.
-func (f *forwarder) roundTrip(ctx context.Context, r *request, s fairway.Endpoint, timeout time.Duration) (*backendResponse, error) {
-	if timeout > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, timeout)
-		defer cancel()
-	}
+func (f *forwarder) roundTrip(ctx context.Context, r *request, s fairway.Endpoint) (*backendResponse, error) {
 	idleFraction := 1.0
 	if !r.repeatable() {
 		idleFraction = nonRepeatableIdleFraction
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -277,11 +277,7 @@
 	case OutcomeUnreachable:
 		w.recordFailure(now)
 	case OutcomeTimeout:
-		if now.Sub(w.measuredAt) > elapsed {
-			w.recordFailure(now)
-		} else {
-			w.shrink(now, lateShrink)
-		}
+		w.recordTimeout(now, elapsed)
 	case OutcomeInvalidResponse:
 		w.updateErrorRatio(now, 1)
 	case OutcomeMisdirected, OutcomeCanceled:
@@ -290,6 +286,15 @@
 	return c.dispatchWaiting(now)
 }
 
+// RecordOverdue records that a dispatched request has no response yet although it
+// was sent elapsed ago. The request stays in flight.
+func (c *Controller) RecordOverdue(now mooring.Instant, instance ServerInstance, elapsed time.Duration) {
+	server := c.servers[instance.Server]
+	if server != nil && server.endpoint.Incarnation == instance.Incarnation {
+		server.window.recordTimeout(now, elapsed)
+	}
+}
+
 // Reevaluate decides again on the waiting requests. It must be called from time
 // to time, and after a change of servers or owners.
 func (c *Controller) Reevaluate(now mooring.Instant) []Resolution {
