--- a/jetty/connection_test.go
+++ b/jetty/connection_test.go
@@ -122,7 +122,7 @@
 	var n int
 	BeforeEach(func() {
 		u, n = newUpstream(requestConnections), 0
-		f = &forwarder{headers: fakeProtocol{}.Headers(), upstream: u, logs: quietLogs(), metrics: newMetrics()}
+		f = &forwarder{headers: fakeProtocol{}.Headers(), upstream: u, drain: newDrain(), logs: quietLogs(), metrics: newMetrics()}
 	})
 	exchange := func(s *scriptedServer) (*backendResponse, error) {
 		n++
@@ -134,7 +134,7 @@
 		endpoint := fairway.Endpoint{ID: "s", Address: s.listener.Addr().String(), Incarnation: 1}
 		ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
 		defer cancel()
-		return f.roundTrip(ctx, r, endpoint, 0)
+		return f.roundTrip(ctx, r, endpoint)
 	}
 	expectBody := func(resp *backendResponse, err error, body string) {
 		GinkgoHelper()
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -30,6 +30,9 @@
 	balancerWait = 3 * time.Second
 	// exitMargin is the time reserved for the last steps before SIGKILL.
 	exitMargin = 600 * time.Millisecond
+	// lastAnswersTime is the part of exitMargin in which the requests that the
+	// shutdown interrupts are answered.
+	lastAnswersTime = 300 * time.Millisecond
 	// drainPollInterval is the time between two checks during shutdown whether
 	// all callers have been served.
 	drainPollInterval = 20 * time.Millisecond
@@ -76,6 +79,7 @@
 	loadCollector *loadCollector
 	ingress       *ingress
 	callers       *callerConns
+	drain         *drain
 
 	httpServers     []*http.Server
 	ingressListener net.Listener
@@ -97,6 +101,7 @@
 		upstream:      newUpstream(requestConnections),
 		orderUpstream: newUpstream(orderConnections),
 		loadCollector: newLoadCollector(),
+		drain:         newDrain(),
 	}
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		Host:              s.Host,
@@ -137,7 +142,7 @@
 		metrics:      h.metrics,
 		forwarder: &forwarder{
 			headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, clusterState: h.clusterState,
-			logs: h.logs, metrics: h.metrics,
+			drain: h.drain, logs: h.logs, metrics: h.metrics,
 		},
 	}
 	return h, nil
@@ -341,19 +346,21 @@
 
 func (h *Host) stop(ctx context.Context) {
 	began := time.Now()
+	limit := h.cfg.Settings.Bounds.Shutdown - exitMargin
+	deadline := began.Add(limit)
 	h.logs.stopping()
 	h.shuttingDown.Store(true)
 	h.ingress.closeConns.Store(true)
 	h.election.resign(ctx)
-	deadline := time.Now().Add(h.cfg.Settings.Bounds.Shutdown - exitMargin)
-	pause(ctx, min(balancerWait, time.Until(deadline)/2))
+	pause(ctx, time.Until(began.Add(min(balancerWait, limit/2))))
 	if err := h.ingressListener.Close(); err != nil {
 		h.logs.operationFailed("close listener for callers", err)
 	}
-	left := h.callers.closeIdle(0, firstRequestGrace)
-	for left > 0 && time.Now().Before(deadline) {
-		pause(ctx, drainPollInterval)
-		left = h.callers.closeIdle(0, firstRequestGrace)
+	h.drain.begin(deadline)
+	left := h.awaitCallers(ctx, deadline)
+	if left > 0 {
+		h.drain.end()
+		left = h.awaitCallers(ctx, deadline.Add(lastAnswersTime))
 	}
 	h.cancel()
 	h.closeServers()
@@ -361,3 +368,14 @@
 	h.logs.stopped(stopSummary{took: time.Since(began), connectionsCut: left, readsDiscarded: h.callers.discarded.Load()})
 	h.logs.close()
 }
+
+// awaitCallers closes the connections of callers as they become idle. It returns
+// the number of those left once there are none or deadline has passed.
+func (h *Host) awaitCallers(ctx context.Context, deadline time.Time) int {
+	left := h.callers.closeIdle(0, firstRequestGrace)
+	for left > 0 && time.Now().Before(deadline) {
+		pause(ctx, drainPollInterval)
+		left = h.callers.closeIdle(0, firstRequestGrace)
+	}
+	return left
+}
