Do not close a caller's connection once its next request has begun

Cause: a caller's connection counted as unused from the moment that net/http reported it idle until the next read that returned data. Between the two there may be a request. If two requests arrive in one read, the second is served out of net/http's buffer without a read, so the connection counted as unused while a server was at work on it. And while a handler runs, net/http reads ahead by one byte: the mark "a request has begun" was set by that byte and taken away again at the end of the answer.

What callers see: the connection ends without an answer, in the first case for a request that was passed on, in the second for one whose start was read. It needs a caller that sends a request before it has the answer to the one before.

Why this works: a connection is now idle only while net/http waits in a read for the first byte of a request. That read is the one that follows an answer and has the whole buffer to fill; with anything of the next request in its buffer, net/http reads into what is left, or does not read. The read ahead has room for one byte. When a request's start is there, net/http sets the deadline for its headers, and from then on no read counts as waiting. All this is known under the connection's lock before the read begins, so there is no moment in between.

Ruled out: marking a connection busy while its handler runs (http.Server.ConnContext and a handler around the ingress). It also does not see the first bytes of a request that came with the one before.

Not changed: data that arrives while the connection is being closed is dropped, and reads_discarded counts it. Nothing of it is passed on. For the caller it is the same as data that arrives a moment later, after the close, which no server can avoid.

The change in callers_test.go is the new name of a method.

--- a/jetty/callers.go
+++ b/jetty/callers.go
@@ -55,7 +55,7 @@
 	}
 	switch state {
 	case http.StateIdle:
-		c.setIdle()
+		c.setAnswered()
 	case http.StateClosed, http.StateHijacked:
 		cs.mu.Lock()
 		delete(cs.conns, c)
@@ -85,8 +85,14 @@
 }
 
 // callerConn is one connection of a caller. Closing it while idle never loses a
-// request: either it is closed, and data that arrives later is discarded, or a
-// request has begun to arrive, and it stays open.
+// request that was passed on: either it is closed, and data that arrives later is
+// discarded, or a request has begun to arrive, and it stays open.
+//
+// That net/http calls a connection idle is not enough: its buffer may hold a
+// request that arrived with the one before, or the start of one, since it reads
+// ahead by one byte while a handler runs. So a connection is idle once net/http
+// waits for a request with an empty buffer. It then reads into the whole buffer, as
+// it does first on each connection, and otherwise into what is left of it.
 type callerConn struct {
 	net.Conn
 	discarded *atomic.Int64
@@ -94,14 +100,19 @@
 	mu sync.Mutex
 	// idle means that no request is being read or answered, and unused that
 	// there has not been a request yet.
-	idle      bool
-	unused    bool
-	closed    bool
-	idleSince time.Time
+	idle   bool
+	unused bool
+	// answered means that the last request has been answered, and that the next
+	// one has not begun as far as is known.
+	answered   bool
+	bufferSize int
+	closed     bool
+	idleSince  time.Time
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(data []byte) (int, error) {
+	c.beginRead(len(data))
 	n, err := c.Conn.Read(data)
 	if n == 0 {
 		return n, err
@@ -112,14 +123,38 @@
 		c.discarded.Add(1)
 		return 0, io.EOF
 	}
-	c.idle, c.unused = false, false
+	c.idle, c.unused, c.answered = false, false, false
 	return n, err
 }
 
-func (c *callerConn) setIdle() {
+// beginRead marks the connection as idle if this read, of up to size bytes, waits
+// for the first byte of a request.
+func (c *callerConn) beginRead(size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
+	if c.bufferSize == 0 {
+		c.bufferSize = size
+	}
+	if c.answered && size == c.bufferSize {
+		c.idle = true
+	}
+}
+
+// SetReadDeadline implements net.Conn. After an answer, net/http sets a deadline
+// only for the headers of the next request, whose start it has then.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() {
+		c.mu.Lock()
+		c.answered = false
+		c.mu.Unlock()
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *callerConn) setAnswered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = true
 	c.idleSince = time.Now()
 }
 
--- a/jetty/callers_server_test.go
+++ b/jetty/callers_server_test.go
@@ -6,16 +6,18 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-// countingListener counts the bytes that are read from its connections.
+// countingListener counts the reads from its connections that have begun, and the
+// bytes that were read.
 type countingListener struct {
 	net.Listener
-	read *atomic.Int64
+	reads, read *atomic.Int64
 }
 
 // Accept implements net.Listener.
@@ -24,16 +26,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return countingConn{Conn: nc, read: l.read}, nil
+	return countingConn{Conn: nc, reads: l.reads, read: l.read}, nil
 }
 
 type countingConn struct {
 	net.Conn
-	read *atomic.Int64
+	reads, read *atomic.Int64
 }
 
 // Read implements net.Conn.
 func (c countingConn) Read(data []byte) (int, error) {
+	c.reads.Add(1)
 	n, err := c.Conn.Read(data)
 	c.read.Add(int64(n))
 	return n, err
@@ -49,8 +52,9 @@
 	// be answered.
 	arrived chan string
 	release chan struct{}
-	// read is the number of bytes that the server has read.
-	read atomic.Int64
+	// reads is the number of reads that the server has begun, and read the number
+	// of bytes that it has read.
+	reads, read atomic.Int64
 }
 
 func startCallerServer() *callerServer {
@@ -63,9 +67,8 @@
 	Expect(err).NotTo(HaveOccurred())
 	s.address = l.Addr().String()
 	server := &http.Server{Handler: s, ConnState: s.onStateChange, ReadHeaderTimeout: headerTimeout}
-	go func() {
-		_ = server.Serve(&callerListener{Listener: countingListener{Listener: l, read: &s.read}, callers: s.callers})
-	}()
+	counting := countingListener{Listener: l, reads: &s.reads, read: &s.read}
+	go func() { _ = server.Serve(&callerListener{Listener: counting, callers: s.callers}) }()
 	DeferCleanup(server.Close)
 	return s
 }
@@ -97,8 +100,17 @@
 	GinkgoHelper()
 	var text string
 	for _, path := range paths {
-		text += fmt.Sprintf("GET %s HTTP/1.1\r\nHost: test\r\n\r\n", path)
+		text += requestText(path)
 	}
+	sendText(nc, text)
+}
+
+func requestText(path string) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: test\r\n\r\n", path)
+}
+
+func sendText(nc net.Conn, text string) {
+	GinkgoHelper()
 	_, err := io.WriteString(nc, text)
 	Expect(err).NotTo(HaveOccurred())
 }
@@ -163,4 +175,40 @@
 		s.release <- struct{}{}
 		expectAnswer(reader, "/second")
 	})
+
+	It("spares a connection of whose next request only the first byte has arrived", func() {
+		send(nc, "/first")
+		Eventually(s.arrived).Should(Receive(Equal("/first")))
+		before := s.read.Load()
+		text := requestText("/second")
+		sendText(nc, text[:1])
+		Eventually(s.read.Load).Should(Equal(before + 1))
+		reads := s.reads.Load()
+		s.release <- struct{}{}
+		expectAnswer(reader, "/first")
+		// net/http waits for the rest.
+		Eventually(s.reads.Load).Should(Equal(reads + 1))
+		Expect(s.sweep()).To(Equal(1))
+		sendText(nc, text[1:])
+		s.release <- struct{}{}
+		expectAnswer(reader, "/second")
+	})
+
+	DescribeTable("spares a connection whose request was read in part with the one before", func(part string) {
+		text := requestText("/second")
+		Expect(text).To(HavePrefix(part))
+		s.release <- struct{}{}
+		sendText(nc, requestText("/first")+part)
+		expectAnswer(reader, "/first")
+		// The reads are for the first request, ahead of the second one, and for
+		// the rest of it.
+		Eventually(s.reads.Load).Should(Equal(int64(3)))
+		Expect(s.sweep()).To(Equal(1))
+		sendText(nc, strings.TrimPrefix(text, part))
+		s.release <- struct{}{}
+		expectAnswer(reader, "/second")
+	},
+		Entry("up to the middle of the method", "GE"),
+		Entry("up to the end of a line", "GET /second HTTP/1.1\r\n"),
+	)
 })
--- a/jetty/callers_test.go
+++ b/jetty/callers_test.go
@@ -45,7 +45,7 @@
 	})
 
 	It("is not closed before", func() {
-		c.setIdle()
+		c.setAnswered()
 		Expect(c.closeIdle(time.Now(), limit, limit)).To(BeFalse())
 		expectClosed(false)
 	})
