Report an attempt as overdue only if another one may follow, and once

Cause: an overdue attempt was reported to the admission controller and stayed in flight. - It was reported also when its route allowed no further attempt. The server became suspected, and other requests got 503 overload while it had 20 places. - When the first attempt failed, the second one, which had just begun, was reported too. - A server with one overdue attempt, or with a window below 1, is tried again only when nothing is in flight there. One lost answer closed it for this host until the deadline of that request: 1.80 s instead of 0.25 s. - After a refusal or an empty budget, no second attempt was tried again, so that a dead server held its caller until the deadline.

Change: an attempt is reported at its own time-out, and only if the route allows another. It then no longer counts as in flight, as before, and a late answer is recorded without ending anything. A second attempt that is refused is tried again after the Retry-After of the refusal, or 0.1 s.

Ruled out: counting overdue attempts and letting a probe pass them. Windows below 1 would still wait for them.

--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -92,11 +92,11 @@
 	a.deliver(a.controller.Finish(monotonicNow(), instance, outcome, latency, objective))
 }
 
-// recordOverdue records that a dispatched request has waited for too long.
-func (a *admission) recordOverdue(instance sluice.ServerInstance, elapsed time.Duration) {
+// recordLate records the response to a request that was finished as overdue.
+func (a *admission) recordLate(instance sluice.ServerInstance, latency, objective time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.controller.RecordOverdue(monotonicNow(), instance, elapsed)
+	a.controller.RecordLate(monotonicNow(), instance, latency, objective)
 }
 
 // recordRefusal counts a refusal for lack of room at one server as an overload
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -25,8 +25,9 @@
 	pending []*attempt
 	ended   chan *attempt
 	over    chan struct{}
-	// parallel reports whether a further attempt may begin while one is pending.
-	parallel bool
+	// nextAt is when a further attempt begins beside the pending one; zero means
+	// never.
+	nextAt time.Time
 	// fallback is the failure that a server reported while another attempt was
 	// pending.
 	fallback result
@@ -37,9 +38,10 @@
 	exchange *exchange
 	server   fairway.Endpoint
 	began    time.Time
-	// overdueAt is when another server is tried; zero means never.
+	// overdueAt is when the response is overdue; zero means never.
 	overdueAt time.Time
-	// overdue is set once the admission controller knows that the attempt is.
+	// overdue attempts no longer count as in flight for admission: their servers
+	// may be lost, and are tried again with other requests.
 	overdue bool
 
 	ctx  context.Context
@@ -60,11 +62,28 @@
 	select {
 	case e.ended <- a:
 	case <-e.over:
-		e.adm.finish(sluice.ServerInstanceOf(a.server), sluice.OutcomeCanceled, a.took, 0)
+		a.finish(sluice.OutcomeCanceled)
 		a.discard()
 	}
 }
 
+// finish records the outcome of the attempt at the admission controller.
+func (a *attempt) finish(outcome sluice.Outcome) {
+	instance, objective := sluice.ServerInstanceOf(a.server), a.exchange.r.route.Objective
+	switch {
+	case !a.overdue:
+		a.exchange.adm.finish(instance, outcome, a.took, objective)
+	case outcome == sluice.OutcomeAnswered:
+		a.exchange.adm.recordLate(instance, a.took, objective)
+	}
+}
+
+// setOverdue records that the response is overdue.
+func (a *attempt) setOverdue() {
+	a.overdue = true
+	a.exchange.adm.finish(sluice.ServerInstanceOf(a.server), sluice.OutcomeTimeout, time.Since(a.began), 0)
+}
+
 func (a *attempt) isDone() bool {
 	return a.done.Err() != nil
 }
@@ -95,8 +114,9 @@
 // begin waits for admission and starts an attempt. It returns a result if that is
 // not possible and no attempt is pending.
 func (e *exchange) begin(ctx context.Context) result {
+	e.nextAt = time.Time{}
 	if e.drain.excludes(e.r.deadline) {
-		return e.impossible(e.stopped(e.r))
+		return e.lastResult(e.stopped(e.r))
 	}
 	start := time.Now()
 	decision := e.acquire(ctx)
@@ -109,9 +129,10 @@
 		return e.dispatch(ctx, decision.Server)
 	case sluice.Refuse:
 		if len(e.pending) > 0 {
-			return e.impossible(nil)
+			e.nextAt = time.Now().Add(max(decision.RetryAfter, exhaustedRetryAfter))
+			return nil
 		}
-		return e.impossible(e.refuse(e.r, decision))
+		return e.lastResult(e.refuse(e.r, decision))
 	default:
 		if ctx.Err() != nil && len(e.pending) == 0 {
 			return e.interrupted(ctx, e.r)
@@ -121,12 +142,11 @@
 	}
 }
 
-// impossible returns the result of a request that cannot be sent again. If an
-// attempt is pending, that is the last one, and there is no result yet.
-func (e *exchange) impossible(res result) result {
+// lastResult returns the result of a request that is not sent again, which is nil
+// while an attempt is pending.
+func (e *exchange) lastResult(res result) result {
 	switch {
 	case len(e.pending) > 0:
-		e.parallel = false
 		return nil
 	case e.fallback != nil:
 		return e.fallback
@@ -150,26 +170,29 @@
 // dispatch starts an attempt at a server. It returns a result if the request may
 // not be sent and no attempt is pending.
 func (e *exchange) dispatch(ctx context.Context, s fairway.Endpoint) result {
+	notSent := func() { e.adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0) }
 	switch {
 	case ctx.Err() != nil:
-		e.adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0)
-		return e.impossible(e.interrupted(ctx, e.r))
+		notSent()
+		return e.lastResult(e.interrupted(ctx, e.r))
 	case slices.ContainsFunc(e.pending, (*attempt).isDone):
-		e.adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0)
+		notSent()
 		return nil
 	case e.r.sends > 0 && !e.adm.allowRetry():
-		e.adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0)
-		return e.impossible(e.retriesExhausted(e.r, reasonRetryBudget))
+		notSent()
+		e.nextAt = time.Now().Add(exhaustedRetryAfter)
+		return e.lastResult(e.retriesExhausted(e.r, reasonRetryBudget))
 	}
 	e.metrics.requestSent(e.r.service.Name, e.r.sends > 0)
 	e.req.Tried = append(e.req.Tried, s.ID)
 	a := &attempt{exchange: e, server: s, began: time.Now(), ctx: ctx}
+	a.done, a.setDone = context.WithCancel(context.Background())
+	e.r.sends++
 	if timeout := e.responseTimeout(e.r, e.adm); timeout > 0 {
 		a.overdueAt = a.began.Add(timeout)
 	}
-	a.done, a.setDone = context.WithCancel(context.Background())
-	e.r.sends++
 	e.pending = append(e.pending, a)
+	e.nextAt = e.pending[0].overdueAt
 	go a.run()
 	return nil
 }
@@ -178,27 +201,23 @@
 // there is a result.
 func (e *exchange) await(ctx context.Context) result {
 	for len(e.pending) > 0 {
-		var overdue <-chan time.Time
-		first := e.pending[0]
-		if e.parallel && len(e.pending) == 1 && !first.overdueAt.IsZero() {
-			timer := time.NewTimer(time.Until(first.overdueAt))
+		var next <-chan time.Time
+		if len(e.pending) == 1 && !e.nextAt.IsZero() && e.mayRetry(ctx, e.r) {
+			timer := time.NewTimer(time.Until(e.nextAt))
 			defer timer.Stop()
-			overdue = timer.C
+			next = timer.C
 		}
 		select {
 		case a := <-e.ended:
 			if res := e.handle(ctx, a); res != nil {
 				return res
 			}
-		case <-overdue:
-			first.overdueAt = time.Time{}
-			if !first.overdue {
-				first.overdue = true
-				e.adm.recordOverdue(sluice.ServerInstanceOf(first.server), time.Since(first.began))
-			}
-			if e.mayRetry(ctx, e.r) {
-				return nil
+		case <-next:
+			a := e.pending[0]
+			if !a.overdue && !a.overdueAt.IsZero() && time.Now().After(a.overdueAt) {
+				a.setOverdue()
 			}
+			return nil
 		}
 	}
 	return nil
@@ -211,30 +230,28 @@
 	var res result
 	var again bool
 	if a.err != nil {
-		res, again = e.handleFailure(ctx, e.r, e.adm, a)
+		res, again = e.handleFailure(ctx, e.r, a)
 	} else {
-		e.recordOutcome(e.r, e.adm, a.server, a.resp, a.took)
+		e.recordOutcome(e.r, e.adm, a)
 		res, again = e.handleResponse(ctx, e.r, a.resp, a.server)
 	}
 	resp, answered := res.(backendResponse)
 	switch {
-	case answered && resp.status < http.StatusInternalServerError:
+	case answered && (resp.status < http.StatusInternalServerError || len(e.pending) == 0):
 		return res
+	case answered && e.fallback == nil && resp.remaining == nil:
+		e.fallback = res
 	case len(e.pending) > 0:
-		if answered && e.fallback == nil && resp.remaining == nil {
-			e.fallback = res
-		} else {
-			a.discard()
-		}
+		a.discard()
+	}
+	if len(e.pending) == 0 && !again {
+		return e.lastResult(res)
+	}
+	if len(e.pending) > 0 {
+		e.nextAt = e.pending[0].overdueAt
 		if again {
-			e.pending[0].overdueAt = time.Now()
+			e.nextAt = time.Now()
 		}
-		return nil
-	case again:
-		return nil
-	case !answered && e.fallback != nil:
-		return e.fallback
-	default:
-		return res
 	}
+	return nil
 }
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -121,7 +121,7 @@
 		ResponseBytes: adm.recordArrival(r.route.Name, r.key),
 	}
 	e := &exchange{
-		forwarder: f, r: r, adm: adm, req: req, parallel: true,
+		forwarder: f, r: r, adm: adm, req: req,
 		ended: make(chan *attempt), over: make(chan struct{}),
 	}
 	return e.run(ctx)
@@ -165,11 +165,11 @@
 
 // recordOutcome records at the admission controller what a response says about
 // its server.
-func (f *forwarder) recordOutcome(r *request, adm *admission, s fairway.Endpoint, resp *backendResponse, elapsed time.Duration) {
-	outcome := f.serverOutcome(r, resp)
-	adm.finish(sluice.ServerInstanceOf(s), outcome, elapsed, r.route.Objective)
+func (f *forwarder) recordOutcome(r *request, adm *admission, a *attempt) {
+	outcome := f.serverOutcome(r, a.resp)
+	a.finish(outcome)
 	if outcome == sluice.OutcomeAnswered {
-		adm.recordResponse(r.route.Name, s.ID, len(resp.body), elapsed)
+		adm.recordResponse(r.route.Name, a.server.ID, len(a.resp.body), a.took)
 	}
 }
 
@@ -259,17 +259,16 @@
 
 // handleFailure decides how to proceed after an attempt without a response. It
 // reports true if the request should be offered for admission again.
-func (f *forwarder) handleFailure(ctx context.Context, r *request, adm *admission, a *attempt) (result, bool) {
+func (f *forwarder) handleFailure(ctx context.Context, r *request, a *attempt) (result, bool) {
 	kind := kindOf(a.err)
 	if kind != KindNotSent {
 		r.mayHaveRun = true
 	}
-	instance := sluice.ServerInstanceOf(a.server)
 	if kind == KindCanceled || errors.Is(ctx.Err(), context.Canceled) {
-		adm.finish(instance, sluice.OutcomeCanceled, a.took, 0)
+		a.finish(sluice.OutcomeCanceled)
 		return f.interrupted(ctx, r), false
 	}
-	adm.finish(instance, failureOutcome(a), a.took, r.route.Objective)
+	a.finish(failureOutcome(a.err))
 	f.logs.sendFailed(r, a.server, "", a.err)
 	if (kind == KindNotSent || r.repeatable()) && f.mayRetry(ctx, r) {
 		return nil, true
@@ -281,19 +280,16 @@
 }
 
 // failureOutcome returns what an attempt without a response says about its server.
-func failureOutcome(a *attempt) sluice.Outcome {
-	switch kindOf(a.err) {
+func failureOutcome(err error) sluice.Outcome {
+	switch kindOf(err) {
 	case KindNotSent:
-		if errors.Is(a.err, errConnectionLimit) {
+		if errors.Is(err, errConnectionLimit) {
 			return sluice.OutcomeRejected
 		}
 		return sluice.OutcomeUnreachable
 	case KindReset:
 		return sluice.OutcomeReset
 	case KindTimeout:
-		if a.overdue {
-			return sluice.OutcomeCanceled
-		}
 		return sluice.OutcomeTimeout
 	default:
 		return sluice.OutcomeInvalidResponse
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -277,7 +277,11 @@
 	case OutcomeUnreachable:
 		w.recordFailure(now)
 	case OutcomeTimeout:
-		w.recordTimeout(now, elapsed)
+		if now.Sub(w.measuredAt) > elapsed {
+			w.recordFailure(now)
+		} else {
+			w.shrink(now, lateShrink)
+		}
 	case OutcomeInvalidResponse:
 		w.updateErrorRatio(now, 1)
 	case OutcomeMisdirected, OutcomeCanceled:
@@ -286,12 +290,12 @@
 	return c.dispatchWaiting(now)
 }
 
-// RecordOverdue records that a dispatched request has no response yet although it
-// was sent elapsed ago. The request stays in flight.
-func (c *Controller) RecordOverdue(now mooring.Instant, instance ServerInstance, elapsed time.Duration) {
+// RecordLate records the response to a request that was finished with
+// OutcomeTimeout before.
+func (c *Controller) RecordLate(now mooring.Instant, instance ServerInstance, latency, objective time.Duration) {
 	server := c.servers[instance.Server]
 	if server != nil && server.endpoint.Incarnation == instance.Incarnation {
-		server.window.recordTimeout(now, elapsed)
+		server.window.recordResponse(now, latency, objective)
 	}
 }
 
--- a/sluice/window.go
+++ b/sluice/window.go
@@ -266,16 +266,6 @@
 	w.size = min(w.size, 1)
 }
 
-// recordTimeout records a request without a response in time. The server becomes
-// suspected only if it has not answered another request since that was sent.
-func (w *window) recordTimeout(now mooring.Instant, elapsed time.Duration) {
-	if now.Sub(w.measuredAt) > elapsed {
-		w.recordFailure(now)
-	} else {
-		w.shrink(now, lateShrink)
-	}
-}
-
 // shrink reduces the window at most once for requests that were in flight
 // together.
 func (w *window) shrink(now mooring.Instant, factor float64) {
