Free the connection of a large response that is not passed on

Seen by callers: after two responses over 1 MB without a signature, or server errors of that size that are retried, all requests of a host for that server got 503 server_failed, without being sent.

Cause: the connection of a response that is read in part is given back by its finish, which was only called when the response was passed on.

Evidence, before: "frees the connection of a large response without a signature": 2 of 3 requests were sent, the third got 503 after 0.2 ms; "... of a large server error that is retried": one connection in use for good.

Change: a response that is not passed on is discarded.

--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -241,7 +241,7 @@
 		return res
 	case answered && e.fallback == nil && resp.remaining == nil:
 		e.fallback = res
-	case len(e.pending) > 0:
+	default:
 		a.discard()
 	}
 	if len(e.pending) == 0 && !again {
--- a/jetty/exchange_test.go
+++ b/jetty/exchange_test.go
@@ -175,6 +175,30 @@
 var _ = Describe("An exchange with several servers", func() {
 	large := strings.Repeat("x", 2*maxBufferedBytes)
 
+	It("frees the connection of a large response without a signature", func() {
+		b := newExchangeBench(100)
+		b.serve("s", 20, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(len(large)))
+			_, _ = w.Write([]byte(large))
+		})
+		for range 3 {
+			res := <-b.send(context.Background(), b.request(1, time.Second))
+			GinkgoWriter.Printf("result %#v after %v\n", res.result, res.after)
+		}
+		Expect(b.servers["s"].arrived.Load()).To(BeEquivalentTo(3), "requests that were sent")
+		b.expectNothingLeft()
+	})
+
+	It("frees the connection of a large server error that is retried", func() {
+		b := newExchangeBench(100)
+		h := byArrival(func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusInternalServerError, large) }, work(0))
+		b.serve("s", 20, h)
+		b.serve("t", 20, h)
+		res := <-b.send(context.Background(), b.request(2, time.Second))
+		Expect(res.result.(backendResponse).status).To(Equal(http.StatusOK))
+		b.expectNothingLeft()
+	})
+
 	It("frees the connection of a large response that comes second", func() {
 		b := newExchangeBench(100)
 		slow := func(w http.ResponseWriter, _ *http.Request) {
