Stay ready while the store's history is read again

Cause: a watch that had lost its history (410) made the host unready until a whole read of the store had succeeded. If the store was out then, all hosts that watch it went out of rotation, although each could serve with what it knew.

Change: readiness needs one whole read since the start. To claim the placer's record still needs a read without a gap.

--- a/jetty/host.go
+++ b/jetty/host.go
@@ -331,9 +331,10 @@
 	h.logs.settingsReloaded(err)
 }
 
-// ready reports whether the load balancer should send requests to this host.
+// ready reports whether the load balancer should send requests to this host. A host
+// whose watch has lost its history still serves what it knows.
 func (h *Host) ready() bool {
-	return !h.shuttingDown.Load() && h.watcher.scanned.Load() && h.clusterState.activeConfig.Current() != nil && h.clusterState.catalog().Len() > 0
+	return !h.shuttingDown.Load() && h.watcher.initialized.Load() && h.clusterState.activeConfig.Current() != nil && h.clusterState.catalog().Len() > 0
 }
 
 // Stop shuts the host down: it waits until the load balancer has stopped sending
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -53,8 +53,10 @@
 
 	// revision is the one up to which changes have been applied.
 	revision ledger.Revision
-	// scanned reports whether the store has been read as a whole.
-	scanned atomic.Bool
+	// scanned reports whether the store has been read as a whole, and all changes
+	// since then. initialized is set by the first time.
+	scanned     atomic.Bool
+	initialized atomic.Bool
 	// lastContact is when the store or the feeder last answered.
 	lastContact time.Time
 	// lost is set when a call to the store fails, and cleared when the store or
@@ -202,6 +204,7 @@
 	}
 	w.applySnapshot(entries, revision, true)
 	w.scanned.Store(true)
+	w.initialized.Store(true)
 	return nil
 }
 
