Check in the soak that no request is lost around planned work

Entry hosts lost requests around planned stops, and the soak could not see it.

Cause: three things hid it. The callers were http.Clients, which send a GET again without a word when a kept connection ends before the answer, so a lost request looked served. All requests took 15 ms, so no stop met one. And nothing was checked for a request without an answer, nor for a process that ended by itself.

Change: - Callers have connections of their own, keep them until the host closes them, and send nothing twice. A request without a server's answer is noted with id, host, process and times. - The stand-in server takes the work time from the query parameter "work" and records how each execution ended: completed, abandoned by the host, or broken off by itself. Callers ask for up to 3.5 s of work with deadlines of 3 to 5 s, more than the servers can do at once. - A process must end as it was told, and within 6 s of SIGTERM (grace_s).

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -24,33 +28,85 @@
 // headers are the names of the platform's request and response headers.
 var headers = platform.Protocol{}.Headers()
 
-// caller sends requests over persistent connections.
+// Bounds of a caller. A caller waits for longer than the time that the host has for
+// the request, so that a late response is not taken for a missing one.
+const (
+	dialTimeout  = time.Second
+	lateResponse = 2 * time.Second
+	// shortTimeLeft is the time of a short request, which the routes limit to less.
+	shortTimeLeft = 1500 * time.Millisecond
+	maxWork       = 3500 * time.Millisecond
+	// stickiness is how many requests in a row a caller sends to a host on average,
+	// if its requests are long.
+	stickiness = 10
+)
+
+// caller sends requests over persistent connections, one for each host. It does not
+// use [http.Client], which hides a lost request by sending it again.
 type caller struct {
 	testbed *testbed
 	rng     *rand.Rand
-	client  *http.Client
+	conns   map[*host]*callerConn
+}
+
+// callerConn is a connection to one process of a host.
+type callerConn struct {
+	net.Conn
+	reader  *bufio.Reader
+	process int
 }
 
 func newCaller(tb *testbed, n int) *caller {
-	return &caller{
-		testbed: tb, rng: rand.New(rand.NewPCG(tb.cfg.Seed, uint64(n))),
-		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-	}
+	return &caller{testbed: tb, rng: rand.New(rand.NewPCG(tb.cfg.Seed, uint64(n))), conns: make(map[*host]*callerConn)}
 }
 
 // run sends requests until ctx is done.
 func (c *caller) run(ctx context.Context) {
+	defer c.close()
 	for ctx.Err() == nil {
 		h := c.testbed.hosts[c.rng.IntN(len(c.testbed.hosts))]
-		if c.rng.IntN(3) == 0 {
-			c.send(ctx, h, http.MethodPost, "/pay/1", 0)
+		if c.testbed.longRequests.Load() {
+			c.sendLong(ctx, h)
 		} else {
-			c.send(ctx, h, http.MethodGet, "/read/1", c.rng.IntN(65536))
+			c.sendShort(h)
 		}
 		time.Sleep(requestInterval)
 	}
 }
 
+func (c *caller) close() {
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+}
+
+func (c *caller) sendShort(h *host) response {
+	if c.rng.IntN(3) == 0 {
+		return c.send(h, http.MethodPost, "/pay/1", 0)
+	}
+	return c.send(h, http.MethodGet, "/read/1", c.rng.IntN(65536))
+}
+
+// sendLong sends several requests to a host, most of them long ones, until one fails.
+func (c *caller) sendLong(ctx context.Context, h *host) {
+	for ctx.Err() == nil {
+		var resp response
+		work := fmt.Sprintf("1?%s=%v", platformtest.WorkParameter, time.Duration(c.rng.Int64N(int64(maxWork))).Round(time.Millisecond))
+		timeLeft := platformtest.LongTimeout - time.Second + time.Duration(c.rng.Int64N(2000))*time.Millisecond
+		switch c.rng.IntN(3) {
+		case 0:
+			resp = c.sendShort(h)
+		case 1:
+			resp = c.sendWithin(timeLeft, h, http.MethodPost, "/export/"+work, 0)
+		default:
+			resp = c.sendWithin(timeLeft, h, http.MethodGet, "/scan/"+work, 0)
+		}
+		if resp.status == 0 || c.rng.IntN(stickiness) == 0 {
+			return
+		}
+	}
+}
+
 // response is what a caller received; status 0 means no complete response.
 type response struct {
 	id     string
@@ -58,35 +114,47 @@
 	signed bool
 }
 
-// send sends one request and checks that a response with status 200 is complete
-// and belongs to this request.
-func (c *caller) send(ctx context.Context, h *host, method, path string, key int) response {
+// send sends one short request.
+func (c *caller) send(h *host, method, path string, key int) response {
+	return c.sendWithin(shortTimeLeft, h, method, path, key)
+}
+
+// sendWithin sends one request and checks that a response with status 200 is
+// complete and belongs to this request.
+func (c *caller) sendWithin(timeLeft time.Duration, h *host, method, path string, key int) response {
 	resp := response{id: fmt.Sprintf("q%d-%d", os.Getpid(), nextRequest.Add(1))}
 	body := ""
 	if method == http.MethodPost {
 		body = "amount of " + resp.id
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.callerAddress+path, strings.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+h.callerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return resp
 	}
 	req.Host = platformtest.VirtualHost
 	req.Header.Set(headers.RequestID, resp.id)
-	req.Header.Set(headers.TimeLeft, "1500")
+	req.Header.Set(headers.TimeLeft, fmt.Sprint(timeLeft.Milliseconds()))
 	req.Header.Set(headers.Key, fmt.Sprint(key))
-	httpResp, err := c.client.Do(req)
+	conn, err := c.connect(h)
 	if err != nil {
 		c.testbed.checker.recordOutcome(resp.id, 0)
 		return resp
 	}
-	defer func() { _ = httpResp.Body.Close() }()
-	data, err := io.ReadAll(httpResp.Body)
-	if err != nil {
-		c.testbed.checker.recordOutcome(resp.id, 0)
-		return resp
+	record := failedRequest{id: resp.id, host: h, process: conn.process, sentAt: time.Now(), timeLeft: min(timeLeft, routeTimeout(path))}
+	httpResp, data, err := conn.exchange(req, record.sentAt.Add(timeLeft+lateResponse), &record.writtenAt)
+	record.endedAt = time.Now()
+	if err != nil || httpResp.Close {
+		_ = conn.Close()
+		delete(c.conns, h)
+	}
+	if err == nil {
+		resp.status, resp.signed = httpResp.StatusCode, httpResp.Header.Get(headers.Signature) != ""
 	}
-	resp.status, resp.signed = httpResp.StatusCode, httpResp.Header.Get(headers.Signature) != ""
 	c.testbed.checker.recordOutcome(resp.id, resp.status)
+	if !resp.signed {
+		record.status = resp.status
+		c.testbed.checker.recordFailure(record)
+	}
 	if resp.status != http.StatusOK {
 		return resp
 	}
@@ -99,15 +167,63 @@
 	return resp
 }
 
+// routeTimeout returns the time limit of the route of a path.
+func routeTimeout(path string) time.Duration {
+	switch {
+	case strings.Contains(path, platformtest.WorkParameter+"="):
+		return platformtest.LongTimeout
+	case strings.HasPrefix(path, "/pay/"):
+		return platformtest.PayTimeout
+	default:
+		return platformtest.ReadTimeout
+	}
+}
+
+// connect returns the connection to a host, which may be an open one.
+func (c *caller) connect(h *host) (*callerConn, error) {
+	if conn := c.conns[h]; conn != nil {
+		return conn, nil
+	}
+	process := h.incarnation()
+	nc, err := net.DialTimeout("tcp", h.callerAddress, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	conn := &callerConn{Conn: nc, reader: bufio.NewReader(nc), process: process}
+	c.conns[h] = conn
+	return conn, nil
+}
+
+// exchange sends a request and reads the whole response. It sets writtenAt when the
+// last byte was sent.
+func (c *callerConn) exchange(req *http.Request, deadline time.Time, writtenAt *time.Time) (*http.Response, []byte, error) {
+	var text bytes.Buffer
+	if err := errors.Join(c.SetDeadline(deadline), req.Write(&text)); err != nil {
+		return nil, nil, err
+	}
+	_, err := c.Write(text.Bytes())
+	*writtenAt = time.Now()
+	if err != nil {
+		return nil, nil, err
+	}
+	resp, err := http.ReadResponse(c.reader, req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp, data, err
+}
+
 // operator changes the configuration and checks that no host goes back to an
 // earlier version.
 type operator struct {
 	testbed *testbed
 	caller  *caller
-	// version is the newest version in the store.
-	version int
 
 	mu sync.Mutex
+	// version is the newest version in the store.
+	version int
 	// newestServed has the newest version that each process of a host has served.
 	newestServed map[string]int
 }
@@ -120,29 +236,44 @@
 
 // run changes the configuration and probes the hosts until ctx is done.
 func (o *operator) run(ctx context.Context) {
+	defer o.caller.close()
 	o.newestServed = make(map[string]int)
 	lastChange := time.Now()
 	for ctx.Err() == nil {
 		if time.Since(lastChange) > changeInterval {
 			lastChange = time.Now()
-			o.version++
-			o.testbed.store.Put("op/config", platformtest.Configuration(o.version))
-			o.testbed.checker.log("configuration %d", o.version)
+			o.change()
 		}
 		h := o.testbed.hosts[o.caller.rng.IntN(len(o.testbed.hosts))]
-		o.probe(ctx, h, o.version)
-		o.probe(ctx, h, o.version-1)
+		version := o.newestVersion()
+		o.probe(h, version)
+		o.probe(h, version-1)
 		time.Sleep(probeInterval)
 	}
 }
 
+// change puts the next version of the configuration in force.
+func (o *operator) change() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version++
+	o.testbed.store.Put("op/config", platformtest.Configuration(o.version))
+	o.testbed.checker.log("configuration %d", o.version)
+}
+
+func (o *operator) newestVersion() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.version
+}
+
 // probe requests a route that exists in one version only.
-func (o *operator) probe(ctx context.Context, h *host, version int) {
+func (o *operator) probe(h *host, version int) {
 	process := fmt.Sprintf("%d/%d", h.n, h.incarnation())
 	o.mu.Lock()
 	newest := o.newestServed[process]
 	o.mu.Unlock()
-	resp := o.caller.send(ctx, h, http.MethodGet, fmt.Sprintf("/v%d/x", version), 0)
+	resp := o.caller.send(h, http.MethodGet, fmt.Sprintf("/v%d/x", version), 0)
 	// The host may have been restarted since the request was sent.
 	if resp.status != http.StatusOK || process != fmt.Sprintf("%d/%d", h.n, h.incarnation()) {
 		return
--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -17,7 +17,9 @@
 	violationLines []string
 	// refused has the ids of the requests whose response implied that they did not
 	// run.
-	refused       map[string]bool
+	refused map[string]bool
+	// failed has the requests without a complete response of a backend server.
+	failed        []failedRequest
 	answeredCount int
 	refusedCount  int
 	failedCount   int
@@ -73,6 +75,19 @@
 	}
 }
 
+// recordFailure records a request without a complete response of a backend server.
+func (c *checker) recordFailure(r failedRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed = append(c.failed, r)
+}
+
+func (c *checker) failedRequests() []failedRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]failedRequest(nil), c.failed...)
+}
+
 // impliesNotRun reports whether a status implies that the request did not run.
 func impliesNotRun(status int) bool {
 	return status == 408 || status == 421 || status == 429 || status == 503
--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,11 +30,26 @@
 	readyAddress  string
 	storeProxy    *faultProxy
 
-	mu      sync.Mutex
-	process *exec.Cmd
+	mu sync.Mutex
+	// processes has all processes of the host; the last one may be running.
+	processes []*process
+}
+
+// process is one process of a host. The host's mutex guards its fields.
+type process struct {
+	host *host
+	n    int
+	cmd  *exec.Cmd
+	log  *os.File
 	// exited is closed when the process has ended.
 	exited chan struct{}
-	starts int
+	// terminatedAt is when it was first sent a SIGTERM; zero if it was not.
+	terminatedAt time.Time
+	killed       bool
+	// signaledEarly is whether the last signal was sent before the process listened,
+	// when its default action may end the process.
+	signaledEarly bool
+	exitedAt      time.Time
 }
 
 // domains is the number of failure domains.
@@ -102,7 +118,6 @@
 func (h *host) start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.starts++
 	log, err := os.OpenFile(h.settings[:len(h.settings)-len("yaml")]+"log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -113,38 +128,85 @@
 		_ = log.Close()
 		return err
 	}
-	exited := make(chan struct{})
-	h.process, h.exited = cmd, exited
-	r := &reaper{process: cmd, log: log, exited: exited}
-	go r.run()
+	p := &process{host: h, n: len(h.processes) + 1, cmd: cmd, log: log, exited: make(chan struct{})}
+	h.processes = append(h.processes, p)
+	go p.run()
 	return nil
 }
 
-// reaper waits for a process to exit and closes its log file.
-type reaper struct {
-	process *exec.Cmd
-	log     *os.File
-	exited  chan struct{}
+// run waits for the process to exit and closes its log.
+func (p *process) run() {
+	// cmd.ProcessState shows how it ended.
+	_ = p.cmd.Wait()
+	_ = p.log.Close()
+	p.host.mu.Lock()
+	defer p.host.mu.Unlock()
+	p.exitedAt = time.Now()
+	close(p.exited)
 }
 
-func (r *reaper) run() {
-	// The log of the process shows how it ended.
-	_ = r.process.Wait()
-	_ = r.log.Close()
-	close(r.exited)
+// findFault returns what was wrong with the exit of the process, which has ended, or
+// an empty string.
+func (p *process) findFault() string {
+	switch {
+	case p.killed || p.signaledEarly:
+		return ""
+	case p.terminatedAt.IsZero() || !p.cmd.ProcessState.Success():
+		return fmt.Sprintf("ended by itself: %v", p.cmd.ProcessState)
+	case p.exitedAt.Sub(p.terminatedAt) > gracePeriod:
+		return fmt.Sprintf("exited %v after SIGTERM", p.exitedAt.Sub(p.terminatedAt))
+	default:
+		return ""
+	}
 }
 
 // signal sends a signal to the current process unless it has exited. The returned
 // channel is closed when it has.
 func (h *host) signal(s syscall.Signal) <-chan struct{} {
+	early := (s == syscall.SIGHUP || s == syscall.SIGTERM) && !h.listens()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	p := h.processes[len(h.processes)-1]
 	select {
-	case <-h.exited:
+	case <-p.exited:
+		return p.exited
 	default:
-		_ = h.process.Process.Signal(s)
 	}
-	return h.exited
+	if p.terminatedAt.IsZero() {
+		p.signaledEarly = early
+	}
+	switch {
+	case s == syscall.SIGTERM && p.terminatedAt.IsZero():
+		p.terminatedAt = time.Now()
+	case s == syscall.SIGKILL:
+		p.killed = true
+	}
+	_ = p.cmd.Process.Signal(s)
+	return p.exited
+}
+
+// listens reports whether the host accepts connections of callers.
+func (h *host) listens() bool {
+	nc, err := net.DialTimeout("tcp", h.callerAddress, dialTimeout)
+	if err != nil {
+		return false
+	}
+	_ = nc.Close()
+	return true
+}
+
+// terminatedAt returns when a process was first sent a SIGTERM; zero if it was not.
+func (h *host) terminatedAt(process int) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.processes[process-1].terminatedAt
+}
+
+// ended returns the processes that have exited, which no longer change.
+func (h *host) ended() []*process {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(h.processes), func(p *process) bool { return p.exitedAt.IsZero() })
 }
 
 // processExited returns a channel that is closed when the current process has
@@ -152,14 +214,14 @@
 func (h *host) processExited() <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.exited
+	return h.processes[len(h.processes)-1].exited
 }
 
 // incarnation returns the number of the current process of the host.
 func (h *host) incarnation() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.starts
+	return len(h.processes)
 }
 
 // isReady reports whether the load balancer would send callers to this host.
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -8,12 +8,14 @@
 // each server, through a proxy that can delay, reset, stall or refuse connections.
 // Hosts are stopped, paused, killed and reloaded by signals. The schedule of
 // faults depends on the seed alone, but their timing relative to the requests
-// differs from run to run.
+// differs from run to run. Every third seed has planned faults only, with requests
+// that take long.
 //
 // # Usage
 //
 //	soak --daemon bin/hornbeamwinchd --seed 7 --for 30s --log-dir /tmp/soak
 //	soak --daemon bin/hornbeamwinchd --seeds 50
+//	soak --daemon bin/hornbeamwinchd --seeds 50 --planned
 //
 // It prints the timeline and each violation, and exits with 1 if there was one.
 // With --log-dir, the logs of the hosts are kept.
@@ -37,6 +39,7 @@
 	For       time.Duration `long:"for" default:"20s" description:"how long faults are injected for each seed"`
 	Processes int           `long:"processes" default:"5" description:"number of entry hosts"`
 	Callers   int           `long:"callers" default:"8" description:"number of callers"`
+	Planned   bool          `long:"planned" description:"inject planned faults only for each seed, not only for every third one"`
 	LogDir    string        `long:"log-dir" description:"directory in which logs are kept; if not given, they are removed"`
 	Verbose   bool          `long:"verbose" description:"also print the timeline of seeds without a violation"`
 }
@@ -81,7 +84,8 @@
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
-	tb, err := newTestbed(testbedConfig{Daemon: o.Daemon, Hosts: o.Processes, Callers: o.Callers, Dir: dir, Seed: seed})
+	planned := o.Planned || plannedOnly(seed)
+	tb, err := newTestbed(testbedConfig{Daemon: o.Daemon, Hosts: o.Processes, Callers: o.Callers, Dir: dir, Seed: seed, Planned: planned})
 	if err != nil {
 		return 0, err
 	}
@@ -89,7 +93,7 @@
 	if err := tb.startTraffic(); err != nil {
 		return 0, err
 	}
-	tb.runSchedule(newSchedule(seed, o.For, o.Processes))
+	tb.runSchedule(newSchedule(seed, planned, o.For, o.Processes))
 	tb.finish()
 	violations := tb.checker.violations()
 	if len(violations) > 0 || o.Verbose {
--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -21,6 +21,16 @@
 	hostPaused struct{}
 	// hostReloads makes a host reload its settings, with SIGHUP.
 	hostReloads struct{}
+	// hostsRoll stops several hosts one after the other and restarts each of them.
+	hostsRoll struct{}
+	// hostReloadsOften makes a host reload its settings again and again, for the
+	// duration of the fault.
+	hostReloadsOften struct{}
+	// hostStopsReloading stops a host and restarts it once it has exited, and makes
+	// it reload its settings again and again until it has started.
+	hostStopsReloading struct{}
+	// configChanges puts several configurations in force one after the other.
+	configChanges struct{}
 	// storePath impairs the connections of one host to the store.
 	storePath struct{ impairment impairment }
 	// storeOut makes the store reject all calls.
@@ -44,19 +54,23 @@
 	serverMute struct{}
 )
 
-func (hostKilled) fault()        {}
-func (hostStopped) fault()       {}
-func (hostPaused) fault()        {}
-func (hostReloads) fault()       {}
-func (storePath) fault()         {}
-func (storeOut) fault()          {}
-func (storeLosesAnswers) fault() {}
-func (storeForgets) fault()      {}
-func (serverKilled) fault()      {}
-func (serverReborn) fault()      {}
-func (serverLeaves) fault()      {}
-func (serverPath) fault()        {}
-func (serverMute) fault()        {}
+func (hostKilled) fault()         {}
+func (hostStopped) fault()        {}
+func (hostPaused) fault()         {}
+func (hostReloads) fault()        {}
+func (hostsRoll) fault()          {}
+func (hostReloadsOften) fault()   {}
+func (hostStopsReloading) fault() {}
+func (configChanges) fault()      {}
+func (storePath) fault()          {}
+func (storeOut) fault()           {}
+func (storeLosesAnswers) fault()  {}
+func (storeForgets) fault()       {}
+func (serverKilled) fault()       {}
+func (serverReborn) fault()       {}
+func (serverLeaves) fault()       {}
+func (serverPath) fault()         {}
+func (serverMute) fault()         {}
 
 // impairment is what a proxy does to connections.
 type impairment string
@@ -92,6 +106,32 @@
 	serverPath{impairmentOneWay},
 }
 
+// plannedKinds are the faults of schedules of planned faults only.
+var plannedKinds = []fault{
+	hostStopped{},
+	hostsRoll{},
+	hostReloads{},
+	hostReloadsOften{},
+	hostStopsReloading{},
+	configChanges{},
+	serverLeaves{},
+}
+
+// isPlanned reports whether a fault is planned work, in which no request may be
+// lost.
+func isPlanned(f fault) bool {
+	return slices.Contains(plannedKinds, f)
+}
+
+// plannedShare is one in how many seeds has planned faults only.
+const plannedShare = 3
+
+// plannedOnly reports whether the schedule of a seed has planned faults only, unless
+// the command line says that all have.
+func plannedOnly(seed uint64) bool {
+	return seed%plannedShare == 0
+}
+
 // step is one fault of a schedule.
 type step struct {
 	at       time.Duration
@@ -109,26 +149,34 @@
 const (
 	// meanGap is the mean time between the starts of two faults. With durations
 	// from minDuration to maxDuration, two or three faults overlap.
-	meanGap     = 900 * time.Millisecond
+	meanGap = 900 * time.Millisecond
+	// plannedGap is that time in a schedule of planned faults only. A stop takes
+	// longer than most other faults, and some hosts should serve meanwhile.
+	plannedGap  = 1400 * time.Millisecond
 	minDuration = 300 * time.Millisecond
 	maxDuration = 6 * time.Second
 	maxTarget   = 1000
 )
 
-// newSchedule draws the faults of a run from the seed. Some are followed by
-// further faults against the same target.
-func newSchedule(seed uint64, duration time.Duration, hosts int) []step {
+// newSchedule draws the faults of a run from the seed, if planned is true only
+// planned ones. Some are followed by further faults against the same target, planned
+// ones more often.
+func newSchedule(seed uint64, planned bool, duration time.Duration, hosts int) []step {
 	rng := rand.New(rand.NewPCG(seed, uint64(hosts)))
+	kinds, gap, series := faultKinds, meanGap, 5
+	if planned {
+		kinds, gap, series = plannedKinds, plannedGap, 3
+	}
 	var steps []step
-	for at := time.Duration(0); at < duration; at += time.Duration(rng.Int64N(int64(2 * meanGap))) {
+	for at := time.Duration(0); at < duration; at += time.Duration(rng.Int64N(int64(2 * gap))) {
 		s := step{
 			at: at, duration: minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration))),
-			fault: faultKinds[rng.IntN(len(faultKinds))], target: rng.IntN(maxTarget),
+			fault: kinds[rng.IntN(len(kinds))], target: rng.IntN(maxTarget),
 		}
 		steps = append(steps, s)
-		for rng.IntN(5) == 0 {
+		for rng.IntN(series) == 0 {
 			s.at += time.Duration(rng.Int64N(int64(time.Second)))
-			s.fault = faultKinds[rng.IntN(len(faultKinds))]
+			s.fault = kinds[rng.IntN(len(kinds))]
 			steps = append(steps, s)
 		}
 	}
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,16 +19,16 @@
 
 var _ = Describe("The schedule", func() {
 	It("depends on the seed alone", func() {
-		a, b := newSchedule(7, 20*time.Second, 5), newSchedule(7, 20*time.Second, 5)
+		a, b := newSchedule(7, false, 20*time.Second, 5), newSchedule(7, false, 20*time.Second, 5)
 		Expect(a).To(Equal(b))
-		Expect(newSchedule(8, 20*time.Second, 5)).NotTo(Equal(a))
+		Expect(newSchedule(8, false, 20*time.Second, 5)).NotTo(Equal(a))
 	})
 
 	It("has every kind of fault, some of them at the same time", func() {
 		seen := map[fault]bool{}
 		overlapping := 0
 		for seed := range uint64(20) {
-			steps := newSchedule(seed, 20*time.Second, 5)
+			steps := newSchedule(seed, plannedOnly(seed), 20*time.Second, 5)
 			for i, s := range steps {
 				seen[s.fault] = true
 				if i > 0 && steps[i-1].at+steps[i-1].duration > s.at {
@@ -35,15 +36,31 @@
 				}
 			}
 		}
-		Expect(seen).To(HaveLen(len(faultKinds)))
+		for _, f := range slices.Concat(faultKinds, plannedKinds) {
+			Expect(seen).To(HaveKey(f))
+		}
+		Expect(overlapping).To(BeNumerically(">", 100))
+	})
+
+	It("has planned faults only if told so", func() {
+		overlapping := 0
+		for seed := range uint64(20) {
+			steps := newSchedule(seed, true, 20*time.Second, 5)
+			for i, s := range steps {
+				Expect(isPlanned(s.fault)).To(BeTrue(), "%v", s)
+				if i > 0 && steps[i-1].at+steps[i-1].duration > s.at {
+					overlapping++
+				}
+			}
+		}
 		Expect(overlapping).To(BeNumerically(">", 100))
 	})
 })
 
-// seeds are the seeds of the schedules that the tests run: 1 and 2, and each seed
-// that ever failed.
+// seeds are the seeds of the schedules that the tests run: 1 and 2, 3, which has
+// planned faults only, and each seed that ever failed.
 var seeds = []uint64{
-	1, 2,
+	1, 2, 3,
 	// Concurrent soaks used the same ports for their hosts and the same ids for
 	// their requests.
 	1000, 1009, 1025,
@@ -64,15 +81,19 @@
 	})
 
 	for _, seed := range seeds {
-		It("violate no guarantee", func() {
+		text := "violate no guarantee"
+		if plannedOnly(seed) {
+			text += " under planned work"
+		}
+		It(text, func() {
 			dir, err := os.MkdirTemp("", "soak")
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(os.RemoveAll, dir)
-			tb, err := newTestbed(testbedConfig{Daemon: daemon, Hosts: 4, Callers: 4, Dir: dir, Seed: seed})
+			tb, err := newTestbed(testbedConfig{Daemon: daemon, Hosts: 4, Callers: 4, Dir: dir, Seed: seed, Planned: plannedOnly(seed)})
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(tb.close)
 			Expect(tb.startTraffic()).To(Succeed())
-			tb.runSchedule(newSchedule(seed, 8*time.Second, 4))
+			tb.runSchedule(newSchedule(seed, plannedOnly(seed), 8*time.Second, 4))
 			tb.finish()
 			Expect(tb.checker.violations()).To(BeEmpty(), "seed %d", seed)
 		})
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -7,8 +7,10 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,11 +24,17 @@
 	Callers int
 	Dir     string
 	Seed    uint64
+	// Planned makes the requests long, for a schedule of planned faults only.
+	Planned bool
 }
 
 const (
 	dividedServers   = 5
 	undividedServers = 4
+	// longCallers is how many times as many callers there are if their requests are
+	// long. With the default number of callers, they ask for more than the servers
+	// can do.
+	longCallers = 3
 	// recoveryTimeout bounds the time until all keys are served, after the start
 	// and after the last fault. It covers the 3 s until the keys of a lost server
 	// are reassigned, the 10 s for which an unreachable placer may renew grants,
@@ -60,7 +68,12 @@
 	loops  sync.WaitGroup
 	faults sync.WaitGroup
 
+	// longRequests makes the callers send requests that take long.
+	longRequests atomic.Bool
+
 	mu sync.Mutex
+	// unplanned has the intervals of faults that are not planned work.
+	unplanned []interval
 	// disturbances has the intervals in which a fault may delay the time at which
 	// the hosts detect that a server drains.
 	disturbances []interval
@@ -71,10 +84,15 @@
 	from, to time.Time
 }
 
+func (iv interval) overlapsAny(others []interval) bool {
+	return slices.ContainsFunc(others, func(o interval) bool { return o.from.Before(iv.to) && iv.from.Before(o.to) })
+}
+
 func newTestbed(cfg testbedConfig) (*testbed, error) {
 	tb := &testbed{cfg: cfg, checker: newChecker(), store: platformtest.NewStore()}
 	tb.storeServer = httptest.NewServer(tb.store)
 	tb.servers = &servers{store: tb.store}
+	tb.longRequests.Store(cfg.Planned)
 	tb.op = &operator{testbed: tb, caller: newCaller(tb, -1), version: 1}
 	tb.store.Put("op/config", platformtest.Configuration(1))
 	for i := range dividedServers + undividedServers {
@@ -135,7 +153,11 @@
 	tb.cancel = cancel
 	tb.startLoop(ctx, tb.checkHoldersLoop)
 	tb.startLoop(ctx, tb.op.run)
-	for n := range tb.cfg.Callers {
+	callers := tb.cfg.Callers
+	if tb.cfg.Planned {
+		callers *= longCallers
+	}
+	for n := range callers {
 		tb.startLoop(ctx, newCaller(tb, n).run)
 	}
 	return nil
@@ -146,6 +168,7 @@
 // of what is not served.
 func (tb *testbed) waitUntilServed() string {
 	c := newCaller(tb, -2)
+	defer c.close()
 	deadline := time.Now().Add(recoveryTimeout)
 	unserved := ""
 	for time.Now().Before(deadline) {
@@ -165,11 +188,11 @@
 		if !h.isReady() {
 			return fmt.Sprintf("host %d is not ready", h.n)
 		}
-		if resp := c.send(context.Background(), h, http.MethodPost, "/pay/1", 0); resp.status != http.StatusOK {
+		if resp := c.send(h, http.MethodPost, "/pay/1", 0); resp.status != http.StatusOK {
 			return fmt.Sprintf("host %d responds to a payment with status %d", h.n, resp.status)
 		}
 		for key := 0; key < 65536; key += keyStep {
-			if resp := c.send(context.Background(), h, http.MethodGet, "/read/1", key); resp.status != http.StatusOK {
+			if resp := c.send(h, http.MethodGet, "/read/1", key); resp.status != http.StatusOK {
 				return fmt.Sprintf("host %d responds to a read of key %d with status %d", h.n, key, resp.status)
 			}
 		}
@@ -206,6 +229,9 @@
 			if _, planned := s.fault.(serverLeaves); !planned {
 				tb.recordDisturbance(interval{from: from, to: time.Now().Add(disturbanceMargin)})
 			}
+			if !isPlanned(s.fault) {
+				tb.recordUnplanned(interval{from: from, to: time.Now()})
+			}
 		})
 	}
 	tb.faults.Wait()
@@ -217,16 +243,24 @@
 	tb.disturbances = append(tb.disturbances, iv)
 }
 
+func (tb *testbed) recordUnplanned(iv interval) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.unplanned = append(tb.unplanned, iv)
+}
+
 // undisturbed reports whether no disturbance overlaps an interval.
 func (tb *testbed) undisturbed(iv interval) bool {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	for _, d := range tb.disturbances {
-		if d.from.Before(iv.to) && iv.from.Before(d.to) {
-			return false
-		}
-	}
-	return true
+	return !iv.overlapsAny(tb.disturbances)
+}
+
+// onlyPlanned reports whether no fault that is not planned overlaps an interval.
+func (tb *testbed) onlyPlanned(iv interval) bool {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	return !iv.overlapsAny(tb.unplanned)
 }
 
 // injectFault injects a fault and returns when it has ended.
@@ -238,8 +272,20 @@
 		time.Sleep(s.duration)
 		tb.restart(h)
 	case hostStopped:
-		<-h.signal(syscall.SIGTERM)
+		tb.stopAndRestart(h)
+	case hostsRoll:
+		tb.rollHosts(s)
+	case hostReloadsOften:
+		reloadUntil(h, time.After(s.duration))
+	case hostStopsReloading:
+		reloadUntil(h, h.signal(syscall.SIGTERM))
 		tb.restart(h)
+		reloadUntil(h, time.After(startTime))
+	case configChanges:
+		for range configBurst {
+			tb.op.change()
+			time.Sleep(burstInterval)
+		}
 	case hostPaused:
 		h.signal(syscall.SIGSTOP)
 		time.Sleep(s.duration)
@@ -265,6 +311,46 @@
 	}
 }
 
+// Planned work in series: the time between two changes and the number of changes of
+// a [configChanges], the time between two SIGHUPs, the time in which a host starts,
+// and the share of the hosts that a [hostsRoll] stops.
+const (
+	burstInterval  = 120 * time.Millisecond
+	configBurst    = 4
+	reloadInterval = 15 * time.Millisecond
+	startTime      = time.Second
+	rollShare      = 3
+)
+
+// reloadUntil sends a host a SIGHUP again and again until end is ready.
+func reloadUntil[T any](h *host, end <-chan T) {
+	for {
+		select {
+		case <-end:
+			return
+		case <-time.After(reloadInterval):
+			h.signal(syscall.SIGHUP)
+		}
+	}
+}
+
+func (tb *testbed) stopAndRestart(h *host) {
+	<-h.signal(syscall.SIGTERM)
+	tb.restart(h)
+}
+
+// rollHosts stops a part of the hosts within the duration of the step, whether the
+// ones before have exited or not, and waits until all are restarted.
+func (tb *testbed) rollHosts(s step) {
+	var stops sync.WaitGroup
+	defer stops.Wait()
+	count := 1 + len(tb.hosts)/rollShare
+	for i := range count {
+		stops.Go(func() { tb.stopAndRestart(tb.hosts[(s.target+i)%len(tb.hosts)]) })
+		time.Sleep(s.duration / time.Duration(count))
+	}
+}
+
 func (tb *testbed) injectServerFault(s step, srv *server) {
 	switch f := s.fault.(type) {
 	case serverKilled:
@@ -343,6 +429,7 @@
 // finish checks that all hosts serve again, stops the traffic and checks the
 // executions that the servers recorded.
 func (tb *testbed) finish() {
+	tb.longRequests.Store(false)
 	for _, h := range tb.hosts {
 		h.signal(syscall.SIGCONT)
 		tb.restart(h)
@@ -358,15 +445,15 @@
 // checkExecutions compares the executions that the servers recorded with the
 // responses that callers received.
 func (tb *testbed) checkExecutions() {
-	executions := make(map[string]int)
+	executions := make(map[string][]platformtest.Execution)
 	for _, srv := range tb.servers.list() {
 		for _, execution := range srv.process.Executions() {
-			executions[execution.ID]++
+			executions[execution.ID] = append(executions[execution.ID], execution)
 			if srv.service == platformtest.UndividedService && tb.checker.wasRefused(execution.ID) && execution.Unsafe {
 				tb.checker.recordViolation("%s was refused as not run, but ran on %s", execution.ID, srv.id)
 			}
-			if execution.Unsafe && executions[execution.ID] > 1 {
-				tb.checker.recordViolation("%s ran %d times, last on %s", execution.ID, executions[execution.ID], srv.id)
+			if count := len(executions[execution.ID]); execution.Unsafe && count > 1 {
+				tb.checker.recordViolation("%s ran %d times, last on %s", execution.ID, count, srv.id)
 			}
 			limit := srv.drainingSince.Add(drainLimit + drainMargin)
 			if !srv.drainingSince.IsZero() && execution.StartedAt.After(limit) && tb.undisturbed(interval{from: srv.drainingSince, to: execution.StartedAt}) {
@@ -374,4 +461,6 @@
 			}
 		}
 	}
+	tb.checkLosses(executions)
+	tb.checkExits()
 }
