Grant a moved range to its next owner without waiting for the store

Cause: a planned move was recorded, released by the former owner, recorded again as released, and only then granted. When the store went out between the release and the second write, the range had no owner until the store returned: the placer could not write, and the hosts saw a range that moves.

What callers saw: 503 key_without_owner for the keys of the range during the whole outage.

Change: the next owner is granted the keys as soon as no former owner can hold any. The record of the move names both servers and the new token, and the release bears that token, so older renewals are refused already. The write that clears the former owner is needed by the next placer only. - The next placer releases the former owner again (harmless to a server that holds none of the keys) or waits for its hold, then grants under the same token. - It cannot know whether the next owner was granted the keys. A moving range whose next owner is replaced therefore gets a new token and lists that owner as a former one; before, it kept the token. - What was proved of a former owner stays proved. Otherwise an unanswered grant of other keys to it would stop the renewals of the next owner. - Hosts learn of such grants from the placer's replies to their reports (0.5 s).

Ways weighed: no release unless the store answered a moment ago makes the gap rarer only; going back to the former owner needs a token of its own, hence a write; sending to the next owner at once costs a 421 for each request of every move.

Not covered: the record of a move that hosts have seen though its write got no answer, and the clearing write whose news hosts miss, as the store goes out. Such a range is refused until the store is back, as before.

A placer of an older version that takes over from one of this version within an unrecorded move, and replaces the next owner then, would give that token to another server. All hosts have to be replaced by this version before one relies on it.

--- a/jetty/load.go
+++ b/jetty/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -46,6 +47,8 @@
 	reportingHosts map[HostID]reportingHost
 	// feeders has the feeder of each failure domain.
 	feeders map[fairway.Domain]HostID
+	// granted has the ranges of each service whose grants are not recorded yet.
+	granted map[fairway.ServiceName][]mooring.Assignment
 }
 
 // reportingHost is an entry host that reports to the placer.
@@ -76,6 +79,7 @@
 		overload:       sluice.NewOverloadDetector(),
 		reportingHosts: make(map[HostID]reportingHost),
 		feeders:        make(map[fairway.Domain]HostID),
+		granted:        make(map[fairway.ServiceName][]mooring.Assignment),
 	}
 	l.takeReported()
 	return l
@@ -91,6 +95,17 @@
 	return requests, stats
 }
 
+// setGranted sets the ranges of a service whose grants are not recorded yet.
+func (l *loadCollector) setGranted(service fairway.ServiceName, granted []mooring.Assignment) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(granted) == 0 {
+		delete(l.granted, service)
+		return
+	}
+	l.granted[service] = granted
+}
+
 // Report implements signal.LoadsServer.
 func (l *loadCollector) Report(_ context.Context, r *signal.LoadReport) (*signal.LoadReply, error) {
 	summary := l.add(r, time.Now())
@@ -98,9 +113,42 @@
 	for _, id := range summary.overloaded {
 		reply.Crowded = append(reply.Crowded, string(id))
 	}
+	reply.Granted = encodeGranted(summary.granted)
 	return reply, nil
 }
 
+func encodeGranted(granted map[fairway.ServiceName][]mooring.Assignment) []*signal.GrantedRange {
+	var encoded []*signal.GrantedRange
+	for service, assignments := range granted {
+		for _, a := range assignments {
+			encoded = append(encoded, &signal.GrantedRange{
+				Service: string(service), FirstKey: uint32(a.From), LastKey: uint32(a.To), Token: uint64(a.Token),
+				Server: string(a.Owner.Server), Incarnation: uint64(a.Owner.Incarnation), Address: a.Owner.Address,
+			})
+		}
+	}
+	return encoded
+}
+
+// decodeGranted leaves out ranges that do not exist.
+func decodeGranted(encoded []*signal.GrantedRange) map[fairway.ServiceName][]mooring.Assignment {
+	granted := make(map[fairway.ServiceName][]mooring.Assignment)
+	for _, g := range encoded {
+		if g.FirstKey > g.LastKey || g.LastKey > uint32(mooring.MaxKey) {
+			continue
+		}
+		service := fairway.ServiceName(g.Service)
+		granted[service] = append(granted[service], mooring.Assignment{
+			KeyRange: mooring.KeyRange{From: mooring.Key(g.FirstKey), To: mooring.Key(g.LastKey)},
+			Token:    mooring.Token(g.Token),
+			Owner: mooring.ServerInstance{
+				Server: fairway.ServerID(g.Server), Incarnation: fairway.Incarnation(g.Incarnation), Address: g.Address,
+			},
+		})
+	}
+	return granted
+}
+
 // loadSummary is the summary of the load reports of all entry hosts. It is
 // returned for each load report.
 type loadSummary struct {
@@ -111,6 +159,8 @@
 	feeder string
 	// overloaded lists the overloaded servers.
 	overloaded []fairway.ServerID
+	// granted has the ranges of each service whose grants are not recorded yet.
+	granted map[fairway.ServiceName][]mooring.Assignment
 }
 
 // add records a report and returns the summary of all reports.
@@ -159,6 +209,7 @@
 		hosts:      max(len(l.reportingHosts), 1),
 		feeder:     l.feeder(fairway.Domain(r.Domain), now),
 		overloaded: l.overload.Overloaded(instantOf(now)),
+		granted:    maps.Clone(l.granted),
 	}
 }
 
@@ -252,7 +303,7 @@
 		if !reply.Placer {
 			return
 		}
-		summary = loadSummary{hosts: int(reply.Hosts), feeder: reply.Feeder}
+		summary = loadSummary{hosts: int(reply.Hosts), feeder: reply.Feeder, granted: decodeGranted(reply.Granted)}
 		for _, id := range reply.Crowded {
 			summary.overloaded = append(summary.overloaded, fairway.ServerID(id))
 		}
@@ -270,6 +321,14 @@
 	for _, adm := range r.admissions.all() {
 		adm.setOverloaded(overloaded)
 	}
+	for service, granted := range summary.granted {
+		if !r.admissions.ownersOf(service).addGranted(granted) {
+			continue
+		}
+		if adm := r.admissions.all()[service]; adm != nil {
+			adm.reevaluate()
+		}
+	}
 	if int64(summary.hosts) != r.clusterState.hosts.Swap(int64(summary.hosts)) {
 		r.onHostsChange()
 	}
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -114,6 +114,9 @@
 	defer func() {
 		r.cancel()
 		r.workers.Wait()
+		for service := range r.assigners {
+			r.election.loadCollector.setGranted(service, nil)
+		}
 		r.election.ended(r)
 		close(r.done)
 		r.election.logs.placerTerm("ended", r.term.revision)
@@ -255,7 +258,9 @@
 	if assigner == nil {
 		return
 	}
-	for _, action := range assigner.Step(bootTimeNow(), e) {
+	actions := assigner.Step(bootTimeNow(), e)
+	r.election.loadCollector.setGranted(service, assigner.UnrecordedGrants())
+	for _, action := range actions {
 		select {
 		case r.actions <- assignerAction{service: service, action: action}:
 		case <-ctx.Done():
--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -112,6 +112,22 @@
 	return a.recorded
 }
 
+// UnrecordedGrants returns the assignments whose owners have accepted a grant
+// while the recorded table still lists former owners.
+func (a *Assigner) UnrecordedGrants() []Assignment {
+	if a.recorded == nil {
+		return nil
+	}
+	var granted []Assignment
+	for i := range a.recorded.Assignments {
+		r := &a.recorded.Assignments[i]
+		if r.Moving() && a.stateOf(r).confirmed {
+			granted = append(granted, Assignment{KeyRange: r.KeyRange, Owner: r.Owner, Token: r.Token})
+		}
+	}
+	return granted
+}
+
 // Step processes an event and returns the actions to execute.
 func (a *Assigner) Step(now Instant, e Event) []Action {
 	a.now = now
@@ -306,27 +322,35 @@
 	if state.inFlight || r.Owner.Server == "" {
 		return
 	}
-	if r.Moving() {
-		if instance, ok := a.unreleased(r); ok && a.server(instance).canSend(a.now) {
+	if instance, ok := a.unreleased(r); ok {
+		if a.server(instance).canSend(a.now) {
 			a.release(i, instance)
 		}
 		return
 	}
+	handover := r.Handover
+	if r.Moving() {
+		handover = state.handover
+	}
 	s := a.server(r.Owner)
 	due := !state.confirmed || a.now.Sub(state.grantedAt) >= a.cfg.Timing.RenewInterval
 	if due && !state.superseded && s.canGrant(a.now) && a.ineligibleReason(r.Owner) == "" {
 		state.inFlight = true
-		a.send(Order{KeyRange: r.KeyRange, Token: r.Token, To: r.Owner, Hold: a.cfg.Timing.Hold, Handover: r.Handover})
+		a.send(Order{KeyRange: r.KeyRange, Token: r.Token, To: r.Owner, Hold: a.cfg.Timing.Hold, Handover: handover})
 	}
 }
 
 // unreleased returns the first former owner that may still hold keys of an
-// assignment.
+// assignment. What was proved of the others stays proved: a grant of other keys
+// to one of them must not interrupt the grants of the next owner, which may have
+// begun.
 func (a *Assigner) unreleased(r *Assignment) (ServerInstance, bool) {
+	state := a.stateOf(r)
 	for _, instance := range r.FormerOwners {
 		if !a.isCleared(r, instance) {
 			return instance, true
 		}
+		state.cleared[instance] = true
 	}
 	return ServerInstance{}, false
 }
--- a/mooring/assigner_test.go
+++ b/mooring/assigner_test.go
@@ -274,6 +274,133 @@
 	return float64(most) * float64(servers) / float64(total)
 }
 
+// plannedMoveTime is the longest time without a holder that a planned move may
+// cause: a release, a grant, and the retries of one lost order each.
+const plannedMoveTime = time.Second
+
+// startLoadMove starts a deployment in which ranges are about to be moved for
+// load. It returns the number of the move's first interaction, and injects a fault
+// at a later one.
+func startLoadMove(f fault, later int) (sim *simulation, first int) {
+	sim = newSimulation(5)
+	sim.run(2 * time.Second)
+	first = sim.interactions
+	sim.faultAt[first+later] = f
+	hot := map[mooring.Key]int{}
+	for k := 30000; k < 30200; k++ {
+		hot[mooring.Key(k)] = 10
+	}
+	sim.step(sim.term, mooring.LoadReported{Requests: hot, Interval: time.Second})
+	return sim, first
+}
+
+// expectOneHolderWithin asserts that for d no key ever has two holders, and that
+// none has no holder for longer than plannedMoveTime.
+func expectOneHolderWithin(sim *simulation, d time.Duration, context string) {
+	GinkgoHelper()
+	heldAt := map[mooring.Key]mooring.Instant{}
+	for end := sim.now.Add(d); sim.now < end; sim.run(step) {
+		for key, n := range sim.holderCounts() {
+			if _, seen := heldAt[key]; !seen || n > 0 {
+				heldAt[key] = sim.now
+			}
+			Expect(n).To(BeNumerically("<=", 1), "holders of key %d, %s", key, context)
+			Expect(sim.now.Sub(heldAt[key])).To(BeNumerically("<=", plannedMoveTime), "time without a holder of key %d, %s", key, context)
+		}
+	}
+	Expect(sim.violations).To(BeEmpty(), context)
+}
+
+var _ = Describe("A range that is moved while the store goes out", func() {
+	faultless, first := startLoadMove(faultNone, 0)
+	faultless.run(time.Second)
+	total := faultless.interactions - first
+
+	for _, f := range []fault{faultStoreOut, faultStoreOutLater, faultStoreForgetful} {
+		It("is held without the store whatever step of the move it goes out at: "+string(f), func() {
+			Expect(total).To(BeNumerically(">=", 4), "interactions of the move")
+			for n := range total {
+				sim, _ := startLoadMove(f, n)
+				context := fmt.Sprintf("fault at interaction %d of %d", n, total)
+				expectOneHolderWithin(sim, time.Second+storeOutage+placerLease, context)
+				sim.run(recoveryTime)
+				Expect(sim.violations).To(BeEmpty(), context)
+				Expect(sim.unheldKeys()).To(BeEmpty(), context)
+			}
+		})
+	}
+})
+
+var _ = Describe("A move during which the store goes out", func() {
+	It("holds when another fault follows", func() {
+		for seed := range uint64(250) {
+			rng := rand.New(rand.NewPCG(20261204, seed))
+			outages := []fault{faultStoreOut, faultStoreOutLater, faultStoreForgetful}
+			outage, n := outages[rng.IntN(len(outages))], rng.IntN(16)
+			f, later := faults[rng.IntN(len(faults))], n+1+rng.IntN(40)
+			sim, first := startLoadMove(outage, n)
+			sim.faultAt[first+later] = f
+			sim.run(storeOutage + recoveryTime)
+			Expect(sim.violations).To(BeEmpty(), "seed %d: %d:%s %d:%s", seed, n, outage, later, f)
+			Expect(sim.unheldKeys()).To(BeEmpty(), "seed %d: %d:%s %d:%s", seed, n, outage, later, f)
+		}
+	})
+})
+
+// startUnrecordedMove starts a deployment and stops its store as soon as a move is
+// recorded. It returns the range that is moved.
+func startUnrecordedMove(outage time.Duration, forgetful bool) (*simulation, mooring.Assignment) {
+	sim, _ := startLoadMove(faultNone, 0)
+	for before := sim.revision; sim.revision == before; {
+		sim.run(step)
+	}
+	sim.stopStore(outage, forgetful)
+	for _, r := range sim.recorded.Assignments {
+		if r.Moving() {
+			return sim, r
+		}
+	}
+	Fail("no range is moved")
+	return nil, mooring.Assignment{}
+}
+
+var _ = Describe("The next owner of a range, granted without a record", func() {
+	It("is waited for by a placer that replaces it", func() {
+		const outage = time.Second
+		sim, moved := startUnrecordedMove(outage, true)
+		sim.run(outage)
+		owner := sim.servers[moved.Owner.Server]
+		owner.cutUntil = sim.now.Add(time.Minute)
+		owner.listed = false
+		sim.run(recoveryTime)
+		expectAllKeysHeld(sim)
+		Expect(sim.recorded.Find(moved.From).Owner).NotTo(Equal(moved.Owner))
+	})
+
+	It("passes on the handover of its former owner", func() {
+		sim, moved := startUnrecordedMove(storeOutage, false)
+		sim.run(time.Second)
+		Expect(sim.holds(moved.Owner, moved.KeyRange)).To(BeTrue())
+		Expect(sim.grantedWith[fmt.Sprintf("%v %d", moved.KeyRange, moved.Token)]).To(Equal("handover"))
+	})
+
+	It("keeps the range while its former owner is granted other keys", func() {
+		const outage = 30 * time.Second
+		sim, moved := startUnrecordedMove(outage, false)
+		former := sim.servers[moved.FormerOwners[0].Server]
+		former.cutUntil = sim.now.Add(time.Minute)
+		for end := sim.now.Add(outage); !sim.holds(moved.Owner, moved.KeyRange); sim.run(step) {
+			Expect(sim.now).To(BeNumerically("<", end), "time of the first grant")
+		}
+		former.cutUntil, former.dropsResponses = 0, true
+		for sim.now < sim.storeOutUntil {
+			sim.run(step)
+			Expect(sim.holds(moved.Owner, moved.KeyRange)).To(BeTrue(), "at %v", time.Duration(sim.now))
+		}
+		Expect(sim.violations).To(BeEmpty())
+	})
+})
+
 var _ = Describe("Hot neighbours", func() {
 	// The servers of a large deployment can each handle twice the mean load.
 	const maxLoadRatio = 2.0
--- a/mooring/doc.go
+++ b/mooring/doc.go
@@ -16,21 +16,25 @@
 //  2. A release with the new token is sent to the former owner. Its response
 //     proves that no work on the keys is left, and from then on the server
 //     rejects every renewal of its earlier grant.
-//  3. A write removes the former owner from the list and records the handover
+//  3. The new owner is granted the keys, and the grant is renewed.
+//  4. A write removes the former owner from the list and records the handover
 //     data that it returned.
-//  4. The new owner is granted the keys, and the grant is renewed.
 //
 // If a former owner does not answer, step 3 waits until its last grant has
 // expired, or until a later incarnation of the server has registered, or a
-// server that started later has registered at its address. Step 4 depends only
-// on the record of step 3, so a placer that takes over continues from the
-// recorded table.
+// server that started later has registered at its address. Steps 3 and 4 do not
+// depend on each other, so a range gets its next owner also while the store is
+// unavailable. A placer that takes over before step 4 repeats step 2, which is
+// harmless to a server that holds none of the keys, and continues. Since it cannot
+// know whether step 3 was made, a range whose next owner is replaced gets another
+// token and lists that owner as a former one, too.
 //
 // Ranges that get a new owner in the same write share a token, so one release
 // covers all adjacent ranges of a former owner.
 //
-// While the store cannot be written, the assigner continues to renew grants and
-// to send the releases that follow from the recorded table. An assigner that
+// While the store cannot be written, the assigner continues to send the grants and
+// releases that follow from the recorded table. [Assigner.UnrecordedGrants] says
+// which ranges have been granted to a new owner before step 4. An assigner that
 // takes over assumes that earlier ones may have sent grants until
 // [PredecessorEnded], or until AssignerConfig.PredecessorUntil.
 //
--- a/mooring/simulation_test.go
+++ b/mooring/simulation_test.go
@@ -42,6 +42,14 @@
 	predecessorOrderLimit = 10 * time.Second
 	// partitionTime is the duration of a partition.
 	partitionTime = 6 * time.Second
+	// storeOutage is the duration of an outage of the store. It is longer than a
+	// hold and shorter than predecessorOrderLimit.
+	storeOutage = 6 * time.Second
+	// writeLimit is how long after the beginning of an outage the placer knows
+	// that its lease may have expired.
+	writeLimit = placerLease - 100*time.Millisecond
+	// storeRetryDelay is the time between two attempts to read the table.
+	storeRetryDelay = 100 * time.Millisecond
 )
 
 // fault is a fault that is injected at one interaction.
@@ -59,11 +67,16 @@
 	faultNetworkCut     fault = "placer and server are cut off"
 	faultDrain          fault = "server drains"
 	faultPartition      fault = "placer and half of the servers are cut off from the store"
+	// The store's call of the interaction, if it is one, is not executed, or
+	// executed and answered, or executed without an answer.
+	faultStoreOut       fault = "store goes out"
+	faultStoreOutLater  fault = "store goes out after the call"
+	faultStoreForgetful fault = "store goes out during the call and forgets its leases"
 )
 
 var faults = []fault{
 	faultLost, faultResponseLost, faultLate, faultPlacerDies, faultServerDies, faultServerRestarts,
-	faultAddressReused, faultNetworkCut, faultDrain, faultPartition,
+	faultAddressReused, faultNetworkCut, faultDrain, faultPartition, faultStoreOut, faultStoreOutLater, faultStoreForgetful,
 }
 
 // simServer is one instance of a backend server.
@@ -112,14 +125,18 @@
 	// lastOwner the server that it was last granted to.
 	highestToken map[mooring.Key]mooring.Token
 	lastOwner    map[mooring.Key]mooring.ServerInstance
+	// grantedWith has the handover of the first grant of each range and token.
+	grantedWith map[string]string
 	// faultAt has the faults to inject, by the number of the interaction.
 	faultAt      map[int]fault
 	interactions int
-	// storeCalls counts the calls to the store.
-	storeCalls   int
-	steps        int
-	violations   []string
-	mostInFlight int
+	// storeCalls counts the calls to the store, which answers none until
+	// storeOutUntil.
+	storeCalls    int
+	storeOutUntil mooring.Instant
+	steps         int
+	violations    []string
+	mostInFlight  int
 }
 
 func newSimulation(servers int) *simulation {
@@ -130,6 +147,7 @@
 		highestToken: make(map[mooring.Key]mooring.Token),
 		lastOwner:    make(map[mooring.Key]mooring.ServerInstance),
 		faultAt:      make(map[int]fault),
+		grantedWith:  make(map[string]string),
 	}
 	for i := range servers {
 		sim.addServer(fairway.ServerID(fmt.Sprintf("s%d", i)), fmt.Sprintf("10.0.0.%d:80", i))
@@ -138,8 +156,15 @@
 	return sim
 }
 
+// addServer starts a server. Another server that had its address is gone: two
+// processes cannot listen on one.
 func (sim *simulation) addServer(id fairway.ServerID, address string) *simServer {
 	sim.incarnation++
+	for _, other := range sim.servers {
+		if other.instance.Address == address {
+			other.up, other.listed = false, false
+		}
+	}
 	s := &simServer{
 		instance: mooring.ServerInstance{Server: id, Incarnation: sim.incarnation, Address: address},
 		up:       true, listed: true,
@@ -221,8 +246,12 @@
 	}
 }
 
-// startPlacer begins a term with a new assigner.
+// startPlacer begins a term with a new assigner once the store answers.
 func (sim *simulation) startPlacer() {
+	if sim.now < sim.storeOutUntil {
+		sim.schedule(sim.storeOutUntil.Sub(sim.now), sim.startPlacer)
+		return
+	}
 	sim.term++
 	sim.assigner = mooring.NewAssigner(mooring.AssignerConfig{
 		Service: service, Now: sim.now, PredecessorUntil: sim.now.Add(predecessorOrderLimit), Timing: timing,
@@ -263,6 +292,43 @@
 	})
 }
 
+// stopStore makes the store unavailable. If it forgets its leases, another placer
+// takes over when it returns.
+func (sim *simulation) stopStore(lasts time.Duration, forgetful bool) {
+	if sim.now < sim.storeOutUntil {
+		return
+	}
+	sim.storeOutUntil = sim.now.Add(lasts)
+	term := sim.term
+	if lasts > writeLimit {
+		sim.schedule(writeLimit, func() { sim.step(term, mooring.WritesAllowed{Allowed: false}) })
+	}
+	sim.schedule(lasts, func() {
+		switch {
+		case term != sim.term || sim.assigner == nil:
+		case forgetful:
+			sim.killPlacer()
+		default:
+			sim.step(term, mooring.WritesAllowed{Allowed: true})
+		}
+	})
+}
+
+// storeUnreachable reports whether the placer of a term cannot reach the store.
+func (sim *simulation) storeUnreachable(term int) bool {
+	return sim.now < sim.storeOutUntil || sim.formerAssigner != nil && term == sim.formerTerm
+}
+
+// load reads the recorded table, as soon as the store can be reached.
+func (sim *simulation) load(term int) {
+	if sim.storeUnreachable(term) {
+		sim.schedule(storeRetryDelay, func() { sim.load(term) })
+		return
+	}
+	table, revision := sim.recorded, sim.revision
+	sim.schedule(latency, func() { sim.step(term, mooring.TableLoaded{Table: table, Revision: revision}) })
+}
+
 // assignerOf returns the assigner of a term, or nil if the term has ended.
 func (sim *simulation) assignerOf(term int) *mooring.Assigner {
 	switch {
@@ -320,8 +386,7 @@
 	switch a := action.(type) {
 	case mooring.LoadTable:
 		sim.storeCalls++
-		table, revision := sim.recorded, sim.revision
-		sim.schedule(latency, func() { sim.step(term, mooring.TableLoaded{Table: table, Revision: revision}) })
+		sim.load(term)
 	case mooring.WriteTable:
 		sim.storeCalls++
 		sim.write(term, a, injected)
@@ -333,6 +398,10 @@
 		sim.killPlacer()
 	case faultPartition:
 		sim.partition(partitionTime)
+	case faultStoreOut, faultStoreOutLater:
+		sim.stopStore(storeOutage, false)
+	case faultStoreForgetful:
+		sim.stopStore(storeOutage, true)
 	default:
 	}
 }
@@ -348,10 +417,13 @@
 		sim.recorded = a.Table
 		return true
 	}
+	if sim.storeUnreachable(term) {
+		injected = faultLost
+	}
 	switch injected {
-	case faultLost:
+	case faultLost, faultStoreOut:
 		sim.schedule(time.Second, func() { sim.step(term, mooring.WriteFailed{}) })
-	case faultResponseLost:
+	case faultResponseLost, faultStoreForgetful:
 		sim.schedule(latency, func() { apply() })
 		sim.schedule(time.Second, func() { sim.step(term, mooring.WriteFailed{}) })
 	case faultLate:
@@ -454,6 +526,11 @@
 			}
 		}
 	}
+	if id := fmt.Sprintf("%v %d", order.KeyRange, order.Token); !order.Release {
+		if _, granted := sim.grantedWith[id]; !granted {
+			sim.grantedWith[id] = order.Handover
+		}
+	}
 	for i, key := range sampledKeys {
 		if !order.KeyRange.Contains(key) {
 			continue
@@ -475,6 +552,31 @@
 	return mooring.ResultAccepted, "handover"
 }
 
+// holds reports whether a server holds all sampled keys of a range.
+func (sim *simulation) holds(instance mooring.ServerInstance, keys mooring.KeyRange) bool {
+	s := sim.servers[instance.Server]
+	for i, key := range sampledKeys {
+		if keys.Contains(key) && (!s.up || s.heldUntil[i] <= sim.now) {
+			return false
+		}
+	}
+	return true
+}
+
+// holderCounts returns how many servers hold each sampled key.
+func (sim *simulation) holderCounts() map[mooring.Key]int {
+	counts := make(map[mooring.Key]int)
+	for i, key := range sampledKeys {
+		counts[key] = 0
+		for _, s := range sim.servers {
+			if s.up && s.heldUntil[i] > sim.now {
+				counts[key]++
+			}
+		}
+	}
+	return counts
+}
+
 // unheldKeys returns the sampled keys that their recorded owner does not hold.
 func (sim *simulation) unheldKeys() []mooring.Key {
 	var keys []mooring.Key
--- a/mooring/table.go
+++ b/mooring/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"hornbeamwinch.example/fairway"
@@ -56,7 +57,8 @@
 	Owner ServerInstance
 	Token Token
 	// FormerOwners may still hold keys of the range. The owner is granted the
-	// range only after the list has been recorded as empty.
+	// range once they provably do not, which may be before the list is recorded as
+	// empty.
 	FormerOwners []ServerInstance
 	// Handover is the data that the former owner returned for the release. It
 	// is passed on in the grant.
@@ -142,16 +144,12 @@
 }
 
 // reassign sets the owner of the assignment at index i, under the given newly
-// allocated token. A range that is still moving has not been granted to anyone
-// under its token, so it keeps that token and its former owners.
+// allocated token. The previous owner becomes a former one even if the range is
+// still moving, since it may have been granted the range without a record of it.
 func (t *Table) reassign(i int, to ServerInstance, token Token) {
 	r := &t.Assignments[i]
-	if r.Moving() {
-		r.Owner = to
-		return
-	}
-	if r.Owner.Server != "" {
-		r.FormerOwners = []ServerInstance{r.Owner}
+	if r.Owner.Server != "" && !slices.Contains(r.FormerOwners, r.Owner) {
+		r.FormerOwners = append(slices.Clone(r.FormerOwners), r.Owner)
 	}
 	r.Owner = to
 	r.Handover = ""
