Move no keys for load that keeps no server busy

Cause: a range is moved when its server's utilization is 1.25 times the mean, however low the mean is. One request a second on one server was enough.

What callers saw: a wait from release to grant for the requests of the moved range, and on the users' platform the price of the keys and of two writes, for nothing.

Change: a server keeps its keys while it has less than one request a second for each slot (minBusyUtilization). A slot with one request a second is idle for 0.4 s of it even if every response takes as long as its objective, at most 0.6 s, so hardly any request waits that a move would spare the wait. Servers that are found slow count as having fewer slots, as before.

Evidence: "moves no key for a handful of requests" was red at 1 request per second and is green; "moves keys of a server that it keeps busy" (12 a second, 6 slots) holds. The mutant is red.

What it does not do: in the tests of real hosts moves for load remain. The test asks for key 100 every 10 ms until it has an owner; the refused requests count as its load (70 or more a second), so the first owners are lopsided or key 100 weighs as much as all others. Whether refused requests should count is open: under overload they are demand.

--- a/mooring/assigner_test.go
+++ b/mooring/assigner_test.go
@@ -331,6 +331,35 @@
 	}
 })
 
+var _ = Describe("Uneven load", func() {
+	// The load is on keys of one of three servers with 6 slots each.
+	movesFor := func(perSecond int) bool {
+		sim := newSimulation(3)
+		sim.run(2 * time.Second)
+		before := sim.revision
+		for range 10 {
+			load := map[mooring.Key]int{}
+			for i := range perSecond {
+				load[mooring.Key(200*i)]++
+			}
+			sim.step(sim.term, mooring.LoadReported{Requests: load, Interval: time.Second})
+			sim.run(time.Second)
+		}
+		expectAllKeysHeld(sim)
+		return sim.revision != before
+	}
+
+	It("moves no key for a handful of requests", func() {
+		for perSecond := range 6 {
+			Expect(movesFor(perSecond)).To(BeFalse(), "%d requests per second", perSecond)
+		}
+	})
+
+	It("moves keys of a server that it keeps busy", func() {
+		Expect(movesFor(12)).To(BeTrue())
+	})
+})
+
 var _ = Describe("A move during which the store goes out", func() {
 	It("holds when another fault follows", func() {
 		for seed := range uint64(250) {
--- a/mooring/balance.go
+++ b/mooring/balance.go
@@ -9,6 +9,13 @@
 	// which keys are moved away from it. Estimated rates have an error of about
 	// 10 %.
 	imbalanceLimit = 1.25
+	// minBusyUtilization is the utilization below which a server keeps its keys
+	// however uneven the load is, in requests per second for each slot. A slot with
+	// one request a second is idle for 0.4 s of it even if every response takes as
+	// long as its objective, at most 0.6 s, so hardly any request waits that a move
+	// would spare the wait. A move makes all requests for its keys wait from the
+	// release to the grant.
+	minBusyUtilization = 1.0
 	// severeImbalance is the ratio above which a server is overloaded. Keys are
 	// then moved away even beyond maxMovingRanges, up to one range per server.
 	severeImbalance = 1.6
@@ -179,7 +186,7 @@
 	done := make(map[*serverLoad]bool)
 	for moving := next.movingCount(); moving < len(alloc.servers); moving++ {
 		from := alloc.mostUtilized(done)
-		if from == nil || from.utilization() < imbalanceLimit*alloc.targetUtilization {
+		if from == nil || from.utilization() < max(imbalanceLimit*alloc.targetUtilization, minBusyUtilization) {
 			break
 		}
 		if moving >= maxMovingRanges && from.utilization() < severeImbalance*alloc.targetUtilization {
