Lower the utilization below which no keys move to 0.2 requests a second for each slot

Cause: set one request a second, on the assumption that a response takes 0.6 s at most. On larger deployments a response may take longer than a second (aims up to 1.5 s on the grown sites), and a slot with one request a second is then busy.

Change: 0.2; a slot is idle most of the time also where a response takes a second.

--- a/mooring/balance.go
+++ b/mooring/balance.go
@@ -10,12 +10,11 @@
 	// 10 %.
 	imbalanceLimit = 1.25
 	// minBusyUtilization is the utilization below which a server keeps its keys
-	// however uneven the load is, in requests per second for each slot. A slot with
-	// one request a second is idle for 0.4 s of it even if every response takes as
-	// long as its objective, at most 0.6 s, so hardly any request waits that a move
-	// would spare the wait. A move makes all requests for its keys wait from the
+	// however uneven the load is, in requests per second for each slot. With a
+	// request every five seconds a slot is idle most of the time, also where a
+	// response takes a second. A move makes all requests for its keys wait from the
 	// release to the grant.
-	minBusyUtilization = 1.0
+	minBusyUtilization = 0.2
 	// severeImbalance is the ratio above which a server is overloaded. Keys are
 	// then moved away even beyond maxMovingRanges, up to one range per server.
 	severeImbalance = 1.6
