Handle all signals from before the settings are read until the exit

Cause: the host registered for SIGHUP in a loop that starts with it and ends before its last steps. fx registered for SIGTERM and SIGINT after the start, when the host has listened for some time already, and deregistered at the end of the stop. Outside of that the default action of a signal ends the process.

What callers see: every connection to the host ends, with the requests in flight. In a start these are the first requests of a host, in a stop those that it is about to answer. The log has no last line.

Why this works: the process registers for the three signals before it reads the settings, and never deregisters. A signal to stop stays in its channel until the start is complete, and the daemon then stops in order. The host is given the channel of SIGHUP; what comes before its loop runs is not forgotten, and what comes after is dropped without effect. fx.App.Run is replaced, since it deregisters. Both modes of the daemon share this. In the project's own deployment SIGHUP, which ended the daemon, has no effect now.

Ruled out: fx's own registration before the start (App.Wait), since App.Stop ends it; a goroutine that takes the signals, since the channels' one place each is enough. What remains: a signal in the moment from exec to the registration still ends the process, before it has read anything or listens.

--- a/cmd/hornbeamwinchd/main.go
+++ b/cmd/hornbeamwinchd/main.go
@@ -40,8 +40,9 @@
 		}
 		os.Exit(exitUsage)
 	}
+	s := newSignals()
 	if o.Platform {
-		runOnPlatform(o)
+		runOnPlatform(o, s)
 		return
 	}
 	if o.Settings == "" {
@@ -54,7 +55,7 @@
 		fmt.Println("settings are valid")
 		return
 	}
-	run(settings)
+	run(settings, s)
 }
 
 // exitOnError exits with exitSettings if the settings could not be loaded.
@@ -67,15 +68,16 @@
 
 // Exit codes.
 const (
+	exitFailed   = 1
 	exitUsage    = 2
 	exitSettings = 3
 )
 
 // run serves requests until the process receives SIGINT or SIGTERM.
-func run(settings *charter.Settings) {
-	fx.New(
+func run(settings *charter.Settings, s *signals) {
+	os.Exit(s.run(fx.New(
 		harbor.Module(harbor.Config{Settings: settings}),
 		fx.StopTimeout(harbor.StopTimeout(settings)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-	).Run()
+	)))
 }
--- a/cmd/hornbeamwinchd/platform.go
+++ b/cmd/hornbeamwinchd/platform.go
@@ -14,7 +14,7 @@
 
 // runOnPlatform serves requests, with the store, settings file and protocol of the
 // platform (package platform), until the process receives SIGINT or SIGTERM.
-func runOnPlatform(o options) {
+func runOnPlatform(o options, s *signals) {
 	path := o.Settings
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
@@ -32,15 +32,16 @@
 		Address: settings.StoreAddress,
 		Observe: func(op string, err error, elapsed time.Duration) { host.RecordStoreCall(op, err, elapsed) },
 	})
-	fx.New(
+	os.Exit(s.run(fx.New(
 		jetty.Module(jetty.Config{
-			Settings: settings,
-			Store:    store,
-			Protocol: platform.Protocol{},
-			Reload:   func() (*jetty.Settings, error) { return platform.LoadSettings(path) },
+			Settings:      settings,
+			Store:         store,
+			Protocol:      platform.Protocol{},
+			Reload:        func() (*jetty.Settings, error) { return platform.LoadSettings(path) },
+			ReloadSignals: s.reload,
 		}),
 		fx.Populate(&host),
 		fx.StopTimeout(settings.Bounds.Shutdown),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-	).Run()
+	)))
 }
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -8,11 +8,9 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"google.golang.org/grpc"
@@ -20,7 +18,7 @@
 
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
-	hostsignal "hornbeamwinch.example/signal"
+	"hornbeamwinch.example/signal"
 	"hornbeamwinch.example/sluice"
 )
 
@@ -57,9 +55,12 @@
 	Protocol Protocol
 	// LogTo is where the log is written; nil means standard output.
 	LogTo io.Writer
-	// Reload reads the settings again at SIGHUP; nil means that they do not
-	// change.
+	// Reload reads the settings again; nil means that they do not change.
 	Reload func() (*Settings, error)
+	// ReloadSignals receives a signal each time that the settings are to be read
+	// again. The process has to handle the signal before the host starts and
+	// after it has stopped as well, so the host cannot register for it itself.
+	ReloadSignals <-chan os.Signal
 }
 
 // Host is an entry host.
@@ -245,9 +246,9 @@
 	h.peerServer = grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 		MinTime: peerKeepAlive, PermitWithoutStream: true,
 	}))
-	hostsignal.RegisterLoadsServer(h.peerServer, h.loadCollector)
-	hostsignal.RegisterFeedServer(h.peerServer, h.watcher.changeLog)
-	hostsignal.RegisterTermsServer(h.peerServer, &termsServer{election: h.election})
+	signal.RegisterLoadsServer(h.peerServer, h.loadCollector)
+	signal.RegisterFeedServer(h.peerServer, h.watcher.changeLog)
+	signal.RegisterTermsServer(h.peerServer, &termsServer{election: h.election})
 	l := &serverLoop{serve: h.peerServer.Serve, listener: listener, logs: h.logs}
 	h.loops.Go(l.run)
 	return nil
@@ -303,16 +304,13 @@
 	}
 }
 
-// reloadLoop reads the settings again at each SIGHUP.
+// reloadLoop reads the settings again at each of the reload signals.
 func (h *Host) reloadLoop(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-h.cfg.ReloadSignals:
 			h.reload()
 		}
 	}
