--- a/jetty/host.go
+++ b/jetty/host.go
@@ -329,9 +329,10 @@
 	h.logs.settingsReloaded(err)
 }
 
-// ready reports whether the load balancer should send requests to this host.
+// ready reports whether the load balancer should send requests to this host. A host
+// whose watch has lost its history still serves what it knows.
 func (h *Host) ready() bool {
-	return !h.shuttingDown.Load() && h.watcher.scanned.Load() && h.clusterState.activeConfig.Current() != nil && h.clusterState.catalog().Len() > 0
+	return !h.shuttingDown.Load() && h.watcher.initialized.Load() && h.clusterState.activeConfig.Current() != nil && h.clusterState.catalog().Len() > 0
 }
 
 // Stop shuts the host down: it waits until the load balancer has stopped sending
@@ -363,7 +364,7 @@
 	h.cancel()
 	h.closeServers()
 	h.loops.Wait()
-	h.logs.stopped(stopSummary{took: time.Since(began), connectionsCut: left, readsDiscarded: h.callers.discarded.Load()})
+	h.logs.stopped(stopSummary{took: time.Since(began), connectionsCut: left})
 	h.logs.close()
 }
 
