Count abandoned requests at servers that ignore grants as in flight

What callers saw: nothing. The trial "Three failure domains with three entry hosts each keep single ownership through losses (servers that ignore grants: true)" found once that a request for key-2 began on a second server 23 ms before the deadline of a run on the first, a frozen one, that never finished.

Cause: a gate forgot a request as soon as the host no longer waited for it. The host closes the connection, but a frozen server does not learn of that and has the request until the deadline that it was sent. When the table marks the server unresponsive and its shards as moving, the gate cancels the requests there; the host then reported the version as drained at once, which is all the proof that the placer needs for a server that ignores grants. The same happened after a caller left, a reset connection, an answer that was cut or belonged to another request, and a retry on a new connection after silent_after_ms.

Why the matrix did not show it: its model ended a request at a frozen server when the host abandoned it. It now ends there only when the server can learn of it, or at the deadline.

Now a request that was sent and has ended without Permit.Complete stays in the gate until its deadline plus the drift margin, or until the table lists the server's process as gone, so that the replacement of a killed server waits for nothing. The deadline is never later than the route lease, so a version that has expired covers it too. Servers that check grants are not affected.

--- a/harbor/daemon.go
+++ b/harbor/daemon.go
@@ -84,7 +84,8 @@
 			Incarnation: d.incarnation,
 			RouteLease:  s.Timing.RouteLeaseMS.Duration(),
 		},
-		Now: time.Now,
+		DriftMargin: s.Timing.DriftMarginMS.Duration(),
+		Now:         time.Now,
 	})
 	d.directory = NewDirectory(s.Host.Domain, d.gate)
 	d.router = d.newRouter()
--- a/quay/dispatch.go
+++ b/quay/dispatch.go
@@ -60,15 +60,22 @@
 	resp, err := b.send(ctx, permit, r.request, r.options())
 	if err != nil {
 		abandoned = kindOf(err) != KindNotRun
+		if !abandoned {
+			permit.Complete()
+		}
 		return r.handleSendError(ctx, permit, err)
 	}
 	rejected = certifiesNotRun(resp.Response)
 	if rejected {
+		permit.Complete()
 		return r.handleRejection(permit, resp)
 	}
 	result := r.passResponse(ctx, permit, resp)
 	_, whole := result.outcome.(Whole)
 	abandoned = !whole
+	if whole {
+		permit.Complete()
+	}
 	return result
 }
 
--- a/roster/gate.go
+++ b/roster/gate.go
@@ -13,6 +13,10 @@
 type GateConfig struct {
 	Domain       berth.DomainID
 	LeaseTracker LeaseTrackerConfig
+	// DriftMargin is added to the deadline of an abandoned request, because the
+	// server counts the request's timeout on its own clock, from when it read the
+	// request.
+	DriftMargin time.Duration
 	// Now returns the monotonic time; time.Now in production.
 	Now func() time.Time
 }
@@ -26,6 +30,8 @@
 	mu      sync.Mutex
 	tracker *LeaseTracker
 	rules   Rules
+	// permits holds the requests in flight, including those that were abandoned
+	// but that their servers may still run.
 	permits map[*Permit]struct{}
 	// changed is closed and replaced at each change.
 	changed chan struct{}
@@ -73,7 +79,9 @@
 	// MissingRules is the rules revision that a newer table requires, or zero.
 	MissingRules berth.RulesRevision
 	MayDispatch  bool
-	InFlight     int
+	// InFlight is the number of requests in flight, including those that were
+	// abandoned but that their servers may still run.
+	InFlight int
 }
 
 // View returns a snapshot of the current state.
@@ -81,6 +89,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.cfg.Now()
+	g.removeOverdue(now)
 	return View{
 		Table:           g.tracker.Table(),
 		Revision:        g.tracker.Revision(),
@@ -160,8 +169,14 @@
 type Permit struct {
 	gate   *Gate
 	cancel context.CancelFunc
-	// sent is set once the request may have been written to the server.
-	sent bool
+	// deadline is the deadline that is sent to the server.
+	deadline time.Time
+	// sent is set once the request may have been written to the server,
+	// completed once the server is known not to run it any more, and abandoned
+	// once it has ended without that.
+	sent      bool
+	completed bool
+	abandoned bool
 
 	Service berth.ServiceID
 	Key     string
@@ -192,6 +207,7 @@
 		return nil, nil, err
 	}
 	ctx, permit.cancel = context.WithDeadline(ctx, g.tracker.LeaseEnd())
+	permit.deadline, _ = ctx.Deadline()
 	g.permits[permit] = struct{}{}
 	return ctx, permit, nil
 }
@@ -289,15 +305,47 @@
 	return nil
 }
 
-// End releases the permit when the request has ended. It may be called more
-// than once.
+// Complete records that the server does not run the request any more, or never
+// did: its response has arrived completely, the server certified that it did not
+// run the request, or no byte of the request was written.
+func (p *Permit) Complete() {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	p.completed = true
+}
+
+// End releases the permit when the host no longer waits for the request. It may be
+// called more than once. A request that has ended without [Permit.Complete] was
+// abandoned. If nothing but its deadline is certain to end it at the server, it
+// stays in flight until then.
 func (p *Permit) End() {
 	p.gate.mu.Lock()
 	defer p.gate.mu.Unlock()
 	p.cancel()
+	if p.sent && !p.completed && p.needsDeadline() {
+		p.abandoned = true
+		return
+	}
 	delete(p.gate.permits, p)
 }
 
+// needsDeadline reports whether only the deadline is certain to prevent the server
+// from running the request beside the next owner of its key. A server that checks
+// grants also loses its grant first, and a key of a service that is not divided
+// has no exclusive owner.
+func (p *Permit) needsDeadline() bool {
+	return p.Divided && !p.Server.ChecksGrants
+}
+
+// removeOverdue removes the abandoned requests that no server runs any more.
+func (g *Gate) removeOverdue(now time.Time) {
+	for permit := range g.permits {
+		if permit.abandoned && (!now.Before(permit.deadline.Add(g.cfg.DriftMargin)) || g.serverStopped(permit.Server)) {
+			delete(g.permits, permit)
+		}
+	}
+}
+
 // allows reports whether the current table and rules allow a running request to
 // continue.
 func (g *Gate) allows(p *Permit) bool {
@@ -324,6 +372,17 @@
 	return server != nil && (server.State == berth.ServerLive || server.State == berth.ServerDraining)
 }
 
+// serverStopped reports whether the table lists the server's process as ended, and
+// with it all of its requests.
+func (g *Gate) serverStopped(s berth.Server) bool {
+	table := g.tracker.Table()
+	if table == nil {
+		return false
+	}
+	listed := table.Server(s.ID)
+	return listed != nil && listed.Address == s.Address && listed.State == berth.ServerStopped
+}
+
 // drainedVersion returns the table's version if it forbids no running request,
 // and zero otherwise. Only requests of services that are divided by key count,
 // because the keys of other services have no exclusive owner.
--- a/roster/host_test.go
+++ b/roster/host_test.go
@@ -374,7 +374,7 @@
 		}
 		s := sim.server(permit.Server.ID)
 		e := &execution{
-			shard: permit.Shard, permit: permit, ctx: ctx,
+			shard: permit.Shard, permit: permit, ctx: ctx, host: h,
 			deadline: h.gate.View().LeaseEnd, server: s,
 		}
 		if s.stopped || sim.now.Before(h.serversCutUntil) || permit.Check() != nil {
@@ -390,33 +390,47 @@
 	}
 }
 
-// execute starts a request that has arrived, if its host has not abandoned it
-// and, where the server checks grants, the server holds a valid grant for it.
+// execute starts a request that has arrived, unless the server has been told that
+// its host has abandoned it or, where the server checks grants, the server holds
+// no valid grant for it.
 func (s *modelServer) execute(sim *simulation, e *execution) {
-	if e.ctx.Err() != nil || e.ended || !sim.now.Before(e.deadline) {
+	if e.ended || e.cancellationArrived(sim) || !sim.now.Before(e.deadline) {
 		e.ended = true
 		return
 	}
 	if sim.checksGrants && (s.tokens[e.shard] != e.permit.Token || !sim.now.Before(s.grantEndsAt)) {
-		e.ended = true
+		e.ended, e.completed = true, true
 		return
 	}
 	e.endsAt = sim.now.Add(workTime)
 	s.running = append(s.running, e)
 }
 
-// endPermits releases the permits of requests that have ended.
+// endPermits releases the permits of requests that have ended or that the host
+// abandons.
 func (h *modelHost) endPermits() {
 	h.inFlight = slices.DeleteFunc(h.inFlight, func(e *execution) bool {
-		finished := !e.endsAt.IsZero() && !h.sim.now.Before(e.endsAt)
-		e.ended = e.ended || finished || e.ctx.Err() != nil || !h.sim.now.Before(e.deadline)
-		if e.ended {
-			e.permit.End()
+		abandoned := !e.ended && (e.ctx.Err() != nil || !h.sim.now.Before(e.deadline))
+		if abandoned {
+			e.abandoned = true
+		}
+		if !e.ended && !abandoned {
+			return false
+		}
+		if e.completed {
+			e.permit.Complete()
 		}
-		return e.ended
+		e.permit.End()
+		return true
 	})
 }
 
+// cancellationArrived reports whether the server has detected that the host has
+// abandoned the request, which it does not while the host is cut from it.
+func (e *execution) cancellationArrived(sim *simulation) bool {
+	return e.abandoned && !sim.now.Before(e.host.serversCutUntil)
+}
+
 // checkSingleOwner checks that at this time no two servers run requests for the
 // same key or hold a valid grant for it.
 func (sim *simulation) checkSingleOwner() {
@@ -426,7 +440,7 @@
 		var owners []berth.ServerID
 		for _, s := range sim.servers {
 			for _, e := range s.running {
-				if e.shard == shard && !e.ended && sim.now.Before(e.endsAt) && sim.now.Before(e.deadline) {
+				if e.shard == shard && !e.ended && sim.now.Before(e.deadline) {
 					running[s.id] = true
 				}
 			}
--- a/roster/simulation_test.go
+++ b/roster/simulation_test.go
@@ -102,11 +102,16 @@
 type execution struct {
 	shard    berth.ShardID
 	server   *modelServer
+	host     *modelHost
 	permit   *roster.Permit
 	ctx      context.Context
 	endsAt   time.Time
 	deadline time.Time
-	ended    bool
+	// ended is set once the server no longer works on the request, completed if
+	// it then has sent its response, and abandoned once the host waits no more.
+	ended     bool
+	completed bool
+	abandoned bool
 }
 
 type modelHost struct {
@@ -206,6 +211,7 @@
 	h.gate = roster.NewGate(roster.GateConfig{
 		Domain:       domain,
 		LeaseTracker: roster.LeaseTrackerConfig{Host: h.id, Incarnation: h.incarnation, RouteLease: routeLease},
+		DriftMargin:  driftMargin,
 		Now:          func() time.Time { return sim.now },
 	})
 	h.placer = berth.NewPlacer(berth.PlacerConfig{
@@ -357,7 +363,8 @@
 		f()
 	}
 	s.running = slices.DeleteFunc(s.running, func(e *execution) bool {
-		e.ended = e.ended || !sim.now.Before(e.endsAt) || !sim.now.Before(e.deadline)
+		e.completed = !e.ended && !sim.now.Before(e.endsAt) && sim.now.Before(e.deadline)
+		e.ended = e.ended || e.completed || e.cancellationArrived(sim) || !sim.now.Before(e.deadline)
 		return e.ended
 	})
 }
