Wait for the deadlines of requests whose entry host was killed

What callers saw: nothing; found while looking for the other ways in which a request at a server that ignores grants is abandoned.

Cause: an entry host whose process has ended counted as having nothing in flight. Its machine closes its connections, but a frozen server, or one that is cut off, does not learn of that, and the host's knowledge of its requests is lost with it. Keys of servers that ignore grants could move before the deadlines of these requests, and rules could close, by which the key goes to another domain.

Evidence, on the code before: [FAIL] The key of a request whose entry host was killed [It] does not move before the deadline while the server is frozen / after the entry host has restarted / under a new placer that never saw the host / is not given to another failure domain before the deadline

Now the placer waits for one route lease plus the drift margin after it learned of the last end of a host's process; no request that the host sent has a later deadline. A host that ended is dropped from the table at once, so a new placer does not know of it; it counts from the start of its term, which is after the last write of the one before. A move from a server whose process is gone, and moves between servers that check grants, wait no longer than before. The matrix' model now treats the requests of a killed host like abandoned ones.

--- a/berth/host.go
+++ b/berth/host.go
@@ -67,7 +67,7 @@
 		return
 	}
 	if view.incarnation != e.Incarnation {
-		p.recordRestart(view, e)
+		p.recordRestart(now, view, e)
 		view.drained = 0
 		view.withinShares = 0
 		view.leaving = false
@@ -86,7 +86,7 @@
 // has ended if another incarnation reports from the same address. An entry
 // host closes its listening socket only after it has stopped dispatching, so
 // the listed incarnation can no longer dispatch.
-func (p *Placer) recordRestart(view *hostView, e HostReported) {
+func (p *Placer) recordRestart(now time.Time, view *hostView, e HostReported) {
 	if p.table == nil {
 		return
 	}
@@ -94,15 +94,24 @@
 	if listed == nil || listed.Address != e.Address || listed.Incarnation == e.Incarnation {
 		return
 	}
-	view.stopped = listed.Incarnation
+	p.recordStop(now, view, listed.Incarnation)
 }
 
-func (p *Placer) hostConnectionRefused(e HostConnectionRefused) {
+func (p *Placer) hostConnectionRefused(now time.Time, e HostConnectionRefused) {
 	view, exists := p.hosts[e.Host]
 	if !exists {
 		return
 	}
-	view.stopped = e.Incarnation
+	p.recordStop(now, view, e.Incarnation)
+}
+
+// recordStop records that the process of an incarnation of a host has ended.
+func (p *Placer) recordStop(now time.Time, view *hostView, incarnation Incarnation) {
+	if view.stopped == incarnation {
+		return
+	}
+	view.stopped = incarnation
+	p.hostStoppedAt = now
 }
 
 // planHosts updates the table's entry hosts: it first completes transitions,
--- a/berth/placer.go
+++ b/berth/placer.go
@@ -76,6 +76,10 @@
 	servers      map[ServerID]*serverView
 	listed       map[ServerID]ListedServer
 	listReceived bool
+	// hostStoppedAt is when an entry host's process was last found to have ended.
+	// A placer does not know which ones ended before its term; it starts from the
+	// beginning of the term.
+	hostStoppedAt time.Time
 
 	// shardSince holds the version since which a shard is moving, and
 	// hostTransitions the one at which a host entered its current state.
@@ -155,7 +159,7 @@
 	case HostReported:
 		p.hostReported(now, e)
 	case HostConnectionRefused:
-		p.hostConnectionRefused(e)
+		p.hostConnectionRefused(now, e)
 	case ServerObserved:
 		p.serverObserved(now, e)
 	case ServerReleased:
@@ -300,6 +304,7 @@
 	p.history = versionHistory{lease: p.cfg.Timing.RouteLease + p.cfg.Timing.DriftMargin}
 	p.firstVersion = p.table.Version
 	p.idleVersion = 0
+	p.hostStoppedAt = now
 	p.shardSince = make(map[shardRef]Version)
 	p.hostTransitions = make(map[HostID]hostTransition)
 	for _, view := range p.hosts {
--- a/berth/proof.go
+++ b/berth/proof.go
@@ -176,14 +176,14 @@
 	}
 	server := p.table.Server(owner)
 	if server == nil {
-		return ProofUnrouted{}
+		return p.unroutedProof(now)
 	}
 	view := p.server(owner)
 	if server.State == ServerStopped && view.condition == ConditionConnectionRefused {
 		return ProofStopped{}
 	}
 	if !server.ChecksGrants {
-		return ProofUnrouted{}
+		return p.unroutedProof(now)
 	}
 	if view.released >= since {
 		return ProofReleased{}
@@ -200,3 +200,20 @@
 	}
 	return nil
 }
+
+// unroutedProof returns [ProofUnrouted] once the requests of stopped hosts have
+// ended.
+func (p *Placer) unroutedProof(now time.Time) Proof {
+	if !p.stoppedHostsUnrouted(now) {
+		return nil
+	}
+	return ProofUnrouted{}
+}
+
+// stoppedHostsUnrouted reports whether the deadline of every request that an entry
+// host sent before its process ended has passed. The end of the process closes the
+// connections, but a server that is frozen or cut off does not detect that. No
+// deadline is later than one route lease after the end of the host's process.
+func (p *Placer) stoppedHostsUnrouted(now time.Time) bool {
+	return now.Sub(p.hostStoppedAt) >= p.cfg.Timing.RouteLease+p.cfg.Timing.DriftMargin
+}
--- a/berth/rules.go
+++ b/berth/rules.go
@@ -42,7 +42,8 @@
 		d.recordDecision(Decision{Reason: ReasonRulesState})
 		return
 	}
-	if recorded.Closed < recorded.Closing && d.placer.hostsCaughtUp(d.placer.closingVersion()) {
+	hostsClosed := d.placer.hostsCaughtUp(d.placer.closingVersion()) && d.placer.stoppedHostsUnrouted(d.now)
+	if recorded.Closed < recorded.Closing && hostsClosed {
 		rules.Closed = recorded.Closing
 		d.recordDecision(Decision{Reason: ReasonRulesState})
 	}
--- a/roster/simulation_test.go
+++ b/roster/simulation_test.go
@@ -227,7 +227,7 @@
 func (h *modelHost) kill() {
 	h.stopped = true
 	for _, e := range h.inFlight {
-		e.ended = true
+		e.abandoned = true
 	}
 	h.inFlight = nil
 }
