Close rules only after the deadlines of abandoned requests at any server

What callers saw: nothing; found while looking where else an abandoned request counted as ended.

Cause: a move between two servers that check grants waits for the former owner's grant. The closing of rules, after which another failure domain may dispatch the key, waits for the entry hosts only. A request abandoned at a frozen server counted as ended there too.

Evidence, on the code before: [FAIL] A request abandoned at a server that checks grants [It] keeps its key from another failure domain until its deadline

Now the gate keeps every abandoned request of a service divided by key until its deadline.

--- a/roster/gate.go
+++ b/roster/gate.go
@@ -316,27 +316,20 @@
 
 // End releases the permit when the host no longer waits for the request. It may be
 // called more than once. A request that has ended without [Permit.Complete] was
-// abandoned. If nothing but its deadline is certain to end it at the server, it
-// stays in flight until then.
+// abandoned: its server may run it until its deadline, so it stays in flight until
+// then. The keys of services that are not divided have no exclusive owner, and
+// their requests do not stay.
 func (p *Permit) End() {
 	p.gate.mu.Lock()
 	defer p.gate.mu.Unlock()
 	p.cancel()
-	if p.sent && !p.completed && p.needsDeadline() {
+	if p.Divided && p.sent && !p.completed {
 		p.abandoned = true
 		return
 	}
 	delete(p.gate.permits, p)
 }
 
-// needsDeadline reports whether only the deadline is certain to prevent the server
-// from running the request beside the next owner of its key. A server that checks
-// grants also loses its grant first, and a key of a service that is not divided
-// has no exclusive owner.
-func (p *Permit) needsDeadline() bool {
-	return p.Divided && !p.Server.ChecksGrants
-}
-
 // removeOverdue removes the abandoned requests that no server runs any more.
 func (g *Gate) removeOverdue(now time.Time) {
 	for permit := range g.permits {
@@ -392,9 +385,17 @@
 		return 0
 	}
 	for permit := range g.permits {
-		if permit.Divided && !g.allows(permit) {
+		if permit.Divided && !g.allows(permit) && !g.grantEndsFirst(permit) {
 			return 0
 		}
 	}
 	return table.Version
 }
+
+// grantEndsFirst reports whether the server of an abandoned request loses its grant
+// for the shard before the next owner of the key may run requests. It does so if it
+// checks grants, unless the rules give the key to another failure domain, which
+// does not wait for any server.
+func (g *Gate) grantEndsFirst(p *Permit) bool {
+	return p.abandoned && p.Server.ChecksGrants && g.checkHome(p.Service, p.Key) == nil
+}
--- a/roster/gate_test.go
+++ b/roster/gate_test.go
@@ -41,13 +41,24 @@
 			ID: id, Service: service, State: berth.ServerLive, ChecksGrants: checksGrants,
 		})
 	}
-	file, err := manifest.Parse("rules", "route readings * to d1 # test: home")
-	Expect(err).NotTo(HaveOccurred())
-	f.gate.SetRules(roster.Rules{Newest: file, NewestRevision: 1, Opened: file, OpenedRevision: 1})
+	f.setRules(1, "route readings * to d1 # test: home")
 	f.follow(func(*berth.Table) {})
 	return f
 }
 
+// setRules sets the newest rules, and the opened ones if there are none yet.
+func (f *gateFixture) setRules(revision berth.RulesRevision, text string) {
+	GinkgoHelper()
+	file, err := manifest.Parse("rules", text)
+	Expect(err).NotTo(HaveOccurred())
+	rules := f.gate.View().Rules
+	rules.Newest, rules.NewestRevision = file, revision
+	if rules.OpenedRevision == 0 {
+		rules.Opened, rules.OpenedRevision = file, revision
+	}
+	f.gate.SetRules(rules)
+}
+
 // follow makes the gate follow and confirm the next version of the table.
 func (f *gateFixture) follow(change func(next *berth.Table)) {
 	next := f.table.Clone()
@@ -163,6 +174,18 @@
 		_, permit := f.send(context.Background())
 		permit.End()
 		f.moveShard(berth.ServerUnresponsive)
-		f.expectDrained()
+		Expect(f.gate.View().Drained).To(Equal(f.table.Version))
+	})
+})
+
+var _ = Describe("A request abandoned at a server that checks grants", func() {
+	It("keeps its key from another failure domain until its deadline", func() {
+		f := newGateFixture(true)
+		leaseEnd := f.gate.View().LeaseEnd
+		_, permit := f.send(context.Background())
+		permit.End()
+		f.setRules(2, "route readings * to d2 # test: away")
+		f.follow(func(next *berth.Table) { next.Rules.Closing = 2 })
+		f.expectInFlightUntil(leaseEnd.Add(driftMargin))
 	})
 })
