Let a version expire one lease after a majority follows it

Cause: a version expires one lease after a strict majority of the members follows it. The placer counted a member only once it had nothing in flight that the version forbids, which abandoned requests now delay by up to a lease. DESIGN.md asks only that the majority follows: from then on it vouches for no older version, and what it had in flight has a deadline within one lease from then.

Reports now carry the version that a host follows to the placer; it was on the wire already.

--- a/berth/event.go
+++ b/berth/event.go
@@ -57,8 +57,10 @@
 	Host        HostID
 	Address     string
 	Incarnation Incarnation
-	// Epoch is the epoch to which Drained and WithinShares belong.
+	// Epoch is the epoch to which the following versions belong.
 	Epoch Epoch
+	// Followed is the version that the host follows.
+	Followed Version
 	// Drained is the highest version such that the host has no running request
 	// that the version forbids.
 	Drained Version
--- a/berth/host.go
+++ b/berth/host.go
@@ -9,6 +9,9 @@
 type hostView struct {
 	incarnation Incarnation
 	address     string
+	// followed is the highest version that the host has followed. From then on it
+	// admits no request, and confirms no table, of a lower one.
+	followed Version
 	// drained is the highest version such that the host has no running request
 	// that the version forbids.
 	drained Version
@@ -36,6 +39,7 @@
 // startTerm discards state that belongs to an earlier epoch and restarts the
 // timeout for the host's next report.
 func (v *hostView) startTerm(now time.Time) {
+	v.followed = 0
 	v.drained = 0
 	v.withinShares = 0
 	v.lastSeen = now.Add(-assumedReportAge)
@@ -51,6 +55,15 @@
 	return v.incarnation == incarnation && v.drained >= version
 }
 
+// follows reports whether the given incarnation of the host has followed version,
+// or its process has ended.
+func (v *hostView) follows(incarnation Incarnation, version Version) bool {
+	if v.stopped == incarnation {
+		return true
+	}
+	return v.incarnation == incarnation && v.followed >= version
+}
+
 // host returns the view of host id. It creates the view on first use.
 func (p *Placer) host(now time.Time, id HostID) *hostView {
 	view, exists := p.hosts[id]
@@ -68,6 +81,7 @@
 	}
 	if view.incarnation != e.Incarnation {
 		p.recordRestart(now, view, e)
+		view.followed = 0
 		view.drained = 0
 		view.withinShares = 0
 		view.leaving = false
@@ -77,6 +91,7 @@
 	view.lastSeen = now
 	view.leaving = view.leaving || e.Leaving
 	if p.table != nil && e.Epoch == p.table.Epoch {
+		view.followed = max(view.followed, e.Followed)
 		view.drained = max(view.drained, e.Drained)
 		view.withinShares = max(view.withinShares, e.WithinShares)
 	}
--- a/berth/proof.go
+++ b/berth/proof.go
@@ -81,14 +81,14 @@
 	return false
 }
 
-// hasMajority reports whether a strict majority of the members follows the
-// version. A member follows a version once it has no running request that the
-// version forbids, or once its process has ended.
+// hasMajority reports whether a strict majority of the members has followed the
+// version, or has ended. Requests that they still have in flight need not be
+// waited for: their deadlines are within one route lease from then.
 func (e *versionEntry) hasMajority(hosts map[HostID]*hostView) bool {
 	n := 0
 	for _, m := range e.members {
 		view, exists := hosts[m.id]
-		if exists && view.caughtUp(m.incarnation, e.version) {
+		if exists && view.follows(m.incarnation, e.version) {
 			n++
 		}
 	}
--- a/drydock/placements.go
+++ b/drydock/placements.go
@@ -118,7 +118,8 @@
 	}
 	if table := p.placer.Table(); table != nil {
 		step(berth.HostReported{
-			Host: "host", Address: "host", Incarnation: 1, Epoch: table.Epoch, Drained: table.Version,
+			Host: "host", Address: "host", Incarnation: 1, Epoch: table.Epoch, Followed: table.Version,
+			Drained: table.Version,
 		})
 		e.reportServers(p, step, table.Version)
 	}
--- a/harbor/peers.go
+++ b/harbor/peers.go
@@ -74,6 +74,7 @@
 		Address:      r.GetAddress(),
 		Incarnation:  berth.Incarnation(r.GetIncarnation()),
 		Epoch:        berth.Epoch(r.GetEpoch()),
+		Followed:     berth.Version(r.GetVersion()),
 		Drained:      berth.Version(r.GetSettled()),
 		WithinShares: berth.Version(r.GetWithinShares()),
 		Leaving:      r.GetLeaving(),
