Keep a host in the table until its requests have ended

What callers saw: nothing; found while looking at hosts that stop with requests in flight.

Cause: only listed hosts are asked whether they have something in flight that forbids a move. A host that is to leave (silent for host_timeout_ms, or stopped after drain_limit_ms) was taken off the table as soon as it reported the version as drained, and its running requests did not count against that version, because their shards had not moved. A move that began after that did not wait for them.

Evidence, on the code before: [FAIL] A running request of a host that must leave [It] counts as in flight until it has ended, so that the host stays listed (removed: false), and (removed: true)

Now a table that does not list the host as active forbids all of its running requests of services divided by key. Those at servers that respond may still finish.

--- a/roster/gate.go
+++ b/roster/gate.go
@@ -347,7 +347,7 @@
 		server := table.Server(p.Server.ID)
 		return server != nil && server.State == berth.ServerLive
 	}
-	if g.checkHome(p.Service, p.Key) != nil {
+	if !g.tracker.isActiveMember() || g.checkHome(p.Service, p.Key) != nil {
 		return false
 	}
 	shards := table.Shards(p.Service)
--- a/roster/gate_test.go
+++ b/roster/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -189,3 +190,22 @@
 		f.expectInFlightUntil(leaseEnd.Add(driftMargin))
 	})
 })
+
+var _ = Describe("A running request of a host that must leave", func() {
+	for _, remove := range []bool{false, true} {
+		It(fmt.Sprintf("counts as in flight until it has ended, so that the host stays listed (removed: %v)", remove), func() {
+			f := newGateFixture(true)
+			_, permit := f.send(context.Background())
+			f.follow(func(next *berth.Table) {
+				next.Hosts[0].State = berth.HostLeaving
+				if remove {
+					next.Hosts = nil
+				}
+			})
+			Expect(f.gate.View().Drained).To(BeZero())
+			permit.Complete()
+			permit.End()
+			f.expectDrained()
+		})
+	}
+})
--- a/roster/lease_tracker.go
+++ b/roster/lease_tracker.go
@@ -142,8 +142,7 @@
 	if t.table == nil {
 		return &Error{Op: "dispatch", Kind: KindNoTable}
 	}
-	self := t.table.Host(t.cfg.Host)
-	if self == nil || self.Incarnation != t.cfg.Incarnation || self.State != berth.HostActive {
+	if !t.isActiveMember() {
 		return &Error{Op: "dispatch", Kind: KindNotMember}
 	}
 	if !t.Confirmed(now) {
@@ -152,6 +151,12 @@
 	return nil
 }
 
+// isActiveMember reports whether the table lists this run of the host as active.
+func (t *LeaseTracker) isActiveMember() bool {
+	self := t.table.Host(t.cfg.Host)
+	return self != nil && self.Incarnation == t.cfg.Incarnation && self.State == berth.HostActive
+}
+
 // receiveTable adopts e.Table if its version is higher than any received so
 // far: a host never goes back to a lower version. The host must have the rules
 // that the table is closing before it follows the table; until then the table
