Hold back the move of a hot key until its earlier requests have ended

What callers saw: nothing; found while reading what a table forbids.

Cause: a running request was compared with the shard that it was admitted under. A key that becomes hot gets a shard of its own, with the same owner at first. When that shard moved, the request still counted as allowed by the key's former shard, and the move did not wait for it.

Evidence, on the code before: [FAIL] A running request for a key that becomes hot [It] holds back the move of the key's own shard

Now the request is compared with the shard that the key has in the table at hand. It may go on while that shard has the same owner.

--- a/roster/gate.go
+++ b/roster/gate.go
@@ -351,11 +351,15 @@
 		return false
 	}
 	shards := table.Shards(p.Service)
-	if shards == nil || int(p.Shard) >= len(shards.Shards) {
+	if shards == nil {
 		return false
 	}
-	assignment := shards.Shards[p.Shard]
-	return assignment.Placed() && assignment.Owner == p.Server.ID && assignment.Token == p.Token
+	// The key may have got another shard since, with a token of its own. Its owner
+	// stays the same in that version, but it may change in a later one.
+	shard := shards.ShardOf(p.Key)
+	assignment := shards.Shards[shard]
+	sameToken := assignment.Token == p.Token || shard != p.Shard
+	return assignment.Placed() && assignment.Owner == p.Server.ID && sameToken
 }
 
 // serverResponds reports whether the table lists the server as live or
--- a/roster/gate_test.go
+++ b/roster/gate_test.go
@@ -209,3 +209,21 @@
 		})
 	}
 })
+
+var _ = Describe("A running request for a key that becomes hot", func() {
+	It("holds back the move of the key's own shard", func() {
+		f := newGateFixture(true)
+		_, permit := f.send(context.Background())
+		f.follow(func(next *berth.Table) {
+			shards := &next.Services[0]
+			shards.HotKeys = []berth.HotKey{{Key: "tank-1", Shard: 1}}
+			shards.Shards = append(shards.Shards, berth.Shard{Owner: "s1", Token: berth.Token{Epoch: 1, Sequence: 1}})
+		})
+		Expect(f.gate.View().Drained).To(Equal(f.table.Version))
+		f.follow(func(next *berth.Table) { next.Services[0].Shards[1].NextOwner = "s2" })
+		Expect(f.gate.View().Drained).To(BeZero())
+		permit.Complete()
+		permit.End()
+		f.expectDrained()
+	})
+})
