Wait for the deadline of a request in hand if the grant ends before it

What callers saw: nothing. The settings allow a grant_ttl_ms below route_lease_ms; both are 900 in the examples, where nothing changes.

Cause: a frozen server that checks grants was replaced one grant_ttl_ms after the entry hosts had given up its requests. The end of the grant stops new requests, but not one in hand; that ends at its deadline, up to one route lease later.

Evidence, on the code before: [FAIL] The key of a request at a frozen server whose grant has ended [It] does not move before the request's deadline

Now the placer waits for the longer of the two.

--- a/berth/proof.go
+++ b/berth/proof.go
@@ -195,7 +195,10 @@
 		view.caughtUpAt = now
 		view.caughtUpVersion = since
 	}
-	if now.Sub(view.caughtUpAt) >= p.cfg.Timing.GrantTTL+p.cfg.Timing.DriftMargin {
+	// A frozen server may have a request in hand, which only the request's deadline
+	// ends. It is within one route lease.
+	wait := max(p.cfg.Timing.GrantTTL, p.cfg.Timing.RouteLease) + p.cfg.Timing.DriftMargin
+	if now.Sub(view.caughtUpAt) >= wait {
 		return ProofExpired{}
 	}
 	return nil
--- a/berth/proof_test.go
+++ b/berth/proof_test.go
@@ -12,6 +12,7 @@
 const (
 	placerTick  = 50 * time.Millisecond
 	routeLease  = 900 * time.Millisecond
+	grantTTL    = 300 * time.Millisecond
 	driftMargin = 50 * time.Millisecond
 	readings    = berth.ServiceID("readings")
 )
@@ -29,15 +30,18 @@
 	reports    map[berth.HostID]berth.Incarnation
 	conditions map[berth.ServerID]berth.Condition
 	drainedAt  time.Time
+	// checksGrants is set if the servers check grants.
+	checksGrants bool
 }
 
 // newPlacerFixture returns a fixture in which h1 and h2 are active and one of two
-// servers that ignore grants owns the only shard.
-func newPlacerFixture() *placerFixture {
+// servers owns the only shard.
+func newPlacerFixture(checksGrants bool) *placerFixture {
 	GinkgoHelper()
 	f := &placerFixture{
-		now:     time.Unix(1_000_000, 0),
-		reports: map[berth.HostID]berth.Incarnation{"h2": 1},
+		checksGrants: checksGrants,
+		now:          time.Unix(1_000_000, 0),
+		reports:      map[berth.HostID]berth.Incarnation{"h2": 1},
 		conditions: map[berth.ServerID]berth.Condition{
 			"s1": berth.ConditionAlive, "s2": berth.ConditionAlive,
 		},
@@ -55,7 +59,7 @@
 		Domain: "d1", Host: "h1", Address: "h1", Incarnation: 1,
 		Services: []berth.ServiceSpec{{ID: readings, HashShards: 1}},
 		Timing: berth.Timing{
-			RouteLease: routeLease, GrantTTL: routeLease, DriftMargin: driftMargin, HostTimeout: 700 * time.Millisecond,
+			RouteLease: routeLease, GrantTTL: grantTTL, DriftMargin: driftMargin, HostTimeout: 700 * time.Millisecond,
 		},
 		Nonce: func() uint64 { f.nonce++; return f.nonce },
 	})
@@ -86,7 +90,9 @@
 		}
 		var listed []berth.ListedServer
 		for id, condition := range f.conditions {
-			listed = append(listed, berth.ListedServer{ID: id, Address: string(id), Service: readings})
+			listed = append(listed, berth.ListedServer{
+				ID: id, Address: string(id), Service: readings, ChecksGrants: f.checksGrants,
+			})
 			f.step(berth.ServerObserved{Server: id, Host: "h1", Condition: condition})
 		}
 		f.step(berth.ServersListed{Servers: listed})
@@ -136,21 +142,21 @@
 
 var _ = Describe("The key of a request whose entry host was killed", func() {
 	It("does not move before the deadline while the server is frozen", func() {
-		f := newPlacerFixture()
+		f := newPlacerFixture(false)
 		f.killHost()
 		end := f.now.Add(routeLease + driftMargin)
 		f.expectMoveAt(f.loseOwner(berth.ConditionUnresponsive), end)
 	})
 
 	It("does not move before the deadline after the entry host has restarted", func() {
-		f := newPlacerFixture()
+		f := newPlacerFixture(false)
 		f.reports["h2"] = 2
 		end := f.now.Add(placerTick + routeLease + driftMargin)
 		f.expectMoveAt(f.loseOwner(berth.ConditionUnresponsive), end)
 	})
 
 	It("does not move before the deadline under a new placer that never saw the host", func() {
-		f := newPlacerFixture()
+		f := newPlacerFixture(false)
 		f.killHost()
 		f.run(4 * placerTick)
 		Expect(f.table.Host("h2")).To(BeNil())
@@ -160,7 +166,7 @@
 	})
 
 	It("moves at once if the server's process has ended as well", func() {
-		f := newPlacerFixture()
+		f := newPlacerFixture(false)
 		f.killHost()
 		owner := f.loseOwner(berth.ConditionConnectionRefused)
 		f.run(4 * placerTick)
@@ -169,7 +175,7 @@
 	})
 
 	It("is not given to another failure domain before the deadline", func() {
-		f := newPlacerFixture()
+		f := newPlacerFixture(false)
 		f.killHost()
 		end := f.now.Add(routeLease + driftMargin)
 		f.step(berth.RulesRecorded{Revision: 1, Sources: []berth.DomainID{"d1"}})
@@ -181,9 +187,17 @@
 	})
 })
 
+var _ = Describe("The key of a request at a frozen server whose grant has ended", func() {
+	It("does not move before the request's deadline", func() {
+		f := newPlacerFixture(true)
+		end := f.now.Add(placerTick + routeLease + driftMargin)
+		f.expectMoveAt(f.loseOwner(berth.ConditionUnresponsive), end)
+	})
+})
+
 var _ = Describe("A silent entry host", func() {
 	It("delays a move by one lease in all, also beside requests that others have abandoned", func() {
-		f := newPlacerFixture()
+		f := newPlacerFixture(false)
 		f.reports["h3"] = 1
 		f.run(time.Second)
 		Expect(f.table.Hosts).To(HaveLen(3))
