--- a/jetty/callers.go
+++ b/jetty/callers.go
@@ -1,6 +1,7 @@
 package jetty
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -51,7 +52,7 @@
 	}
 	switch state {
 	case http.StateIdle:
-		c.setIdle()
+		c.setAnswered()
 	case http.StateClosed, http.StateHijacked:
 		cs.mu.Lock()
 		delete(cs.conns, c)
@@ -60,9 +61,9 @@
 	}
 }
 
-// closeIdle closes the connections that have been idle for longer than
+// closeIdle has the connections closed that have been idle for longer than
 // idleLimit, or that have not sent their first request within firstLimit. It
-// returns the number of connections left.
+// returns the number of connections that were open.
 func (cs *callerConns) closeIdle(idleLimit, firstLimit time.Duration) int {
 	cs.mu.Lock()
 	conns := make([]*callerConn, 0, len(cs.conns))
@@ -71,65 +72,109 @@
 	}
 	cs.mu.Unlock()
 	now := time.Now()
-	left := 0
 	for _, c := range conns {
-		if !c.closeIdle(now, idleLimit, firstLimit) {
-			left++
-		}
+		c.closeIdle(now, idleLimit, firstLimit)
 	}
-	return left
+	return len(conns)
 }
 
 // callerConn is one connection of a caller. Closing it while idle never loses a
-// request: either it is closed, and data that arrives later is discarded, or a
-// request has begun to arrive, and it stays open.
+// request: closeIdle interrupts the read in progress, and net/http closes the
+// connection if that has read nothing. Otherwise a request has begun to arrive, and
+// the connection stays open.
+//
+// That net/http calls a connection idle is not enough: its buffer may hold a
+// request that arrived with the one before, or the start of one, since it reads
+// ahead by one byte while a handler runs. So a connection is idle once net/http
+// waits for a request with an empty buffer. It then reads into the whole buffer, as
+// it does first on each connection, and otherwise into what is left of it.
 type callerConn struct {
 	net.Conn
 
 	mu sync.Mutex
 	// idle means that no request is being read or answered, and unused that
 	// there has not been a request yet.
-	idle      bool
-	unused    bool
-	closed    bool
-	idleSince time.Time
+	idle   bool
+	unused bool
+	// answered means that the last request has been answered, and that the next
+	// one has not begun as far as is known.
+	answered   bool
+	bufferSize int
+	idleSince  time.Time
+	// closing means that reads are interrupted, so that the connection is
+	// closed, in spite of readDeadline, which net/http has set.
+	closing      bool
+	readDeadline time.Time
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(data []byte) (int, error) {
+	c.beginRead(len(data))
 	n, err := c.Conn.Read(data)
-	if n == 0 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case n > 0:
+		c.idle, c.unused, c.answered = false, false, false
+		if c.closing {
+			c.closing = false
+			err = errors.Join(err, c.Conn.SetReadDeadline(c.readDeadline))
+		}
+		return n, err
+	case c.closing:
+		return 0, io.EOF
+	default:
 		return n, err
 	}
+}
+
+// beginRead marks the connection as idle if this read, of up to size bytes, waits
+// for the first byte of a request.
+func (c *callerConn) beginRead(size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return 0, io.EOF
+	if c.bufferSize == 0 {
+		c.bufferSize = size
+	}
+	if c.answered && size == c.bufferSize {
+		c.idle = true
 	}
-	c.idle, c.unused = false, false
-	return n, err
 }
 
-func (c *callerConn) setIdle() {
+// SetReadDeadline implements net.Conn. After an answer, net/http sets a deadline
+// only for the headers of the next request, whose start it has then.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
+	c.readDeadline = t
+	if !t.IsZero() {
+		c.answered = false
+	}
+	if c.closing {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *callerConn) setAnswered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = true
 	c.idleSince = time.Now()
 }
 
-// closeIdle closes the connection if it has been idle for too long, and reports
-// whether it did.
-func (c *callerConn) closeIdle(now time.Time, idleLimit, firstLimit time.Duration) bool {
-	limit := idleLimit
+// closeIdle has the connection closed if it has been idle for too long.
+func (c *callerConn) closeIdle(now time.Time, idleLimit, firstLimit time.Duration) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := idleLimit
 	if c.unused {
 		limit = firstLimit
 	}
-	expired := c.idle && now.Sub(c.idleSince) >= limit
-	c.closed = c.closed || expired
-	c.mu.Unlock()
-	if expired {
-		_ = c.Close()
+	if c.closing || !c.idle || now.Sub(c.idleSince) < limit {
+		return
 	}
-	return expired
+	c.closing = true
+	// This fails only if the connection is closed already.
+	_ = c.Conn.SetReadDeadline(pastDeadline)
 }
