Answer every request that has been read when an entry host stops

Seen by callers: the connection of a request ends without an answer. (1) At the drain limit, for requests whose server is at work and those that wait in the queue. (2) For a request that is read after the last one in flight has ended, while the host still leaves the table and gives up its lease.

Cause: the end of Daemon.Stop was http.Server.Close. Nothing refused a request that could not end before it, and nothing looked again between "none in flight" and Close.

Change: the times count from the signal. Once the balancer's wait is over, a request whose deadline is after the drain's end is refused at once (503, host_stopping), also when another host has forwarded it; that host then tries another one. 0.3 s before the end of the stop (a quarter of the drain limit if that is shorter) the contexts of what is still in progress are canceled with a cause of their own: what was not sent gets 503, what may have run 502, both host_stopping. The HTTP servers then wait for whatever they have read (Shutdown) before they close.

Why this works: every request that is read either ends before the drain does, is refused at once, or is canceled, and 0.3 s remain to write its answer. It is tested with six requests at work, two in the queue and one read late: 6 get 502, 3 get 503.

Ruled out: refusing from the signal on whatever has a late deadline. ledger_export may take 600 s, so all downloads would be refused while the balancer still sends them.

Not changed: an answer whose header has been passed on is cut visibly, as before. And net/http may close an idle connection in the moment in which a request's first bytes are read (SetKeepAlivesEnabled, Shutdown); package jetty guards against that with connections of its own, package harbor does not. No test shows it here.

--- a/cmd/trials/fleet_test.go
+++ b/cmd/trials/fleet_test.go
@@ -66,6 +66,8 @@
 	serversPerDomain int
 	ignoreGrants     bool
 	workTime         time.Duration
+	// drainLimit, if not zero, replaces that of the example.
+	drainLimit time.Duration
 	// platformProxies puts a proxy between each host and the platform.
 	platformProxies bool
 	// backendProxy, if set, may put a proxy in front of a backend server by
@@ -102,6 +104,9 @@
 		if cfg.platformProxies {
 			settings.Platform.Address = d.proxy("platform-"+string(settings.Host.ID), d.platform)
 		}
+		if cfg.drainLimit > 0 {
+			settings.Timing.DrainLimitMS = charter.Millis(cfg.drainLimit.Milliseconds())
+		}
 		d.startHost(settings)
 	}
 	d.applyRules(fleet.Rules())
--- a/cmd/trials/requests_test.go
+++ b/cmd/trials/requests_test.go
@@ -371,6 +371,53 @@
 		Expect(r.status).To(Equal(http.StatusOK), r.body)
 		Eventually(d.processes[string(host.ID)].exited, startTimeout).Should(BeClosed())
 	})
+
+	It("answers the requests that are at work, queued or read late when it ends", func() {
+		const drainLimit = 3 * time.Second
+		d := deploySmall(deploymentConfig{workTime: 3 * drainLimit, drainLimit: drainLimit})
+		settings := d.fleet.Hosts[0]
+		export := func() result { return request(http.MethodGet, settings.Host.CallerAddress, "/s/ledger_export/l1", "") }
+		const queued = 2
+		results := make(chan result, slots+queued)
+		for range slots + queued {
+			go func() {
+				defer GinkgoRecover()
+				results <- export()
+			}()
+		}
+		time.Sleep(300 * time.Millisecond)
+		d.signal(string(settings.Host.ID), syscall.SIGTERM)
+		time.Sleep(settings.Timing.BalancerWaitMS.Duration() + drainLimit/3)
+		late := export()
+		expectNotRun(late)
+		Expect(late.header.Get(quay.HeaderReason)).To(BeEquivalentTo(quay.ReasonHostStopping))
+		Expect(late.elapsed).To(BeNumerically("<", drainLimit/3), "it was not refused at once")
+		refused := 0
+		for range slots + queued {
+			var r result
+			Eventually(results, startTimeout).Should(Receive(&r))
+			Expect(r.header.Get(quay.HeaderReason)).To(BeEquivalentTo(quay.ReasonHostStopping))
+			if r.status == http.StatusServiceUnavailable {
+				expectNotRun(r)
+				refused++
+				continue
+			}
+			Expect(r.status).To(Equal(http.StatusBadGateway), r.body)
+			Expect(r.header.Get(quay.HeaderOutcome)).To(Equal(quay.OutcomeUnknown))
+		}
+		Expect(refused).To(Equal(queued))
+	})
+
+	It("answers a request that it reads once none are in flight", func() {
+		d := deploySmall(deploymentConfig{workTime: 700 * time.Millisecond})
+		host := d.fleet.Hosts[0].Host
+		setFaults(d.platform, drydock.PlatformControl{DelayMS: 350})
+		d.signal(string(host.ID), syscall.SIGTERM)
+		time.Sleep(d.fleet.Hosts[0].Timing.BalancerWaitMS.Duration() + 75*time.Millisecond)
+		r := request(http.MethodGet, host.CallerAddress, "/s/stock_balances/s1", "")
+		Expect(r.status).To(Equal(http.StatusOK), r.body)
+		Eventually(d.processes[string(host.ID)].exited, startTimeout).Should(BeClosed())
+	})
 })
 
 // adminAddress returns the admin address of an entry host of a failure domain.
--- a/harbor/daemon.go
+++ b/harbor/daemon.go
@@ -49,6 +49,7 @@
 	placerRunner   *placerRunner
 	storePoller    *storePoller
 	prober         *prober
+	drain          *drain
 	ingress        *ingress
 	admin          *admin
 
@@ -94,6 +95,7 @@
 	d.election = newElection(d)
 	d.prober = newProber(d)
 	d.tableSync = newTableSync(d)
+	d.drain = newDrain()
 	d.ingress = newIngress(d)
 	d.admin = newAdmin(d)
 	return d, nil
@@ -209,21 +211,26 @@
 // waits until the load balancer has had time to detect this, stops admitting
 // requests and waits for those in flight, reports the host as leaving to the
 // placer, releases the placer's lease if it holds it, and then closes the peer
-// listener and the HTTP servers.
+// listener and the HTTP servers. Requests that are still in progress shortly
+// before the drain limit are ended with a response.
 func (d *Daemon) Stop(ctx context.Context) error {
+	balancerWait, drainLimit := d.settings.Timing.BalancerWaitMS.Duration(), d.settings.Timing.DrainLimitMS.Duration()
+	deadline := time.Now().Add(balancerWait + drainLimit)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
 	d.admin.setDraining()
-	sleep(ctx, d.settings.Timing.BalancerWaitMS.Duration())
+	sleep(ctx, balancerWait)
+	drainEnd := deadline.Add(-min(answerTime, drainLimit/answerDivisor))
+	d.drain.begin(drainEnd)
 	d.gate.Leave()
-	drainCtx, cancel := context.WithTimeout(ctx, d.settings.Timing.DrainLimitMS.Duration())
-	defer cancel()
+	drainCtx, cancelDrain := context.WithDeadline(ctx, drainEnd)
+	defer cancelDrain()
 	d.drainRequests(drainCtx)
 	d.tableSync.leave(drainCtx)
 	d.election.resign(drainCtx)
 	d.cancel()
-	stopGRPC(drainCtx, d.grpcServer)
-	for _, server := range d.httpServers {
-		_ = server.Close()
-	}
+	stopGRPC(ctx, d.grpcServer)
+	d.stopHTTP(ctx)
 	d.group.Wait()
 	d.controlClients.close()
 	d.forwardClients.close()
@@ -246,6 +253,15 @@
 	}
 }
 
+// stopHTTP waits for the requests that have been read, also those that arrived
+// since none were in flight, and cuts them off when ctx is done.
+func (d *Daemon) stopHTTP(ctx context.Context) {
+	for _, server := range d.httpServers {
+		_ = server.Shutdown(ctx)
+		_ = server.Close()
+	}
+}
+
 // stopGRPC waits for running calls and cancels them when ctx is done.
 func stopGRPC(ctx context.Context, server *grpc.Server) {
 	stop := context.AfterFunc(ctx, server.Stop)
--- a/harbor/ingress.go
+++ b/harbor/ingress.go
@@ -59,7 +59,7 @@
 		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
-	outcome := i.d.router.Route(ctx, request, &httpSink{w: c.Writer, requestID: request.ID})
+	outcome := i.d.route(ctx, request, &httpSink{w: c.Writer, requestID: request.ID})
 	i.d.logs.requestAnswered(request, outcome, time.Since(start))
 	i.d.metrics.requestLatency(request.Service, time.Since(start))
 	writeOutcome(c.Writer, request.ID, outcome)
--- a/harbor/peers.go
+++ b/harbor/peers.go
@@ -117,7 +117,7 @@
 		defer cancel()
 	}
 	sink := &streamSink{stream: stream}
-	outcome := p.daemon.router.Route(ctx, forwardedRequest(r), sink)
+	outcome := p.daemon.route(ctx, forwardedRequest(r), sink)
 	return stream.Send(&signal.ForwardChunk{Part: &signal.ForwardChunk_End{End: encodeOutcome(outcome)}})
 }
 
--- a/quay/dispatch.go
+++ b/quay/dispatch.go
@@ -35,8 +35,12 @@
 			// for a slot.
 			return anotherAttempt
 		}
-		r.log(Decision{Step: "refuse", Server: permit.Server.ID, Reason: ReasonOverload})
-		return final(r.failureOutcome(ReasonOverload, retryAfterOverload))
+		reason := ReasonOverload
+		if r.endReason() == ReasonHostStopping {
+			reason = ReasonHostStopping
+		}
+		r.log(Decision{Step: "refuse", Server: permit.Server.ID, Reason: reason})
+		return final(r.failureOutcome(reason, retryAfterOverload))
 	}
 	start := time.Now()
 	rejected := false
@@ -153,7 +157,7 @@
 	if kindOf(err) != KindNotRun {
 		r.mayHaveRun = true
 		if ctx.Err() != nil && r.ctx.Err() != nil {
-			return final(r.failureOutcome(ReasonDeadline, retryAfterOutage))
+			return final(r.failureOutcome(r.endReason(), retryAfterOutage))
 		}
 		return r.retryOrFail(reason)
 	}
--- a/quay/errors.go
+++ b/quay/errors.go
@@ -5,6 +5,10 @@
 	"fmt"
 )
 
+// ErrHostStopping is the cause with which the context of a request is canceled when
+// this host stops before the request has ended.
+var ErrHostStopping = errors.New("the host is stopping")
+
 // Kind classifies an [Error].
 type Kind int
 
--- a/quay/outcome.go
+++ b/quay/outcome.go
@@ -72,4 +72,5 @@
 	ReasonMismatchedResponse   Reason = "answer_of_another_request"
 	ReasonAttemptsExceeded     Reason = "retry_budget_exhausted"
 	ReasonForwardLost          Reason = "forward_lost"
+	ReasonHostStopping         Reason = "host_stopping"
 )
--- a/quay/routedrequest.go
+++ b/quay/routedrequest.go
@@ -65,7 +65,7 @@
 			return r.failureOutcome(ReasonAttemptsExceeded, retryAfterOverload)
 		}
 		if r.ctx.Err() != nil {
-			return r.failureOutcome(ReasonDeadline, retryAfterOverload)
+			return r.failureOutcome(r.endReason(), retryAfterOverload)
 		}
 		result := r.try()
 		if result.outcome != nil {
@@ -83,6 +83,14 @@
 	return Refused{Reason: reason, RetryAfter: retryAfter}
 }
 
+// endReason returns the reason why the context of the request is done.
+func (r *routedRequest) endReason() Reason {
+	if errors.Is(context.Cause(r.ctx), ErrHostStopping) {
+		return ReasonHostStopping
+	}
+	return ReasonDeadline
+}
+
 // try makes one attempt.
 func (r *routedRequest) try() attemptResult {
 	home, found := r.router.cfg.Home(r.service.ID, r.request.Key)
@@ -257,7 +265,7 @@
 	}
 	switch refused.Reason {
 	case Reason(roster.KindNotMember.String()), Reason(roster.KindLeaseExpired.String()),
-		Reason(roster.KindNoTable.String()), ReasonNoEntryHost:
+		Reason(roster.KindNoTable.String()), ReasonNoEntryHost, ReasonHostStopping:
 		return anotherAttempt
 	default:
 		return final(r.failureOutcome(refused.Reason, refused.RetryAfter))
