Keep an attempt until another one has answered or has its slot

Seen by callers: 504 server_silent from a server that is at work for longer than silent_after_ms and would have answered in time.

Cause: on a used connection the host gave up the attempt at silent_after_ms, and only then learned that the budget of retries was empty (or the queue full, or that the next attempt failed). The first server's work was lost for nothing.

Change: at silent_after_ms the request is sent on a new connection as well, if the gate admits it again, the budget has a retry, and a slot is free. The first response counts, and the other attempt is canceled. Otherwise, or if the second attempt fails or is rejected, the first has until the request's deadline. Each attempt has a permit of its own, so that a key stays in place until the deadline of the one that was canceled. Requests that must not be repeated have no such time, as before: they are sent once, on a new connection.

If nothing but a slot is missing, the second attempt takes over the slot of the first, which is given up then, and begins 250 ms later, as the slot of any abandoned request allows. Without it, dead connections that hold all slots would do so until the deadlines.

Weighed: - to ask for the budget only, and then to give up: smaller, but a second attempt that fails, or begins too late to end in time, loses the first one's answer as well; - never to give up an attempt: the dead connections above; - a second request at the same slot: exceeds the server's slots if it is at work; - to tell dead connections from busy servers: nothing that the host sees does. What remains: with all slots taken and a retry left, a server at work is still given up, for an attempt that has a retry, a permit and a slot. And two attempts may run at the same time, within the slots; the budget bounds them as it did the repeats.

--- a/charter/settings.go
+++ b/charter/settings.go
@@ -66,8 +66,8 @@
 	Repeat string `json:"repeat" validate:"oneof=safe never"`
 	// TimeoutMS bounds a request whose caller sets no shorter timeout.
 	TimeoutMS Millis `json:"timeout_ms" validate:"min=10,max=3600000"`
-	// SilentAfterMS bounds the wait of a repeatable request for the response
-	// header on a reused connection.
+	// SilentAfterMS is how long a repeatable request waits for the response header
+	// on a reused connection before it is also sent on a new one.
 	SilentAfterMS Millis `json:"silent_after_ms" validate:"min=10,max=60000"`
 	// ProgressTimeoutMS bounds each read of a response body.
 	ProgressTimeoutMS Millis `json:"progress_timeout_ms" validate:"min=10,max=60000"`
--- a/cmd/trials/requests_test.go
+++ b/cmd/trials/requests_test.go
@@ -231,6 +231,15 @@
 		Expect(r.header.Get(quay.HeaderRetryAfter)).NotTo(BeEmpty())
 	})
 
+	It("are waited for when a server is at work for long and no retry is left", func() {
+		d := deploySmall(deploymentConfig{workTime: 700 * time.Millisecond})
+		host := d.fleet.CallerAddresses()[0]
+		for i := range 30 {
+			r := request(http.MethodGet, host, fmt.Sprintf("/s/stock_balances/s%d", i), "")
+			Expect(r.status).To(Equal(http.StatusOK), "request %d: %s", i, r.body)
+		}
+	})
+
 	It("come through a new connection when the open ones have gone silent", func() {
 		var proxies []*stallingProxy
 		d := deploySmall(deploymentConfig{backendProxy: func(b *ledger.Backend) {
--- a/quay/backend.go
+++ b/quay/backend.go
@@ -29,8 +29,6 @@
 	*http.Response
 	backend *backend
 	conn    *conn
-	// reused is set if the connection had carried an earlier request.
-	reused bool
 }
 
 // send sends r to the server and returns once the header of the response has
@@ -41,12 +39,12 @@
 	if err != nil {
 		return nil, err
 	}
-	reused := c.used
-	headerTimeout := time.Duration(0)
-	if reused {
-		headerTimeout = opts.responseHeaderTimeout
-	}
-	resp, err := c.roundTrip(ctx, newServerRequest(ctx, permit, r, opts), permit.Check, headerTimeout)
+	return b.sendOn(ctx, c, permit, r, opts)
+}
+
+// sendOn is like send, on a connection of [backend.connect].
+func (b *backend) sendOn(ctx context.Context, c *conn, permit *roster.Permit, r *Request, opts sendOptions) (*response, error) {
+	resp, err := c.roundTrip(ctx, newServerRequest(ctx, permit, r, opts), permit.Check)
 	if err != nil {
 		b.discard(c)
 		return nil, err
@@ -55,7 +53,7 @@
 		b.discard(c)
 		return nil, newError("receive", KindMayHaveRun, errMismatchedResponse)
 	}
-	return &response{Response: resp, backend: b, conn: c, reused: reused}, nil
+	return &response{Response: resp, backend: b, conn: c}, nil
 }
 
 var (
@@ -68,7 +66,7 @@
 	// newConn requires a new connection.
 	newConn bool
 	// responseHeaderTimeout bounds the wait for the response header on a reused
-	// connection; zero means no bound of its own.
+	// connection, after which the request is sent once more; zero means no bound.
 	responseHeaderTimeout time.Duration
 	// offset and etag request the rest of a truncated response, as a byte range.
 	offset int64
--- a/quay/conn.go
+++ b/quay/conn.go
@@ -42,9 +42,8 @@
 }
 
 // roundTrip writes r and reads the header of its response. It calls check
-// immediately before it writes the first byte. A positive headerTimeout bounds
-// the wait for the response header.
-func (c *conn) roundTrip(ctx context.Context, r *http.Request, check func() error, headerTimeout time.Duration) (*http.Response, error) {
+// immediately before it writes the first byte.
+func (c *conn) roundTrip(ctx context.Context, r *http.Request, check func() error) (*http.Response, error) {
 	stop := context.AfterFunc(ctx, c.interrupt)
 	defer stop()
 	c.written = 0
@@ -54,9 +53,6 @@
 	if err := r.Write(c); err != nil {
 		return nil, newError("send", c.failureKind(), err)
 	}
-	if headerTimeout > 0 {
-		_ = c.SetReadDeadline(time.Now().Add(headerTimeout))
-	}
 	resp, err := http.ReadResponse(c.reader, r)
 	if err != nil {
 		return nil, newError("receive", KindMayHaveRun, err)
@@ -65,7 +61,6 @@
 		_ = resp.Body.Close()
 		return nil, newError("receive", KindMayHaveRun, ctx.Err())
 	}
-	_ = c.SetReadDeadline(time.Time{})
 	c.used = true
 	return resp, nil
 }
--- a/quay/dispatch.go
+++ b/quay/dispatch.go
@@ -42,47 +42,36 @@
 		r.log(Decision{Step: "refuse", Server: permit.Server.ID, Reason: reason})
 		return final(r.failureOutcome(reason, retryAfterOverload))
 	}
-	start := time.Now()
-	rejected := false
-	abandoned := false
-	defer func() {
-		if abandoned {
-			b.limiter.ReleaseAbandoned(time.Since(start))
-			return
-		}
-		b.limiter.Release(time.Since(start), rejected)
-	}()
+	a := newAttempt(ctx, permit, b)
+	defer func() { a.end() }()
 	if r.atMostOnce && r.claim == nil {
 		if result := r.openClaim(ctx); result.outcome != nil {
 			return result
 		}
 	}
-	r.log(Decision{
-		Step: "dispatch", Server: permit.Server.ID, Shard: permit.Shard,
-		Divided: permit.Divided, Token: permit.Token, Version: permit.Version,
-	})
-	resp, err := b.send(ctx, permit, r.request, r.options())
-	if err != nil {
-		abandoned = kindOf(err) != KindNotRun
-		if !abandoned {
-			permit.Complete()
-		}
-		return r.handleSendError(ctx, permit, err)
+	r.logDispatch(permit)
+	a = r.send(a)
+	if a.err != nil {
+		a.abandoned = kindOf(a.err) != KindNotRun
+		return r.handleSendError(a.ctx, a.permit, a.err)
 	}
-	rejected = certifiesNotRun(resp.Response)
-	if rejected {
-		permit.Complete()
-		return r.handleRejection(permit, resp)
+	a.rejected = certifiesNotRun(a.resp.Response)
+	if a.rejected {
+		return r.handleRejection(a.permit, a.resp)
 	}
-	result := r.passResponse(ctx, permit, resp)
+	result := r.passResponse(a.ctx, a.permit, a.resp)
 	_, whole := result.outcome.(Whole)
-	abandoned = !whole
-	if whole {
-		permit.Complete()
-	}
+	a.abandoned = !whole
 	return result
 }
 
+func (r *routedRequest) logDispatch(permit *roster.Permit) {
+	r.log(Decision{
+		Step: "dispatch", Server: permit.Server.ID, Shard: permit.Shard,
+		Divided: permit.Divided, Token: permit.Token, Version: permit.Version,
+	})
+}
+
 // forwardToFrontSet forwards the request to an entry host of the server's front
 // set, which has a share of the server's slots.
 func (r *routedRequest) forwardToFrontSet(permit *roster.Permit) attemptResult {
--- a/quay/limiter.go
+++ b/quay/limiter.go
@@ -94,6 +94,17 @@
 	}
 }
 
+// TryAcquire takes a slot if one is free and no request waits for it.
+func (l *Limiter) TryAcquire() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inFlight >= l.limit() || len(l.queue) > 0 || l.share == 0 {
+		return false
+	}
+	l.inFlight++
+	return true
+}
+
 // acquireOrEnqueue takes a free slot or adds a waiter to the queue. It returns a
 // nil waiter if it took a slot.
 func (l *Limiter) acquireOrEnqueue(ctx context.Context, now time.Time) (*waiter, error) {
--- a/quay/request.go
+++ b/quay/request.go
@@ -53,8 +53,8 @@
 	// Timeout bounds a request whose caller sets no shorter one.
 	Timeout time.Duration
 	// ResponseHeaderTimeout bounds the wait of a repeatable request for the
-	// response header on a reused connection. After that, the request is retried
-	// on a new connection.
+	// response header on a reused connection. After that, the request is also
+	// sent on a new connection, if possible, and the first response counts.
 	ResponseHeaderTimeout time.Duration
 	// ProgressTimeout bounds each read of a response body.
 	ProgressTimeout time.Duration
