--- a/berth/proof.go
+++ b/berth/proof.go
@@ -81,14 +81,14 @@
 	return false
 }
 
-// hasMajority reports whether a strict majority of the members follows the
-// version. A member follows a version once it has no running request that the
-// version forbids, or once its process has ended.
+// hasMajority reports whether a strict majority of the members has followed the
+// version, or has ended. Requests that they still have in flight need not be
+// waited for: their deadlines are within one route lease from then.
 func (e *versionEntry) hasMajority(hosts map[HostID]*hostView) bool {
 	n := 0
 	for _, m := range e.members {
 		view, exists := hosts[m.id]
-		if exists && view.caughtUp(m.incarnation, e.version) {
+		if exists && view.follows(m.incarnation, e.version) {
 			n++
 		}
 	}
@@ -176,14 +176,14 @@
 	}
 	server := p.table.Server(owner)
 	if server == nil {
-		return ProofUnrouted{}
+		return p.unroutedProof(now)
 	}
 	view := p.server(owner)
 	if server.State == ServerStopped && view.condition == ConditionConnectionRefused {
 		return ProofStopped{}
 	}
 	if !server.ChecksGrants {
-		return ProofUnrouted{}
+		return p.unroutedProof(now)
 	}
 	if view.released >= since {
 		return ProofReleased{}
@@ -195,8 +195,28 @@
 		view.caughtUpAt = now
 		view.caughtUpVersion = since
 	}
-	if now.Sub(view.caughtUpAt) >= p.cfg.Timing.GrantTTL+p.cfg.Timing.DriftMargin {
+	// A frozen server may have a request in hand, which only the request's deadline
+	// ends. It is within one route lease.
+	wait := max(p.cfg.Timing.GrantTTL, p.cfg.Timing.RouteLease) + p.cfg.Timing.DriftMargin
+	if now.Sub(view.caughtUpAt) >= wait {
 		return ProofExpired{}
 	}
 	return nil
 }
+
+// unroutedProof returns [ProofUnrouted] once the requests of stopped hosts have
+// ended.
+func (p *Placer) unroutedProof(now time.Time) Proof {
+	if !p.stoppedHostsUnrouted(now) {
+		return nil
+	}
+	return ProofUnrouted{}
+}
+
+// stoppedHostsUnrouted reports whether the deadline of every request that an entry
+// host sent before its process ended has passed. The end of the process closes the
+// connections, but a server that is frozen or cut off does not detect that. No
+// deadline is later than one route lease after the end of the host's process.
+func (p *Placer) stoppedHostsUnrouted(now time.Time) bool {
+	return now.Sub(p.hostStoppedAt) >= p.cfg.Timing.RouteLease+p.cfg.Timing.DriftMargin
+}
--- a/harbor/peers.go
+++ b/harbor/peers.go
@@ -74,6 +74,7 @@
 		Address:      r.GetAddress(),
 		Incarnation:  berth.Incarnation(r.GetIncarnation()),
 		Epoch:        berth.Epoch(r.GetEpoch()),
+		Followed:     berth.Version(r.GetVersion()),
 		Drained:      berth.Version(r.GetSettled()),
 		WithinShares: berth.Version(r.GetWithinShares()),
 		Leaving:      r.GetLeaving(),
@@ -116,7 +117,7 @@
 		defer cancel()
 	}
 	sink := &streamSink{stream: stream}
-	outcome := p.daemon.router.Route(ctx, forwardedRequest(r), sink)
+	outcome := p.daemon.route(ctx, forwardedRequest(r), sink)
 	return stream.Send(&signal.ForwardChunk{Part: &signal.ForwardChunk_End{End: encodeOutcome(outcome)}})
 }
 
