--- a/berth/host.go
+++ b/berth/host.go
@@ -9,6 +9,9 @@
 type hostView struct {
 	incarnation Incarnation
 	address     string
+	// followed is the highest version that the host has followed. From then on it
+	// admits no request, and confirms no table, of a lower one.
+	followed Version
 	// drained is the highest version such that the host has no running request
 	// that the version forbids.
 	drained Version
@@ -36,6 +39,7 @@
 // startTerm discards state that belongs to an earlier epoch and restarts the
 // timeout for the host's next report.
 func (v *hostView) startTerm(now time.Time) {
+	v.followed = 0
 	v.drained = 0
 	v.withinShares = 0
 	v.lastSeen = now.Add(-assumedReportAge)
@@ -51,6 +55,15 @@
 	return v.incarnation == incarnation && v.drained >= version
 }
 
+// follows reports whether the given incarnation of the host has followed version,
+// or its process has ended.
+func (v *hostView) follows(incarnation Incarnation, version Version) bool {
+	if v.stopped == incarnation {
+		return true
+	}
+	return v.incarnation == incarnation && v.followed >= version
+}
+
 // host returns the view of host id. It creates the view on first use.
 func (p *Placer) host(now time.Time, id HostID) *hostView {
 	view, exists := p.hosts[id]
@@ -67,7 +80,8 @@
 		return
 	}
 	if view.incarnation != e.Incarnation {
-		p.recordRestart(view, e)
+		p.recordRestart(now, view, e)
+		view.followed = 0
 		view.drained = 0
 		view.withinShares = 0
 		view.leaving = false
@@ -77,6 +91,7 @@
 	view.lastSeen = now
 	view.leaving = view.leaving || e.Leaving
 	if p.table != nil && e.Epoch == p.table.Epoch {
+		view.followed = max(view.followed, e.Followed)
 		view.drained = max(view.drained, e.Drained)
 		view.withinShares = max(view.withinShares, e.WithinShares)
 	}
@@ -86,7 +101,7 @@
 // has ended if another incarnation reports from the same address. An entry
 // host closes its listening socket only after it has stopped dispatching, so
 // the listed incarnation can no longer dispatch.
-func (p *Placer) recordRestart(view *hostView, e HostReported) {
+func (p *Placer) recordRestart(now time.Time, view *hostView, e HostReported) {
 	if p.table == nil {
 		return
 	}
@@ -94,15 +109,24 @@
 	if listed == nil || listed.Address != e.Address || listed.Incarnation == e.Incarnation {
 		return
 	}
-	view.stopped = listed.Incarnation
+	p.recordStop(now, view, listed.Incarnation)
 }
 
-func (p *Placer) hostConnectionRefused(e HostConnectionRefused) {
+func (p *Placer) hostConnectionRefused(now time.Time, e HostConnectionRefused) {
 	view, exists := p.hosts[e.Host]
 	if !exists {
 		return
 	}
-	view.stopped = e.Incarnation
+	p.recordStop(now, view, e.Incarnation)
+}
+
+// recordStop records that the process of an incarnation of a host has ended.
+func (p *Placer) recordStop(now time.Time, view *hostView, incarnation Incarnation) {
+	if view.stopped == incarnation {
+		return
+	}
+	view.stopped = incarnation
+	p.hostStoppedAt = now
 }
 
 // planHosts updates the table's entry hosts: it first completes transitions,
--- a/quay/dispatch.go
+++ b/quay/dispatch.go
@@ -35,43 +35,43 @@
 			// for a slot.
 			return anotherAttempt
 		}
-		r.log(Decision{Step: "refuse", Server: permit.Server.ID, Reason: ReasonOverload})
-		return final(r.failureOutcome(ReasonOverload, retryAfterOverload))
-	}
-	start := time.Now()
-	rejected := false
-	abandoned := false
-	defer func() {
-		if abandoned {
-			b.limiter.ReleaseAbandoned(time.Since(start))
-			return
+		reason := ReasonOverload
+		if r.endReason() == ReasonHostStopping {
+			reason = ReasonHostStopping
 		}
-		b.limiter.Release(time.Since(start), rejected)
-	}()
+		r.log(Decision{Step: "refuse", Server: permit.Server.ID, Reason: reason})
+		return final(r.failureOutcome(reason, retryAfterOverload))
+	}
+	a := newAttempt(ctx, permit, b)
+	defer func() { a.end() }()
 	if r.atMostOnce && r.claim == nil {
 		if result := r.openClaim(ctx); result.outcome != nil {
 			return result
 		}
 	}
-	r.log(Decision{
-		Step: "dispatch", Server: permit.Server.ID, Shard: permit.Shard,
-		Divided: permit.Divided, Token: permit.Token, Version: permit.Version,
-	})
-	resp, err := b.send(ctx, permit, r.request, r.options())
-	if err != nil {
-		abandoned = kindOf(err) != KindNotRun
-		return r.handleSendError(ctx, permit, err)
+	r.logDispatch(permit)
+	a = r.send(a)
+	if a.err != nil {
+		a.abandoned = kindOf(a.err) != KindNotRun
+		return r.handleSendError(a.ctx, a.permit, a.err)
 	}
-	rejected = certifiesNotRun(resp.Response)
-	if rejected {
-		return r.handleRejection(permit, resp)
+	a.rejected = certifiesNotRun(a.resp.Response)
+	if a.rejected {
+		return r.handleRejection(a.permit, a.resp)
 	}
-	result := r.passResponse(ctx, permit, resp)
+	result := r.passResponse(a.ctx, a.permit, a.resp)
 	_, whole := result.outcome.(Whole)
-	abandoned = !whole
+	a.abandoned = !whole
 	return result
 }
 
+func (r *routedRequest) logDispatch(permit *roster.Permit) {
+	r.log(Decision{
+		Step: "dispatch", Server: permit.Server.ID, Shard: permit.Shard,
+		Divided: permit.Divided, Token: permit.Token, Version: permit.Version,
+	})
+}
+
 // forwardToFrontSet forwards the request to an entry host of the server's front
 // set, which has a share of the server's slots.
 func (r *routedRequest) forwardToFrontSet(permit *roster.Permit) attemptResult {
@@ -146,7 +146,7 @@
 	if kindOf(err) != KindNotRun {
 		r.mayHaveRun = true
 		if ctx.Err() != nil && r.ctx.Err() != nil {
-			return final(r.failureOutcome(ReasonDeadline, retryAfterOutage))
+			return final(r.failureOutcome(r.endReason(), retryAfterOutage))
 		}
 		return r.retryOrFail(reason)
 	}
