Let the test of a large response that comes second free it when it comes first

The test failed in 2 of 12 runs side by side on 8 cores: both servers answered 600 ms after the start, and when the large response was first, the test held its connection itself, as a caller does, and then found it in use. The second server now answers 50 ms earlier, and a large response that is passed on all the same is ended as a caller ends it. What is checked, that no slot and no connection stays in use, is as before.

--- a/jetty/exchange_test.go
+++ b/jetty/exchange_test.go
@@ -205,11 +205,16 @@
 			time.Sleep(600 * time.Millisecond)
 			answer(w, http.StatusOK, large)
 		}
-		h := byArrival(slow, work(150*time.Millisecond))
+		h := byArrival(slow, work(100*time.Millisecond))
 		b.serve("s", 20, h)
 		b.serve("t", 20, h)
 		res := <-b.send(context.Background(), b.request(2, time.Second))
-		Expect(res.result.(backendResponse).status).To(Equal(http.StatusOK))
+		resp := res.result.(backendResponse)
+		Expect(resp.status).To(Equal(http.StatusOK))
+		if resp.remaining != nil {
+			// On a slow machine the large response may come first. It is the caller's.
+			resp.finish(false)
+		}
 		b.expectNothingLeft()
 	})
 
