Log what proved that a former owner holds none of the keys

Change: a move that clears a former owner carries its proof, and names the server that was cleared, not the first in the list. Measured: go test ./jetty ./mooring ok; the new test of the log line fails without.

--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -216,15 +216,18 @@
 // keysMoved logs the changes of a service's table.
 func (l *logs) keysMoved(service fairway.ServiceName, moves []mooring.Move, revision ledger.Revision) {
 	for _, m := range moves {
-		l.newLine(&l.system, false).
+		e := l.newLine(&l.system, false).
 			Str("service", string(service)).
 			Str("keys", m.KeyRange.String()).
 			Str("from", string(m.From)).
 			Str("to", string(m.To)).
 			Uint64("fence", uint64(m.Token)).
 			Uint64("revision", uint64(revision)).
-			Str("reason", string(m.Reason)).
-			Msg(string(eventKeysMoved))
+			Str("reason", string(m.Reason))
+		if m.Proof != "" {
+			e = e.Str("proof", string(m.Proof))
+		}
+		e.Msg(string(eventKeysMoved))
 	}
 }
 
--- a/jetty/logs_test.go
+++ b/jetty/logs_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"strings"
 	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"hornbeamwinch.example/mooring"
 )
 
 // blockingWriter blocks in Write until release is closed.
@@ -49,6 +52,18 @@
 		Expect(b.String()).To(ContainSubstring("host_stopping"))
 	})
 
+	It("names the proof that a former owner holds none of the keys", func() {
+		var b bytes.Buffer
+		l := newLogs(&b, &Settings{Host: "h"})
+		l.keysMoved("gauges", []mooring.Move{
+			{Reason: mooring.ReasonFormerOwnerCleared, Proof: mooring.ProofHoldExpired},
+			{Reason: mooring.ReasonLoadBalancing},
+		}, 7)
+		l.close()
+		Expect(b.String()).To(ContainSubstring(`"reason":"former_owner_cleared","proof":"hold_expired"`))
+		Expect(strings.Count(b.String(), "proof")).To(Equal(1))
+	})
+
 	It("limits the lines of each second and counts the dropped ones", func() {
 		limiter := lineLimiter{limit: 3}
 		now := time.Unix(100, 0)
--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -82,7 +82,7 @@
 // table. A new assigner starts without it.
 type assignmentState struct {
 	// cleared has the former owners that no longer hold any of the keys.
-	cleared  map[ServerInstance]bool
+	cleared  map[ServerInstance]Proof
 	handover string
 	// grantedAt is when the last grant that the owner accepted was sent.
 	grantedAt Instant
@@ -203,7 +203,7 @@
 	id := idOf(r)
 	state := a.assignments[id]
 	if state == nil {
-		state = &assignmentState{cleared: make(map[ServerInstance]bool)}
+		state = &assignmentState{cleared: make(map[ServerInstance]Proof)}
 		a.assignments[id] = state
 	}
 	return state
@@ -262,10 +262,10 @@
 		state.inFlight = false
 		switch e.Result {
 		case ResultAccepted:
-			state.cleared[e.Order.To] = true
+			state.cleared[e.Order.To] = ProofReleased
 			state.handover = e.Handover
 		case ResultMisdirected:
-			state.cleared[e.Order.To] = true
+			state.cleared[e.Order.To] = ProofMisdirected
 		default:
 		}
 	}
@@ -347,10 +347,11 @@
 func (a *Assigner) unreleased(r *Assignment) (ServerInstance, bool) {
 	state := a.stateOf(r)
 	for _, instance := range r.FormerOwners {
-		if !a.isCleared(r, instance) {
+		proof := a.proofOf(r, instance)
+		if proof == "" {
 			return instance, true
 		}
-		state.cleared[instance] = true
+		state.cleared[instance] = proof
 	}
 	return ServerInstance{}, false
 }
@@ -414,17 +415,20 @@
 			continue
 		}
 		var left []ServerInstance
+		move := Move{KeyRange: r.KeyRange, To: r.Owner.Server, Token: r.Token, Reason: ReasonFormerOwnerCleared}
 		for _, instance := range r.FormerOwners {
-			if !a.isCleared(r, instance) {
+			proof := a.proofOf(r, instance)
+			switch {
+			case proof == "":
 				left = append(left, instance)
+			case move.Proof == "":
+				move.From, move.Proof = instance.Server, proof
 			}
 		}
 		if len(left) == len(r.FormerOwners) {
 			continue
 		}
-		moves = append(moves, Move{
-			KeyRange: r.KeyRange, From: r.FormerOwners[0].Server, To: r.Owner.Server, Token: r.Token, Reason: ReasonFormerOwnerCleared,
-		})
+		moves = append(moves, move)
 		r.FormerOwners = left
 		r.Handover = a.stateOf(r).handover
 	}
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -194,6 +194,24 @@
 	ReasonTokenSuperseded    Reason = "token_superseded"
 )
 
+// Proof is why a former owner cannot hold any keys of an assignment.
+type Proof string
+
+// Proofs of a [Move].
+const (
+	// ProofReleased means that the server answered a release.
+	ProofReleased Proof = "released"
+	// ProofMisdirected means that a release reached another server at the address.
+	ProofMisdirected Proof = "misdirected"
+	// ProofHoldExpired means that the last grant has expired.
+	ProofHoldExpired Proof = "hold_expired"
+	// ProofRestarted means that a later incarnation is registered under the id.
+	ProofRestarted Proof = "restarted"
+	// ProofAddressTaken means that a server that started later is registered
+	// under the address.
+	ProofAddressTaken Proof = "address_taken"
+)
+
 // Move describes one change of an assignment.
 type Move struct {
 	KeyRange KeyRange
@@ -201,4 +219,6 @@
 	To       fairway.ServerID
 	Token    Token
 	Reason   Reason
+	// Proof is set for ReasonFormerOwnerCleared.
+	Proof Proof
 }
--- a/mooring/server.go
+++ b/mooring/server.go
@@ -69,15 +69,19 @@
 	return s.canSend(now) && (!s.suspected() || !s.unanswered || now >= s.avoidUntil)
 }
 
-// isCleared reports whether a former owner provably holds no keys of an
-// assignment.
-func (a *Assigner) isCleared(r *Assignment, instance ServerInstance) bool {
-	state := a.stateOf(r)
-	if state.cleared[instance] || a.hasEnded(instance) {
-		return true
+// proofOf returns the proof that a former owner holds no keys of an assignment,
+// or an empty one if it may hold some.
+func (a *Assigner) proofOf(r *Assignment, instance ServerInstance) Proof {
+	if proof := a.stateOf(r).cleared[instance]; proof != "" {
+		return proof
 	}
-	s := a.server(instance)
-	return s.grants == 0 && a.now.Sub(a.lastGrant(s)) > a.maxHold()
+	if proof := a.proofOfEnd(instance); proof != "" {
+		return proof
+	}
+	if s := a.server(instance); s.grants == 0 && a.now.Sub(a.lastGrant(s)) > a.maxHold() {
+		return ProofHoldExpired
+	}
+	return ""
 }
 
 // maxHold returns the longest time that a server can hold keys after a grant.
@@ -85,19 +89,19 @@
 	return time.Duration(float64(a.cfg.Timing.Hold)/(1-clockDrift)) + a.cfg.Timing.HoldMargin
 }
 
-// hasEnded reports whether the catalog proves that a server instance has
-// stopped: a later incarnation is registered under its id, or a server that
-// started later under its address.
-func (a *Assigner) hasEnded(instance ServerInstance) bool {
+// proofOfEnd returns the proof that a server instance has stopped: a later
+// incarnation is registered under its id, or a server that started later under
+// its address.
+func (a *Assigner) proofOfEnd(instance ServerInstance) Proof {
 	if e, ok := a.catalog.Get(instance.Server); ok && e.Incarnation > instance.Incarnation {
-		return true
+		return ProofRestarted
 	}
 	for _, e := range a.catalog.All() {
 		if e.Address == instance.Address && e.ID != instance.Server && e.Incarnation > instance.Incarnation {
-			return true
+			return ProofAddressTaken
 		}
 	}
-	return false
+	return ""
 }
 
 // ineligibleReason returns why a server instance must not own keys, or an empty
