Show that a server restarted under its id holds keys beside their next owner

Cause: the platform's orders name a server by its id, so a later incarnation at the same address executes what is meant for the former one.

--- a/mooring/assigner_test.go
+++ b/mooring/assigner_test.go
@@ -208,6 +208,35 @@
 	})
 })
 
+var _ = Describe("A server that restarts under its id", func() {
+	for _, delay := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, time.Second, 2 * time.Second} {
+		It(fmt.Sprintf("does not hold keys beside their next owner when it registers after %v", delay), func() {
+			for n := range 8 {
+				sim := newSimulation(5)
+				sim.run(2*time.Second + time.Duration(n)*timing.RenewInterval/8)
+				sim.step(sim.term, mooring.LoadReported{Requests: hotLoad(400, 0.3, 20000), Interval: time.Second})
+				for _, id := range []fairway.ServerID{"s1", "s2"} {
+					sim.restart(sim.servers[id], delay)
+				}
+				for end := sim.now.Add(recoveryTime); sim.now < end; sim.run(step) {
+					for key, holders := range sim.holderCounts() {
+						Expect(holders).To(BeNumerically("<=", 1), "holders of key %d after restart %d", key, n)
+					}
+				}
+				Expect(sim.unheldKeys()).To(BeEmpty())
+			}
+		})
+	}
+
+	It("takes a key again only under a higher token", func() {
+		sim := newSimulation(5)
+		sim.run(2 * time.Second)
+		sim.restart(sim.servers["s1"], time.Second)
+		sim.run(recoveryTime)
+		expectAllKeysHeld(sim)
+	})
+})
+
 var _ = Describe("Ownership under faults", func() {
 	faultless := newSimulation(5)
 	causeMoves(faultless)
--- a/mooring/simulation_test.go
+++ b/mooring/simulation_test.go
@@ -82,7 +82,9 @@
 // simServer is one instance of a backend server.
 type simServer struct {
 	instance mooring.ServerInstance
-	up       bool
+	// registered is the instance that the catalog has, which may be an earlier one.
+	registered mooring.ServerInstance
+	up         bool
 	// cutUntil is until when the placer cannot reach the server.
 	cutUntil mooring.Instant
 	// dropsResponses is set for servers that execute orders but whose responses
@@ -165,9 +167,10 @@
 			other.up, other.listed = false, false
 		}
 	}
+	instance := mooring.ServerInstance{Server: id, Incarnation: sim.incarnation, Address: address}
 	s := &simServer{
-		instance: mooring.ServerInstance{Server: id, Incarnation: sim.incarnation, Address: address},
-		up:       true, listed: true,
+		instance: instance, registered: instance,
+		up: true, listed: true,
 		tokens:    make([]mooring.Token, len(sampledKeys)),
 		heldUntil: make([]mooring.Instant, len(sampledKeys)),
 	}
@@ -175,6 +178,15 @@
 	return s
 }
 
+// restart replaces a server by its next incarnation at the same address, which
+// registers after d.
+func (sim *simulation) restart(s *simServer, d time.Duration) {
+	s.up = false
+	next := sim.addServer(s.instance.Server, s.instance.Address)
+	next.registered = s.registered
+	sim.schedule(d, func() { next.registered = next.instance; sim.updateCatalog() })
+}
+
 func (sim *simulation) schedule(d time.Duration, run func()) {
 	sim.seq++
 	sim.pending = append(sim.pending, scheduledEvent{at: sim.now.Add(d), seq: sim.seq, run: run})
@@ -355,7 +367,7 @@
 	for id, s := range sim.servers {
 		if s.listed {
 			endpoints = append(endpoints, fairway.Endpoint{
-				ID: id, Service: service, Address: s.instance.Address, Incarnation: s.instance.Incarnation, Slots: 6, Draining: s.draining,
+				ID: id, Service: service, Address: s.registered.Address, Incarnation: s.registered.Incarnation, Slots: 6, Draining: s.draining,
 			})
 		}
 	}
@@ -441,7 +453,8 @@
 	}
 }
 
-// send delivers an order to the current instance of the server.
+// send delivers an order to the current instance of the server. An order names the
+// server by its id, so every instance at its address executes it.
 func (sim *simulation) send(term int, order mooring.Order, injected fault) {
 	began := sim.now
 	target := sim.servers[order.To.Server]
@@ -464,7 +477,7 @@
 		respond(350*time.Millisecond, mooring.ResultNoResponse, "")
 	case current == nil || !current.up:
 		respond(latency, mooring.ResultNotSent, "")
-	case current.instance != order.To:
+	case current.instance.Address != order.To.Address:
 		respond(latency, mooring.ResultMisdirected, "")
 	case injected == faultLost:
 		respond(350*time.Millisecond, mooring.ResultNoResponse, "")
@@ -493,9 +506,7 @@
 		s.up = false
 		sim.schedule(2600*time.Millisecond, func() { s.listed = false; sim.updateCatalog() })
 	case faultServerRestarts:
-		s.up = false
-		sim.addServer(s.instance.Server, s.instance.Address)
-		sim.schedule(300*time.Millisecond, sim.updateCatalog)
+		sim.restart(s, 300*time.Millisecond)
 	case faultAddressReused:
 		s.up = false
 		s.listed = false
