Do not take a restart under the same id as proof that an owner holds nothing

Cause: orders name a server by its id, so the later incarnation at the address executes grants that are meant for the earlier one: renewals, and after a store outage the first grant of an owner that is registered with a stale incarnation. Once its own registration was read, the assigner took the earlier incarnation, and with it all that had been granted to it, as ended, and granted the keys to their next owner at once, without a release or a wait. Change: a later incarnation is a proof only at another address. An order to the server's id reaches it.

--- a/mooring/event.go
+++ b/mooring/event.go
@@ -205,7 +205,8 @@
 	ProofMisdirected Proof = "misdirected"
 	// ProofHoldExpired means that the last grant has expired.
 	ProofHoldExpired Proof = "hold_expired"
-	// ProofRestarted means that a later incarnation is registered under the id.
+	// ProofRestarted means that a later incarnation is registered under the id, at
+	// another address.
 	ProofRestarted Proof = "restarted"
 	// ProofAddressTaken means that a server that started later is registered
 	// under the address.
--- a/mooring/server.go
+++ b/mooring/server.go
@@ -89,11 +89,13 @@
 	return time.Duration(float64(a.cfg.Timing.Hold)/(1-clockDrift)) + a.cfg.Timing.HoldMargin
 }
 
-// proofOfEnd returns the proof that a server instance has stopped: a later
-// incarnation is registered under its id, or a server that started later under
-// its address.
+// proofOfEnd returns the proof that nothing at an instance's address can hold what
+// the instance was granted: a later incarnation is registered at another address,
+// or another server that started later at the same one. A later incarnation at the
+// same address is no proof, since orders do not name the incarnation, and it may have
+// executed those that were meant for the earlier one.
 func (a *Assigner) proofOfEnd(instance ServerInstance) Proof {
-	if e, ok := a.catalog.Get(instance.Server); ok && e.Incarnation > instance.Incarnation {
+	if e, ok := a.catalog.Get(instance.Server); ok && e.Incarnation > instance.Incarnation && e.Address != instance.Address {
 		return ProofRestarted
 	}
 	for _, e := range a.catalog.All() {
