Grant a later incarnation of a server its keys only under a higher token

A server that restarted under its id took the next renewal, and with it keys under the token of its earlier incarnation, since nothing tells the placer of the restart before the registration does. Change: all grants of a token to a server go over one connection, which leads to one process. When it is closed, or a grant gets no response, the assigner raises the token in the table before it grants the keys again. Parts of split or merged ranges stay bound to the session of their last grant; a new placer raises all tokens by one write before its first grants. Ruled out: telling lives apart by born alone (late behind a cut), a new token for each renewal (a write each 0.7 s).

--- a/jetty/host.go
+++ b/jetty/host.go
@@ -74,6 +74,7 @@
 	// orderUpstream has the connections for the placer's orders. They are
 	// separate, since a busy server delays the opening of a new connection.
 	orderUpstream *upstream
+	orderSender   *orderSender
 	watcher       *watcher
 	election      *election
 	reporter      *reporter
@@ -114,9 +115,10 @@
 		store: cfg.Store, protocol: cfg.Protocol, clusterState: h.clusterState, admissions: h.admissions, logs: h.logs,
 		changeLog: newChangeLog(), address: s.PeerAddress, onChange: h.refresh,
 	}
+	h.orderSender = newOrderSender(orderSenderConfig{Protocol: cfg.Protocol, Upstream: h.orderUpstream, Logs: h.logs, Metrics: h.metrics})
 	h.election = &election{
 		store:         cfg.Store,
-		sender:        &orderSender{protocol: cfg.Protocol, upstream: h.orderUpstream, logs: h.logs, metrics: h.metrics},
+		sender:        h.orderSender,
 		clusterState:  h.clusterState,
 		admissions:    h.admissions,
 		loadCollector: h.loadCollector,
@@ -289,6 +291,7 @@
 			last = time.Now()
 			h.upstream.closeIdle()
 			h.orderUpstream.closeIdle()
+			h.orderSender.grants.closeIdle()
 			h.closeIdleCallers()
 			h.updateGauges()
 		}
--- a/jetty/orders.go
+++ b/jetty/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -20,51 +21,137 @@
 	// orderIdleFraction is the fraction of a connection's idle timeout within
 	// which the connection may be reused for an order.
 	orderIdleFraction = 0.8
-	// orderConnections is the number of connections to a server for orders: as
-	// many as an assigner has orders in flight there.
-	orderConnections = 3
+	// orderConnections is the number of connections to a server for orders: one for
+	// each of the releases that an assigner has in flight there, and one for grants.
+	orderConnections = 4
 	// maxOrderResponseBytes bounds the body of a response to an order.
 	maxOrderResponseBytes = 64 << 10
 )
 
-var errTermEnded = errors.New("this host is no longer the placer")
+var (
+	errTermEnded    = errors.New("this host is no longer the placer")
+	errSessionEnded = errors.New("the connection of the earlier grants is closed")
+	errUnencodable  = errors.New("the order cannot be encoded")
+)
 
 // orderSender sends grants and releases to backend servers.
 type orderSender struct {
 	protocol Protocol
+	// upstream has the connections for orders, from which the sessions take theirs.
 	upstream *upstream
+	grants   *grantSessions
 	logs     *logs
 	metrics  *metrics
 }
 
+// orderSenderConfig holds the parameters of an [orderSender].
+type orderSenderConfig struct {
+	Protocol Protocol
+	Upstream *upstream
+	Logs     *logs
+	Metrics  *metrics
+}
+
+func newOrderSender(cfg orderSenderConfig) *orderSender {
+	return &orderSender{
+		protocol: cfg.Protocol, upstream: cfg.Upstream, grants: newGrantSessions(cfg.Upstream), logs: cfg.Logs, metrics: cfg.Metrics,
+	}
+}
+
 // send sends an order if the term still allows it, and returns the outcome.
 func (o *orderSender) send(ctx context.Context, t *term, order mooring.Order) mooring.OrderCompleted {
-	began := bootTimeNow()
-	result, handover, err := o.exchange(ctx, t, order)
-	completed := mooring.OrderCompleted{Order: order, Result: result, Handover: handover, Began: began, Ended: bootTimeNow()}
+	completed := mooring.OrderCompleted{Order: order, Began: bootTimeNow()}
+	var err error
+	if order.Release {
+		completed.Result, completed.Handover, err = o.sendRelease(ctx, t, order)
+	} else {
+		completed.Result, completed.Session, err = o.sendGrant(ctx, t, order)
+	}
+	completed.Ended = bootTimeNow()
 	o.logs.orderAnswered(completed, err)
-	o.metrics.orderAnswered(order, result)
+	o.metrics.orderAnswered(order, completed.Result)
 	return completed
 }
 
-func (o *orderSender) exchange(ctx context.Context, t *term, order mooring.Order) (mooring.Result, string, error) {
-	path, body, err := o.protocol.EncodeOrder(order)
+// sendGrant sends a grant in the session with its server. It returns the session if
+// the grant may have arrived.
+func (o *orderSender) sendGrant(ctx context.Context, t *term, order mooring.Order) (mooring.Result, mooring.SessionID, error) {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	s, err := o.grants.acquire(ctx, order.To)
 	if err != nil {
-		return mooring.ResultNotTried, "", err
+		return unsentResult(err), 0, err
 	}
-	timeout := grantTimeout
-	if order.Release {
-		timeout = releaseTimeout
+	if order.Session != 0 && order.Session != s.id {
+		o.grants.release(s, true)
+		return mooring.ResultSessionEnded, 0, errSessionEnded
+	}
+	id := s.id
+	resp, err := o.exchange(ctx, t, s.conn, order)
+	o.grants.release(s, err == nil && !resp.Close || errors.Is(err, errTermEnded))
+	if err != nil {
+		result := failedResult(err)
+		if result != mooring.ResultNoResponse {
+			id = 0
+		}
+		return result, id, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	result, _ := o.protocol.DecodeOrderResponse(resp.StatusCode, resp.Header)
+	return result, id, nil
+}
+
+// sendRelease sends a release and returns the handover. Any incarnation of the server
+// may execute it.
+func (o *orderSender) sendRelease(ctx context.Context, t *term, order mooring.Order) (mooring.Result, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	endpoint := fairway.Endpoint{ID: order.To.Server, Address: order.To.Address, Incarnation: order.To.Incarnation}
 	c, p, err := o.upstream.get(ctx, endpoint, getOptions{maxIdleFraction: orderIdleFraction})
-	if errors.Is(err, errConnectionLimit) {
+	if err != nil {
+		return unsentResult(err), "", err
+	}
+	resp, err := o.exchange(ctx, t, c, order)
+	switch {
+	case errors.Is(err, errTermEnded):
+		o.upstream.put(p, c)
 		return mooring.ResultNotTried, "", err
+	case err != nil:
+		o.upstream.discard(p, c)
+		return failedResult(err), "", err
+	case resp.Close:
+		o.upstream.discard(p, c)
+	default:
+		o.upstream.put(p, c)
+	}
+	result, handover := o.protocol.DecodeOrderResponse(resp.StatusCode, resp.Header)
+	return result, handover, nil
+}
+
+// unsentResult returns the result of an order for which there was no connection.
+func unsentResult(err error) mooring.Result {
+	if errors.Is(err, errConnectionLimit) {
+		return mooring.ResultNotTried
+	}
+	return mooring.ResultNotSent
+}
+
+// failedResult returns the result of an exchange without a response.
+func failedResult(err error) mooring.Result {
+	switch {
+	case errors.Is(err, errTermEnded), errors.Is(err, errUnencodable):
+		return mooring.ResultNotTried
+	case kindOf(err) == KindNotSent:
+		return mooring.ResultNotSent
+	default:
+		return mooring.ResultNoResponse
 	}
+}
+
+// exchange sends an order over a connection and reads the whole response.
+func (o *orderSender) exchange(ctx context.Context, t *term, c *connection, order mooring.Order) (*http.Response, error) {
+	path, body, err := o.protocol.EncodeOrder(order)
 	if err != nil {
-		return mooring.ResultNotSent, "", err
+		return nil, fmt.Errorf("%w: %w", errUnencodable, err)
 	}
 	req := &outgoingRequest{
 		Method: http.MethodPost,
@@ -79,25 +166,11 @@
 	// The next placer relies on no order being sent once mayOrder has become
 	// false. The check comes last, since opening a connection takes time.
 	if !t.mayOrder() {
-		o.upstream.put(p, c)
-		return mooring.ResultNotTried, "", errTermEnded
+		return nil, errTermEnded
 	}
 	resp, err := c.roundTrip(ctx, req, o.protocol.Headers().RequestID, "")
 	if err == nil {
 		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxOrderResponseBytes))
 	}
-	if err != nil {
-		o.upstream.discard(p, c)
-		if kindOf(err) == KindNotSent {
-			return mooring.ResultNotSent, "", err
-		}
-		return mooring.ResultNoResponse, "", err
-	}
-	if resp.Close {
-		o.upstream.discard(p, c)
-	} else {
-		o.upstream.put(p, c)
-	}
-	result, handover := o.protocol.DecodeOrderResponse(resp.StatusCode, resp.Header)
-	return result, handover, nil
+	return resp, err
 }
--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -90,8 +90,13 @@
 	confirmed bool
 	// inFlight is set while an order for the assignment is in flight.
 	inFlight bool
-	// superseded is set when the owner has seen a higher token.
-	superseded bool
+	// session is the session in which the owner was first sent a grant. A later
+	// incarnation of the owner, which another session may reach, must be granted
+	// the keys under a higher token.
+	session SessionID
+	// newTokenFor is why the assignment needs a new token before it can be granted
+	// again, or empty.
+	newTokenFor Reason
 }
 
 // NewAssigner returns an assigner without a table. Its first step loads one.
@@ -178,22 +183,55 @@
 }
 
 // setRecorded sets the recorded table and drops the state of assignments that
-// it does not contain.
+// it does not contain. Earlier placers may have granted the assignments of the first
+// table; all later ones are writes of this placer.
 func (a *Assigner) setRecorded(table *Table, revision StoreRevision) {
 	if table == nil {
 		return
 	}
+	former := a.recorded
 	a.recorded, a.revision, a.pending = table, revision, nil
 	kept := make(map[assignmentID]*assignmentState, len(table.Assignments))
 	for i := range table.Assignments {
-		id := idOf(&table.Assignments[i])
-		if state := a.assignments[id]; state != nil {
-			kept[id] = state
+		r := &table.Assignments[i]
+		state := a.assignments[idOf(r)]
+		switch {
+		case state != nil:
+		case former == nil:
+			state = newAssignmentState()
+			state.newTokenFor = ReasonSessionEnded
+		default:
+			state = a.partState(former, r)
 		}
+		kept[idOf(r)] = state
 	}
 	a.assignments = kept
 }
 
+// partState returns the state of an assignment that this placer has split or merged
+// from assignments of the former table, or has just made. Keys that were granted
+// under its token stay bound to the session of that grant.
+func (a *Assigner) partState(former *Table, r *Assignment) *assignmentState {
+	state := newAssignmentState()
+	for i := range former.Assignments {
+		part := &former.Assignments[i]
+		if part.Token != r.Token || part.Owner != r.Owner || part.From > r.To || r.From > part.To {
+			continue
+		}
+		old := a.stateOf(part)
+		switch {
+		case old.newTokenFor != "":
+			state.newTokenFor = old.newTokenFor
+		case old.session == 0:
+		case state.session != 0 && state.session != old.session:
+			state.newTokenFor = ReasonSessionEnded
+		default:
+			state.session = old.session
+		}
+	}
+	return state
+}
+
 func idOf(r *Assignment) assignmentID {
 	return assignmentID{KeyRange: r.KeyRange, Token: r.Token}
 }
@@ -203,12 +241,23 @@
 	id := idOf(r)
 	state := a.assignments[id]
 	if state == nil {
-		state = &assignmentState{cleared: make(map[ServerInstance]Proof)}
+		state = newAssignmentState()
 		a.assignments[id] = state
 	}
 	return state
 }
 
+// isConfirmed reports whether the owner has accepted a grant of an assignment, which
+// need not be recorded.
+func (a *Assigner) isConfirmed(r *Assignment) bool {
+	state := a.assignments[idOf(r)]
+	return state != nil && state.confirmed
+}
+
+func newAssignmentState() *assignmentState {
+	return &assignmentState{cleared: make(map[ServerInstance]Proof)}
+}
+
 // server returns the state of a server instance, creating it if needed.
 func (a *Assigner) server(instance ServerInstance) *server {
 	s := a.servers[instance]
@@ -235,7 +284,7 @@
 		a.grantCompleted(e, s)
 	}
 	switch e.Result {
-	case ResultAccepted, ResultSuperseded:
+	case ResultAccepted, ResultSuperseded, ResultSessionEnded:
 		s.failures = 0
 	case ResultNotTried:
 		s.retryAt = a.now.Add(orderRetryDelay)
@@ -273,7 +322,7 @@
 
 func (a *Assigner) grantCompleted(e OrderCompleted, s *server) {
 	switch e.Result {
-	case ResultNotSent, ResultNotTried, ResultMisdirected, ResultSuperseded, ResultInvalid:
+	case ResultNotSent, ResultNotTried, ResultMisdirected, ResultSuperseded, ResultInvalid, ResultSessionEnded:
 	default:
 		s.lastGrant = max(s.lastGrant, e.Ended)
 	}
@@ -282,12 +331,17 @@
 		return
 	}
 	state.inFlight = false
+	if state.session == 0 {
+		state.session = e.Session
+	}
 	switch e.Result {
 	case ResultAccepted:
 		state.grantedAt = e.Began
 		state.confirmed = true
 	case ResultSuperseded:
-		state.superseded = true
+		state.newTokenFor = ReasonTokenSuperseded
+	case ResultSessionEnded:
+		state.newTokenFor = ReasonSessionEnded
 	default:
 	}
 }
@@ -334,9 +388,11 @@
 	}
 	s := a.server(r.Owner)
 	due := !state.confirmed || a.now.Sub(state.grantedAt) >= a.cfg.Timing.RenewInterval
-	if due && !state.superseded && s.canGrant(a.now) && a.ineligibleReason(r.Owner) == "" {
+	if due && state.newTokenFor == "" && s.canGrant(a.now) && a.ineligibleReason(r.Owner) == "" {
 		state.inFlight = true
-		a.send(Order{KeyRange: r.KeyRange, Token: r.Token, To: r.Owner, Hold: a.cfg.Timing.Hold, Handover: handover})
+		a.send(Order{
+			KeyRange: r.KeyRange, Token: r.Token, To: r.Owner, Hold: a.cfg.Timing.Hold, Handover: handover, Session: state.session,
+		})
 	}
 }
 
@@ -387,6 +443,7 @@
 func (a *Assigner) writeChanges() {
 	next := a.recorded.clone()
 	moves := a.removeClearedOwners(next)
+	moves = append(moves, a.renewTokens(next)...)
 	if candidates := a.candidates(); len(candidates) > 0 {
 		moves = append(moves, a.replaceOwners(next, candidates)...)
 		moves = append(moves, a.rebalance(next, candidates)...)
@@ -396,7 +453,7 @@
 	}
 	for i := range next.Assignments {
 		r := &next.Assignments[i]
-		if !r.Moving() && r.Handover != "" && a.stateOf(r).confirmed {
+		if !r.Moving() && r.Handover != "" && a.isConfirmed(r) {
 			r.Handover = ""
 		}
 	}
@@ -405,6 +462,25 @@
 	a.actions = append(a.actions, WriteTable{Table: next, Revision: a.revision, Moves: moves})
 }
 
+// renewTokens issues a new token for the assignments that need one.
+func (a *Assigner) renewTokens(next *Table) []Move {
+	var moves []Move
+	var token Token
+	for i := range next.Assignments {
+		r := &next.Assignments[i]
+		reason := a.stateOf(r).newTokenFor
+		if reason == "" || r.Moving() || a.ineligibleReason(r.Owner) != "" {
+			continue
+		}
+		if token == 0 {
+			token = next.allocateToken()
+		}
+		r.Token = token
+		moves = append(moves, Move{KeyRange: r.KeyRange, From: r.Owner.Server, To: r.Owner.Server, Token: token, Reason: reason})
+	}
+	return moves
+}
+
 // removeClearedOwners removes former owners that no longer hold any keys from
 // their assignments.
 func (a *Assigner) removeClearedOwners(next *Table) []Move {
--- a/mooring/balance.go
+++ b/mooring/balance.go
@@ -141,14 +141,13 @@
 }
 
 // replaceOwners assigns ranges that have no owner, or an ineligible one, to
-// other servers, and issues a new token where the owner has seen a higher one.
+// other servers.
 func (a *Assigner) replaceOwners(next *Table, candidates []fairway.Endpoint) []Move {
 	type orphan struct {
 		keys   KeyRange
 		reason Reason
 	}
 	var orphans []orphan
-	var moves []Move
 	for i := range next.Assignments {
 		r := &next.Assignments[i]
 		switch reason := a.ineligibleReason(r.Owner); {
@@ -157,16 +156,12 @@
 			orphans = append(orphans, orphan{keys: r.KeyRange, reason: ReasonFirstOwner})
 		case reason != "":
 			orphans = append(orphans, orphan{keys: r.KeyRange, reason: reason})
-		case !r.Moving() && a.stateOf(r).superseded:
-			r.Token = next.allocateToken()
-			moves = append(moves, Move{
-				KeyRange: r.KeyRange, From: r.Owner.Server, To: r.Owner.Server, Token: r.Token, Reason: ReasonTokenSuperseded,
-			})
 		}
 	}
 	if len(orphans) == 0 {
-		return moves
+		return nil
 	}
+	var moves []Move
 	alloc := newAllocation(next, a.load, candidates)
 	for _, o := range orphans {
 		moves = append(moves, alloc.spread(o.keys, o.reason)...)
@@ -200,7 +195,7 @@
 		moves = append(moves, alloc.assign(keys, load, to, ReasonLoadBalancing))
 	}
 	if len(moves) > 0 {
-		next.merge(func(r Assignment) bool { return !a.stateOf(&r).confirmed })
+		next.merge(func(r Assignment) bool { return !a.isConfirmed(&r) })
 	}
 	return moves
 }
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -55,6 +55,8 @@
 	Order Order
 	// Result is what is known about the execution of the order.
 	Result Result
+	// Session is the session in which a grant was sent.
+	Session SessionID
 	// Handover is the data that the server returned for an accepted release.
 	Handover string
 	// Began and Ended delimit the time in which the order may have arrived.
@@ -118,6 +120,9 @@
 	ResultMisdirected
 	// ResultInvalid means that the server could not interpret the order.
 	ResultInvalid
+	// ResultSessionEnded means that nothing was sent, since the session that the
+	// order requires has ended.
+	ResultSessionEnded
 )
 
 // String implements fmt.Stringer.
@@ -135,11 +140,18 @@
 		return "superseded"
 	case ResultMisdirected:
 		return "elsewhere"
+	case ResultSessionEnded:
+		return "session_ended"
 	default:
 		return "rejected"
 	}
 }
 
+// SessionID identifies a time in which all grants of this placer to a server
+// provably went to the same process, since they went over the same connection. Zero
+// means none.
+type SessionID uint64
+
 // Order is a grant or a release that is sent to a backend server.
 type Order struct {
 	KeyRange KeyRange
@@ -151,6 +163,8 @@
 	// the keys, and the data that the former owner returned.
 	Hold     time.Duration
 	Handover string
+	// Session, if it is not zero, is the session in which a grant has to be sent.
+	Session SessionID
 }
 
 // Action is an output of [Assigner.Step], which the caller has to execute. The
@@ -192,6 +206,7 @@
 	ReasonLoadBalancing      Reason = "load"
 	ReasonFormerOwnerCleared Reason = "former_owner_cleared"
 	ReasonTokenSuperseded    Reason = "token_superseded"
+	ReasonSessionEnded       Reason = "session_ended"
 )
 
 // Proof is why a former owner cannot hold any keys of an assignment.
