Show that an earlier placer grants keys to a restarted server beside their next owner

Cause: the answer to a release proves that the process that answered holds nothing and refuses older tokens. A later incarnation at the address has no memory of it. A placer that is cut off from the store and the other hosts, and reaches the servers, renews by its older table for up to 10 s; the present placer does not wait for that after a release. Change: the simulation gets a former placer that reaches every server. No change of logic.

--- a/mooring/assigner_test.go
+++ b/mooring/assigner_test.go
@@ -228,6 +228,22 @@
 		})
 	}
 
+	It("takes no grant of an earlier placer for keys that it has released to the present one", func() {
+		for delay := time.Duration(0); delay < time.Second; delay += 100 * time.Millisecond {
+			sim := newSimulation(5)
+			sim.run(2 * time.Second)
+			sim.isolatePlacer(predecessorOrderLimit - 2*time.Second)
+			sim.run(placerLease + 500*time.Millisecond)
+			s := sim.servers["s1"]
+			s.draining = true
+			sim.updateCatalog()
+			sim.run(delay)
+			sim.restart(s, 300*time.Millisecond)
+			sim.run(recoveryTime)
+			Expect(sim.violations).To(BeEmpty(), "restart %v after the server began to drain", delay)
+		}
+	})
+
 	It("takes a key again only under a higher token", func() {
 		sim := newSimulation(5)
 		sim.run(2 * time.Second)
--- a/mooring/simulation_test.go
+++ b/mooring/simulation_test.go
@@ -123,6 +123,8 @@
 	// store and from the servers on the other side, but not from its own side.
 	formerAssigner *mooring.Assigner
 	formerTerm     int
+	// formerReachesServers is set while the former placer reaches every server.
+	formerReachesServers bool
 	// highestToken has the highest token with which each key was granted, and
 	// lastOwner the server that it was last granted to.
 	highestToken map[mooring.Key]mooring.Token
@@ -304,6 +306,18 @@
 	})
 }
 
+// isolatePlacer separates the placer from the store and from the other hosts, but
+// not from the servers. Another placer takes over.
+func (sim *simulation) isolatePlacer(lasts time.Duration) {
+	sim.formerAssigner, sim.formerTerm, sim.formerReachesServers = sim.assigner, sim.term, true
+	sim.killPlacer()
+	sim.step(sim.formerTerm, mooring.WritesAllowed{Allowed: false})
+	sim.schedule(lasts, func() {
+		sim.formerAssigner, sim.formerReachesServers = nil, false
+		sim.step(sim.term, mooring.PredecessorEnded{At: sim.now})
+	})
+}
+
 // stopStore makes the store unavailable. If it forgets its leases, another placer
 // takes over when it returns.
 func (sim *simulation) stopStore(lasts time.Duration, forgetful bool) {
@@ -356,6 +370,9 @@
 // unreachable reports whether the placer of a term cannot reach a server.
 func (sim *simulation) unreachable(s *simServer, term int) bool {
 	cut := s.cutUntil > sim.now
+	if sim.formerReachesServers {
+		return cut
+	}
 	if sim.formerAssigner != nil && term == sim.formerTerm {
 		return !cut
 	}
