--- a/mooring/assigner_test.go
+++ b/mooring/assigner_test.go
@@ -237,6 +237,22 @@
 		})
 	}
 
+	It("takes no grant of an earlier placer for keys that it has released to the present one", func() {
+		for delay := time.Duration(0); delay < time.Second; delay += 100 * time.Millisecond {
+			sim := newSimulation(5)
+			sim.run(2 * time.Second)
+			sim.isolatePlacer(predecessorOrderLimit - 2*time.Second)
+			sim.run(placerLease + 500*time.Millisecond)
+			s := sim.servers["s1"]
+			s.draining = true
+			sim.updateCatalog()
+			sim.run(delay)
+			sim.restart(s, 300*time.Millisecond)
+			sim.run(recoveryTime)
+			Expect(sim.violations).To(BeEmpty(), "restart %v after the server began to drain", delay)
+		}
+	})
+
 	// expectHigherTokens restarts s1 and expects that its next incarnation is granted
 	// no key under a token that it was granted before.
 	expectHigherTokens := func(sim *simulation) {
