Bound the head of a backend server's response

Cause: the head of a response was read with http.ReadResponse straight from the connection, which bounds neither a line nor the headers, and informational responses were skipped without counting them. Only the deadline of the request ended it.

What callers see: a faulty server that sends such bytes without end keeps its request until the deadline instead of being retried or answered 502. What it sends is held in memory and parsed all the while.

Change: while a head is read, the connection hands out no more bytes than the head of the request has, which a server may repeat, plus 32 KiB for the headers of its own. The informational responses before it count. Beyond that the exchange fails with KindInvalidResponse, the connection is reset, and the request counts as one that may have run. Skipped responses to other requests had bounds already (three, 1 MiB each).

--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -29,6 +29,10 @@
 	// servers close connections after 10 s. The remainder, more than a second,
 	// covers the network delay.
 	idleTimeoutFraction = 0.85
+	// ownHeadBytes is how much larger than the head of the request the head of its
+	// response may be, with the informational responses before it. Servers repeat
+	// headers of the request and add a few of their own.
+	ownHeadBytes = 32 << 10
 	// maxMismatched is the number of responses to other requests that are
 	// skipped.
 	maxMismatched = 3
@@ -47,6 +51,7 @@
 
 var (
 	errMismatchedResponse = errors.New("response belongs to another request")
+	errHeadTooLong        = errors.New("head of the response is too long")
 	errEarlyResponse      = errors.New("server responded before it had read the whole request")
 )
 
@@ -57,6 +62,9 @@
 	net.Conn
 	reader  *bufio.Reader
 	written int64
+	// While readingHead is set, headLeft is how many bytes may still be read.
+	readingHead bool
+	headLeft    int
 	// A kept connection may be used again until idleSince plus idleTimeout.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -72,6 +80,19 @@
 	return n, err
 }
 
+// Read implements io.Reader. It fails once the head of a response is too long.
+func (c *connection) Read(data []byte) (int, error) {
+	if !c.readingHead {
+		return c.Conn.Read(data)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(data[:min(len(data), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
 // dial opens a connection to a backend server.
 func dial(ctx context.Context, address string) (*connection, error) {
 	dialer := net.Dialer{Timeout: connectTimeout}
@@ -82,7 +103,9 @@
 		}
 		return nil, &Error{Op: "connect", Kind: KindNotSent, Err: err}
 	}
-	return &connection{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	c := &connection{Conn: nc, idleTimeout: defaultIdleTimeout}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 // reusable reports whether the connection is still open and nothing has arrived
@@ -163,6 +186,7 @@
 	c.written = 0
 	var body *bodyWriter
 	data := m.head()
+	maxHead := len(data) + ownHeadBytes
 	if len(m.Body) < concurrentBodyBytes {
 		data = append(data, m.Body...)
 	} else {
@@ -174,7 +198,7 @@
 	if body != nil {
 		go body.run()
 	}
-	resp, err := c.readResponse(m, idHeader, id)
+	resp, err := c.readResponse(responseOptions{method: m.Method, idHeader: idHeader, id: id, maxHead: maxHead})
 	if body != nil {
 		if werr := c.finishBody(body, err); werr != nil && err == nil {
 			c.broken = true
@@ -204,20 +228,25 @@
 	return errEarlyResponse
 }
 
+// responseOptions are what readResponse has to know about a request.
+type responseOptions struct {
+	method       string
+	idHeader, id string
+	// maxHead bounds the bytes of the response's head.
+	maxHead int
+}
+
 // readResponse reads responses until one names the request id, or names none;
 // the caller decides whether that is acceptable. Orders have an empty id, so
 // that any response with an id is skipped.
-func (c *connection) readResponse(m *outgoingRequest, idHeader, id string) (*http.Response, error) {
-	r := &http.Request{Method: m.Method}
+func (c *connection) readResponse(opts responseOptions) (*http.Response, error) {
+	r := &http.Request{Method: opts.method}
 	for mismatched := 0; ; {
-		resp, err := http.ReadResponse(c.reader, r)
+		resp, err := c.readHead(r, opts.maxHead)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue
-		}
-		if echo := resp.Header.Get(idHeader); echo == id || echo == "" {
+		if echo := resp.Header.Get(opts.idHeader); echo == opts.id || echo == "" {
 			return resp, nil
 		}
 		if mismatched++; mismatched > maxMismatched || resp.ContentLength < 0 || resp.ContentLength > maxMismatchedBytes {
@@ -229,6 +258,22 @@
 	}
 }
 
+// readHead reads the head of a response. The informational responses that it
+// skips count towards the limit.
+func (c *connection) readHead(r *http.Request, limit int) (*http.Response, error) {
+	c.readingHead, c.headLeft = true, limit
+	defer func() { c.readingHead = false }()
+	for {
+		resp, err := http.ReadResponse(c.reader, r)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < 100 || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+}
+
 // interrupt makes the exchange in progress fail.
 func (c *connection) interrupt() {
 	_ = c.SetDeadline(pastDeadline)
