Quote only the start of invalid bytes in errors

Cause: the errors of net/http quote the line that they cannot parse, and the log has their text. A line may be as long as a head, so each of up to 60 lines a second of the log was as long, though the log is meant to have about 40 KB/s.

Change: an error of an exchange with a backend server has the first 200 bytes of its text if it is longer.

Evidence: five kinds of invalid heads with a line of 20 KiB.

--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -42,6 +42,9 @@
 	// while the response is read, since a server may respond before it has read
 	// the whole body.
 	concurrentBodyBytes = 32 << 10
+	// maxErrorText bounds the text of an error, since net/http quotes what it has
+	// received.
+	maxErrorText = 200
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
 )
@@ -295,7 +298,17 @@
 	case !isClosed(err):
 		kind = KindInvalidResponse
 	}
-	return &Error{Op: op, Kind: kind, Err: err}
+	return &Error{Op: op, Kind: kind, Err: shortenError(err)}
+}
+
+// shortenError returns err, or an error with the start of its text if that is too
+// long for the log.
+func shortenError(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorText {
+		return err
+	}
+	return errors.New(strings.ToValidUTF8(text[:maxErrorText], "") + "...")
 }
 
 // isClosed reports whether err means that the connection was closed.
--- a/jetty/connection_test.go
+++ b/jetty/connection_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -192,6 +193,20 @@
 		expectKind(err, KindInvalidResponse)
 	})
 
+	DescribeTable("does not quote all of what is no response", func(text string) {
+		s := newScriptedServer(text + strings.Repeat("é", 10<<10) + "cut\r\n\r\n")
+		_, err := exchange(s)
+		expectKind(err, KindInvalidResponse)
+		Expect(len(err.Error())).To(BeNumerically("<", 2*maxErrorText))
+		Expect(utf8.ValidString(err.Error())).To(BeTrue())
+	},
+		Entry("in the first line", ""),
+		Entry("in a status", "HTTP/1.1 "),
+		Entry("in a header", "HTTP/1.1 200 OK\r\nId"),
+		Entry("in a length", "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: "),
+		Entry("in an encoding", "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: "),
+	)
+
 	It("does not take a response that names no request", func() {
 		s := newScriptedServer(responseText("", "", "whose"))
 		_, err := exchange(s)
