End an order by its timeout while the body of its response is read

Cause: the timeout of an order interrupted the connection only until the head of the response had been read; the body was read without any. At most 64 KiB of it were read, and a body that is longer counted as complete: its connection went back to the pool if the rest had not arrived yet, and the rest was the response to the next order.

What callers see: the placer's order to a faulty server does not end while the body does not. A grant counts as accepted though its response was cut, and an order can be taken as accepted, or a release as done, by bytes that are no answer.

Change: the body is read as that of a request's response is, until the order's timeout. A body over 64 KiB is no response (KindInvalidResponse): the connection is reset, and the order counts as one without a response, which may have been carried out.

--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -55,6 +55,7 @@
 var (
 	errMismatchedResponse = errors.New("response belongs to another request")
 	errHeadTooLong        = errors.New("head of the response is too long")
+	errBodyTooLong        = errors.New("body of the response is too long")
 	errEarlyResponse      = errors.New("server responded before it had read the whole request")
 )
 
@@ -277,6 +278,18 @@
 	}
 }
 
+// readBody reads the body of a response, but no more than limit bytes of it. It
+// fails when ctx is done.
+func (c *connection) readBody(ctx context.Context, resp *http.Response, limit int64) ([]byte, error) {
+	stop := context.AfterFunc(ctx, c.interrupt)
+	defer stop()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	if err != nil {
+		return nil, c.classifyError(ctx, "read response", err)
+	}
+	return body, nil
+}
+
 // interrupt makes the exchange in progress fail.
 func (c *connection) interrupt() {
 	_ = c.SetDeadline(pastDeadline)
--- a/jetty/endless_test.go
+++ b/jetty/endless_test.go
@@ -350,6 +350,25 @@
 		s.expectClosedByCaller()
 	},
 		Entry("grant, one header again and again", endlessResponse{start: "HTTP/1.1 200 OK\r\n", repeat: "X: x\r\n"}, false),
+		Entry("grant, a body", endlessResponse{start: "HTTP/1.1 200 OK\r\n\r\n", repeat: "x"}, false),
+		Entry("grant, slow bytes of a body", endlessResponse{start: "HTTP/1.1 200 OK\r\n\r\n", repeat: "x", pause: 5 * time.Millisecond}, false),
 		Entry("release, slow bytes of a head", endlessResponse{start: "HTTP/1.1 200 OK\r\nX: ", repeat: "x", pause: 5 * time.Millisecond}, true),
+		Entry("release, slow bytes of a body", endlessResponse{start: "HTTP/1.1 200 OK\r\n\r\n", repeat: "x", pause: 5 * time.Millisecond}, true),
 	)
+
+	It("does not take what is left of a long body as a response to the next order", func() {
+		s := newEndlessServer(endlessResponse{
+			start:  "HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n" + strings.Repeat("x", maxOrderResponseBytes),
+			repeat: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", delay: 100 * time.Millisecond,
+		})
+		u := newUpstream(orderConnections)
+		o := &orderSender{protocol: fakeProtocol{}, upstream: u, logs: quietLogs(), metrics: newMetrics()}
+		t := &term{}
+		t.confirm(bootTimeNow())
+		order := mooring.Order{To: mooring.ServerInstance{Server: "s", Address: s.address(), Incarnation: 1}}
+		for range 2 {
+			Expect(o.send(context.Background(), t, order).Result).To(Equal(mooring.ResultNoResponse))
+		}
+		Expect(s.accepted.Load()).To(BeEquivalentTo(2), "connections")
+	})
 })
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -347,12 +347,10 @@
 	if httpResp.Header.Get("Content-Encoding") != "" {
 		return invalid(errUnexpectedEncoding)
 	}
-	stop := context.AfterFunc(ctx, c.interrupt)
-	defer stop()
-	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxBufferedBytes+1))
+	body, err := c.readBody(ctx, httpResp, maxBufferedBytes+1)
 	if err != nil {
 		f.upstream.discard(p, c)
-		return nil, c.classifyError(ctx, "read response", err)
+		return nil, err
 	}
 	resp.body = body
 	if len(body) > maxBufferedBytes {
--- a/jetty/orders.go
+++ b/jetty/orders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -84,7 +83,7 @@
 	}
 	resp, err := c.roundTrip(ctx, req, o.protocol.Headers().RequestID, "")
 	if err == nil {
-		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxOrderResponseBytes))
+		err = readOrderBody(ctx, c, resp)
 	}
 	if err != nil {
 		o.upstream.discard(p, c)
@@ -101,3 +100,13 @@
 	result, handover := o.protocol.DecodeOrderResponse(resp.StatusCode, resp.Header)
 	return result, handover, nil
 }
+
+// readOrderBody reads the body of a response to an order, which has to be complete
+// for the connection to be used again.
+func readOrderBody(ctx context.Context, c *connection, resp *http.Response) error {
+	body, err := c.readBody(ctx, resp, maxOrderResponseBytes+1)
+	if err == nil && len(body) > maxOrderResponseBytes {
+		err = &Error{Op: "read response", Kind: KindInvalidResponse, Err: errBodyTooLong}
+	}
+	return err
+}
