--- a/jetty/endless_test.go
+++ b/jetty/endless_test.go
@@ -355,7 +355,7 @@
 var _ = Describe("An order to a backend server that sends without end", func() {
 	DescribeTable("ends by its timeout without a response", func(response endlessResponse, release bool) {
 		s := newEndlessServer(response)
-		o := &orderSender{protocol: fakeProtocol{}, upstream: newUpstream(orderConnections), logs: quietLogs(), metrics: newMetrics()}
+		o := newOrderSender(orderSenderConfig{Protocol: fakeProtocol{}, Upstream: newUpstream(orderConnections), Logs: quietLogs(), Metrics: newMetrics()})
 		t := &term{}
 		t.confirm(bootTimeNow())
 		order := mooring.Order{To: mooring.ServerInstance{Server: "s", Address: s.address(), Incarnation: 1}, Release: release}
@@ -381,7 +381,7 @@
 			repeat: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", delay: 100 * time.Millisecond,
 		})
 		u := newUpstream(orderConnections)
-		o := &orderSender{protocol: fakeProtocol{}, upstream: u, logs: quietLogs(), metrics: newMetrics()}
+		o := newOrderSender(orderSenderConfig{Protocol: fakeProtocol{}, Upstream: u, Logs: quietLogs(), Metrics: newMetrics()})
 		t := &term{}
 		t.confirm(bootTimeNow())
 		order := mooring.Order{To: mooring.ServerInstance{Server: "s", Address: s.address(), Incarnation: 1}}
