Begin no session of grants while the placer's lease may have expired

Its first grant of a recorded move may reach a server that has released the keys to the next placer and has restarted since, without a memory of that. Change: a placer whose lease may have expired sends grants only over connections that it opened before. Servers that live since then refuse its tokens, or have not been released. Measured: the new test of A session of grants fails without (mutant); go test ./jetty -ginkgo.focus='session of grants' ok.

--- a/jetty/grantsession.go
+++ b/jetty/grantsession.go
@@ -42,8 +42,9 @@
 }
 
 // acquire returns the open session with a server for one grant. It begins a new
-// session if the former one has ended. The caller has to call release.
-func (g *grantSessions) acquire(ctx context.Context, to mooring.ServerInstance) (*grantSession, error) {
+// session if the former one has ended and mayBegin allows it. The caller has to call
+// release.
+func (g *grantSessions) acquire(ctx context.Context, to mooring.ServerInstance, mayBegin func() bool) (*grantSession, error) {
 	s := g.session(to)
 	select {
 	case s.inUse <- struct{}{}:
@@ -56,6 +57,10 @@
 	if s.conn != nil {
 		return s, nil
 	}
+	if !mayBegin() {
+		<-s.inUse
+		return nil, &Error{Op: "open connection", Kind: KindNotSent, Err: errLeaseExpired}
+	}
 	endpoint := fairway.Endpoint{ID: to.Server, Address: to.Address, Incarnation: to.Incarnation}
 	c, p, err := g.upstream.get(ctx, endpoint, getOptions{maxIdleFraction: orderIdleFraction})
 	if err != nil {
--- a/jetty/grantsession_test.go
+++ b/jetty/grantsession_test.go
@@ -99,6 +99,18 @@
 		Expect(send(began.Session).Result).To(Equal(mooring.ResultNotSent))
 	})
 
+	It("does not begin while the placer's lease may have expired", func() {
+		began := send(0)
+		t.writesUntil.Store(0)
+		Expect(send(began.Session).Result).To(Equal(mooring.ResultAccepted))
+		Expect(first.server.Close()).To(Succeed())
+		second, _ := startGrantServer(order.To.Address)
+		for _, session := range []mooring.SessionID{0, began.Session} {
+			Expect(send(session).Result).To(Equal(mooring.ResultNotTried))
+		}
+		Expect(second.orders.Load()).To(BeZero())
+	})
+
 	It("is closed when it is not used", func() {
 		send(0)
 		sender.grants.closeIdle()
--- a/jetty/orders.go
+++ b/jetty/orders.go
@@ -30,6 +30,7 @@
 var (
 	errTermEnded    = errors.New("this host is no longer the placer")
 	errSessionEnded = errors.New("the connection of the earlier grants is closed")
+	errLeaseExpired = errors.New("the placer's lease may have expired")
 	errUnencodable  = errors.New("the order cannot be encoded")
 )
 
@@ -77,7 +78,10 @@
 func (o *orderSender) sendGrant(ctx context.Context, t *term, order mooring.Order) (mooring.Result, mooring.SessionID, error) {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	s, err := o.grants.acquire(ctx, order.To)
+	// Once its lease may have ended, another placer may release keys at a server and
+	// grant them elsewhere. A server that restarts after that has forgotten the
+	// release, so only processes from before may be sent a grant.
+	s, err := o.grants.acquire(ctx, order.To, t.mayWrite)
 	if err != nil {
 		return unsentResult(err), 0, err
 	}
@@ -128,7 +132,7 @@
 
 // unsentResult returns the result of an order for which there was no connection.
 func unsentResult(err error) mooring.Result {
-	if errors.Is(err, errConnectionLimit) {
+	if errors.Is(err, errConnectionLimit) || errors.Is(err, errLeaseExpired) {
 		return mooring.ResultNotTried
 	}
 	return mooring.ResultNotSent
