Send each release over a connection of its own

A faulty server's second response to a grant, arriving where the response to a release is due, would pass as the proof that the keys are released. Change: a release opens a connection and closes it; a stray response to a grant can only pass for that of another grant, which proves nothing. Measured: the new test counts one connection for grants and one for each release, and failed before; go test ./jetty, orders, placer and sessions: ok.

--- a/jetty/endless_test.go
+++ b/jetty/endless_test.go
@@ -356,7 +356,7 @@
 	DescribeTable("ends by its timeout without a response", func(response endlessResponse, release bool) {
 		s := newEndlessServer(response)
 		o := newOrderSender(orderSenderConfig{Protocol: fakeProtocol{}, Upstream: newUpstream(orderConnections), Logs: quietLogs(), Metrics: newMetrics()})
-		t := &term{}
+		t := &term{ttl: time.Second}
 		t.confirm(bootTimeNow())
 		order := mooring.Order{To: mooring.ServerInstance{Server: "s", Address: s.address(), Incarnation: 1}, Release: release}
 		completed := make(chan mooring.OrderCompleted, 1)
@@ -382,7 +382,7 @@
 		})
 		u := newUpstream(orderConnections)
 		o := newOrderSender(orderSenderConfig{Protocol: fakeProtocol{}, Upstream: u, Logs: quietLogs(), Metrics: newMetrics()})
-		t := &term{}
+		t := &term{ttl: time.Second}
 		t.confirm(bootTimeNow())
 		order := mooring.Order{To: mooring.ServerInstance{Server: "s", Address: s.address(), Incarnation: 1}}
 		for range 2 {
--- a/jetty/grantsession_test.go
+++ b/jetty/grantsession_test.go
@@ -17,6 +17,8 @@
 type grantServer struct {
 	server *http.Server
 	orders atomic.Int64
+	// accepted counts the connections.
+	accepted atomic.Int64
 	// silent servers do not answer.
 	silent atomic.Bool
 }
@@ -32,6 +34,11 @@
 			<-r.Context().Done()
 		}
 	})}
+	s.server.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			s.accepted.Add(1)
+		}
+	}
 	go func() { _ = s.server.Serve(l) }()
 	DeferCleanup(s.server.Close)
 	return s, l.Addr().String()
@@ -72,6 +79,18 @@
 		Expect(again.Session).To(Equal(began.Session))
 	})
 
+	It("is not shared with releases, each of which has a connection of its own", func() {
+		release := order
+		release.Release = true
+		for range 3 {
+			Expect(send(0).Result).To(Equal(mooring.ResultAccepted))
+			Expect(sender.send(context.Background(), t, release).Result).To(Equal(mooring.ResultAccepted))
+		}
+		Expect(first.accepted.Load()).To(BeEquivalentTo(1 + 3))
+		open, _ := sender.upstream.count()
+		Expect(open).To(Equal(1))
+	})
+
 	It("never reaches a server that was restarted under its id", func() {
 		began := send(0)
 		Expect(first.server.Close()).To(Succeed())
--- a/jetty/orders.go
+++ b/jetty/orders.go
@@ -104,27 +104,21 @@
 }
 
 // sendRelease sends a release and returns the handover. Any incarnation of the server
-// may execute it.
+// may execute it. Its connection carries nothing else: responses to orders have no
+// request id, so a second response to an earlier order could pass as the proof that
+// the keys are released.
 func (o *orderSender) sendRelease(ctx context.Context, t *term, order mooring.Order) (mooring.Result, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	endpoint := fairway.Endpoint{ID: order.To.Server, Address: order.To.Address, Incarnation: order.To.Incarnation}
-	c, p, err := o.upstream.get(ctx, endpoint, getOptions{maxIdleFraction: orderIdleFraction})
+	c, p, err := o.upstream.get(ctx, endpoint, getOptions{})
 	if err != nil {
 		return unsentResult(err), "", err
 	}
+	defer o.upstream.discard(p, c)
 	resp, err := o.exchange(ctx, t, c, order)
-	switch {
-	case errors.Is(err, errTermEnded):
-		o.upstream.put(p, c)
-		return mooring.ResultNotTried, "", err
-	case err != nil:
-		o.upstream.discard(p, c)
+	if err != nil {
 		return failedResult(err), "", err
-	case resp.Close:
-		o.upstream.discard(p, c)
-	default:
-		o.upstream.put(p, c)
 	}
 	result, handover := o.protocol.DecodeOrderResponse(resp.StatusCode, resp.Header)
 	return result, handover, nil
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -86,7 +86,7 @@
 type getOptions struct {
 	config *fairway.Config
 	// maxIdleFraction is the part of its idle timeout for which a kept
-	// connection may have been unused.
+	// connection may have been unused. Zero asks for a new connection.
 	maxIdleFraction float64
 }
 
