Do not count a release while an earlier grant of the keys is in flight

Change: a release proves nothing while a grant of the keys under an earlier token is in flight to the same server, and is repeated if such a grant may have arrived after it.

--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -1,6 +1,7 @@
 package mooring
 
 import (
+	"slices"
 	"time"
 
 	"hornbeamwinch.example/fairway"
@@ -215,7 +216,7 @@
 	state := newAssignmentState()
 	for i := range former.Assignments {
 		part := &former.Assignments[i]
-		if part.Token != r.Token || part.Owner != r.Owner || part.From > r.To || r.From > part.To {
+		if part.Token != r.Token || part.Owner != r.Owner || !part.overlaps(r.KeyRange) {
 			continue
 		}
 		old := a.stateOf(part)
@@ -280,7 +281,9 @@
 	if e.Order.Release {
 		a.releaseCompleted(e, s)
 	} else {
-		s.grants--
+		if i := slices.Index(s.grants, e.Order); i >= 0 {
+			s.grants = slices.Delete(s.grants, i, i+1)
+		}
 		a.grantCompleted(e, s)
 	}
 	switch e.Result {
@@ -325,6 +328,7 @@
 	case ResultNotSent, ResultNotTried, ResultMisdirected, ResultSuperseded, ResultInvalid, ResultSessionEnded:
 	default:
 		s.lastGrant = max(s.lastGrant, e.Ended)
+		a.repeatReleases(e.Order)
 	}
 	state := a.assignments[assignmentID{KeyRange: e.Order.KeyRange, Token: e.Order.Token}]
 	if state == nil {
@@ -346,6 +350,17 @@
 	}
 }
 
+// repeatReleases forgets the releases of keys that a grant may have given to their
+// former owner since: a server that has restarted in between does not refuse it.
+func (a *Assigner) repeatReleases(grant Order) {
+	for i := range a.recorded.Assignments {
+		r := &a.recorded.Assignments[i]
+		if state := a.stateOf(r); grant.precedes(r) && state.cleared[grant.To] == ProofReleased {
+			delete(state.cleared, grant.To)
+		}
+	}
+}
+
 // plan emits the orders that are due and, if needed, a write of the table.
 //
 // While the table is being reloaded, the recorded one may be older than the one
@@ -434,7 +449,7 @@
 	s := a.server(o.To)
 	s.inFlight++
 	if !o.Release {
-		s.grants++
+		s.grants = append(s.grants, o)
 	}
 	a.actions = append(a.actions, SendOrder{Order: o})
 }
--- a/mooring/assigner_test.go
+++ b/mooring/assigner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -333,6 +334,73 @@
 	})
 })
 
+// assignerDriver executes the actions of an assigner except its orders, which it
+// keeps.
+type assignerDriver struct {
+	assigner *mooring.Assigner
+	now      mooring.Instant
+	revision mooring.StoreRevision
+	orders   []mooring.Order
+}
+
+func (d *assignerDriver) step(e mooring.Event) {
+	d.now = d.now.Add(step)
+	for _, action := range d.assigner.Step(d.now, e) {
+		switch action := action.(type) {
+		case mooring.LoadTable:
+			d.step(mooring.TableLoaded{})
+		case mooring.WriteTable:
+			d.revision++
+			d.step(mooring.WriteSucceeded{Revision: d.revision})
+		case mooring.SendOrder:
+			d.orders = append(d.orders, action.Order)
+		}
+	}
+}
+
+// run lets time pass.
+func (d *assignerDriver) run(lasts time.Duration) {
+	for end := d.now.Add(lasts); d.now < end; {
+		d.step(mooring.Tick{})
+	}
+}
+
+// complete completes the first order to a server that is a release, or a grant.
+func (d *assignerDriver) complete(id fairway.ServerID, release bool, result mooring.Result) {
+	GinkgoHelper()
+	i := slices.IndexFunc(d.orders, func(o mooring.Order) bool { return o.To.Server == id && o.Release == release })
+	Expect(i).To(BeNumerically(">=", 0), "order to %s", id)
+	o := d.orders[i]
+	d.orders = slices.Delete(d.orders, i, i+1)
+	d.step(mooring.OrderCompleted{Order: o, Result: result, Session: 1, Began: d.now, Ended: d.now})
+}
+
+var _ = Describe("A grant that is in flight while its owner is released", func() {
+	It("is followed by another release before the next owner is granted the keys", func() {
+		a := fairway.Endpoint{ID: "a", Service: service, Address: "10.0.0.1:80", Incarnation: 1, Slots: 6}
+		b := fairway.Endpoint{ID: "b", Service: service, Address: "10.0.0.2:80", Incarnation: 1, Slots: 6}
+		d := &assignerDriver{assigner: mooring.NewAssigner(mooring.AssignerConfig{Service: service, Timing: timing})}
+		d.step(mooring.CatalogUpdated{Catalog: fairway.NewCatalog([]fairway.Endpoint{a})})
+		d.run(time.Second)
+		a.Draining = true
+		d.step(mooring.CatalogUpdated{Catalog: fairway.NewCatalog([]fairway.Endpoint{a, b})})
+		d.run(timing.MinWriteInterval)
+		grantsTo := func(id fairway.ServerID) int {
+			return len(slices.DeleteFunc(slices.Clone(d.orders), func(o mooring.Order) bool { return o.Release || o.To.Server != id }))
+		}
+		Expect(grantsTo("a")).To(Equal(1), "the first grant, which is held up")
+		d.complete("a", true, mooring.ResultAccepted)
+		d.run(time.Second)
+		Expect(grantsTo("b")).To(BeZero(), "while the grant may still arrive")
+		d.complete("a", false, mooring.ResultNoResponse)
+		d.run(time.Second)
+		Expect(grantsTo("b")).To(BeZero(), "after the grant may have arrived")
+		d.complete("a", true, mooring.ResultAccepted)
+		d.run(time.Second)
+		Expect(grantsTo("b")).To(Equal(1))
+	})
+})
+
 // hotLoad returns requests per second of a large service by key: hotFraction of
 // them on 200 adjacent keys, the rest evenly over all keys.
 func hotLoad(perSecond int, hotFraction float64, first int) map[mooring.Key]int {
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -167,6 +167,12 @@
 	Session SessionID
 }
 
+// precedes reports whether the order concerns keys of an assignment under an earlier
+// token.
+func (o Order) precedes(r *Assignment) bool {
+	return o.Token < r.Token && o.KeyRange.overlaps(r.KeyRange)
+}
+
 // Action is an output of [Assigner.Step], which the caller has to execute. The
 // set of actions is closed.
 type Action interface{ action() }
--- a/mooring/server.go
+++ b/mooring/server.go
@@ -1,6 +1,7 @@
 package mooring
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -37,9 +38,9 @@
 	// lastGrant is the latest time at which a grant of this placer may have
 	// arrived.
 	lastGrant Instant
-	// inFlight counts the orders in flight, and grants the grants among them.
+	// inFlight counts the orders in flight, and grants has the grants among them.
 	inFlight int
-	grants   int
+	grants   []Order
 	// failures counts consecutive failed orders. It reached suspectAfterFailures
 	// at suspectedAt. If unanswered is set, the last one may have arrived.
 	failures    int
@@ -51,6 +52,12 @@
 	avoidUntil Instant
 }
 
+// isGranting reports whether a grant that is older than an assignment is in flight for
+// any of its keys.
+func (s *server) isGranting(r *Assignment) bool {
+	return slices.ContainsFunc(s.grants, func(o Order) bool { return o.precedes(r) })
+}
+
 // canSend reports whether another order may be sent to the server.
 func (s *server) canSend(now Instant) bool {
 	return s.inFlight < maxOrdersPerServer && now >= s.retryAt
@@ -72,13 +79,15 @@
 // proofOf returns the proof that a former owner holds no keys of an assignment,
 // or an empty one if it may hold some.
 func (a *Assigner) proofOf(r *Assignment, instance ServerInstance) Proof {
-	if proof := a.stateOf(r).cleared[instance]; proof != "" {
+	s := a.server(instance)
+	// A release proves nothing yet if an earlier grant may still arrive.
+	if proof := a.stateOf(r).cleared[instance]; proof != "" && (proof != ProofReleased || !s.isGranting(r)) {
 		return proof
 	}
 	if proof := a.proofOfEnd(instance); proof != "" {
 		return proof
 	}
-	if s := a.server(instance); s.grants == 0 && a.now.Sub(a.lastGrant(s)) > a.maxHold() {
+	if len(s.grants) == 0 && a.now.Sub(a.lastGrant(s)) > a.maxHold() {
 		return ProofHoldExpired
 	}
 	return ""
--- a/mooring/table.go
+++ b/mooring/table.go
@@ -37,6 +37,11 @@
 	return r.From <= k && k <= r.To
 }
 
+// overlaps reports whether the ranges have a key in common.
+func (r KeyRange) overlaps(other KeyRange) bool {
+	return r.From <= other.To && other.From <= r.To
+}
+
 // String implements fmt.Stringer.
 func (r KeyRange) String() string {
 	return fmt.Sprintf("%d-%d", r.From, r.To)
