--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -328,7 +328,6 @@
 	case ResultNotSent, ResultNotTried, ResultMisdirected, ResultSuperseded, ResultInvalid, ResultSessionEnded:
 	default:
 		s.lastGrant = max(s.lastGrant, e.Ended)
-		a.repeatReleases(e.Order)
 	}
 	state := a.assignments[assignmentID{KeyRange: e.Order.KeyRange, Token: e.Order.Token}]
 	if state == nil {
@@ -350,17 +349,6 @@
 	}
 }
 
-// repeatReleases forgets the releases of keys that a grant may have given to their
-// former owner since: a server that has restarted in between does not refuse it.
-func (a *Assigner) repeatReleases(grant Order) {
-	for i := range a.recorded.Assignments {
-		r := &a.recorded.Assignments[i]
-		if state := a.stateOf(r); grant.precedes(r) && state.cleared[grant.To] == ProofReleased {
-			delete(state.cleared, grant.To)
-		}
-	}
-}
-
 // plan emits the orders that are due and, if needed, a write of the table.
 //
 // While the table is being reloaded, the recorded one may be older than the one
@@ -384,7 +372,8 @@
 }
 
 // sendDueOrder emits the release or grant that the recorded assignment at index
-// i needs now, if any.
+// i needs now, if any. A release waits for the grants of the keys that are in flight:
+// one that arrives after it is accepted by a server that has restarted in between.
 func (a *Assigner) sendDueOrder(i int) {
 	r := &a.recorded.Assignments[i]
 	state := a.stateOf(r)
@@ -392,7 +381,7 @@
 		return
 	}
 	if instance, ok := a.unreleased(r); ok {
-		if a.server(instance).canSend(a.now) {
+		if s := a.server(instance); s.canSend(a.now) && !s.isGranting(r) {
 			a.release(i, instance)
 		}
 		return
@@ -436,7 +425,7 @@
 	for j := i; j < len(a.recorded.Assignments); j++ {
 		r := &a.recorded.Assignments[j]
 		state := a.stateOf(r)
-		if other, ok := a.unreleased(r); !ok || other != instance || r.Token != first.Token || state.inFlight {
+		if other, ok := a.unreleased(r); !ok || other != instance || r.Token != first.Token || state.inFlight || a.server(instance).isGranting(r) {
 			break
 		}
 		state.inFlight = true
--- a/mooring/assigner_test.go
+++ b/mooring/assigner_test.go
@@ -375,8 +375,8 @@
 	d.step(mooring.OrderCompleted{Order: o, Result: result, Session: 1, Began: d.now, Ended: d.now})
 }
 
-var _ = Describe("A grant that is in flight while its owner is released", func() {
-	It("is followed by another release before the next owner is granted the keys", func() {
+var _ = Describe("A grant that is in flight when its owner is replaced", func() {
+	It("ends before the release is sent", func() {
 		a := fairway.Endpoint{ID: "a", Service: service, Address: "10.0.0.1:80", Incarnation: 1, Slots: 6}
 		b := fairway.Endpoint{ID: "b", Service: service, Address: "10.0.0.2:80", Incarnation: 1, Slots: 6}
 		d := &assignerDriver{assigner: mooring.NewAssigner(mooring.AssignerConfig{Service: service, Timing: timing})}
@@ -385,19 +385,25 @@
 		a.Draining = true
 		d.step(mooring.CatalogUpdated{Catalog: fairway.NewCatalog([]fairway.Endpoint{a, b})})
 		d.run(timing.MinWriteInterval)
-		grantsTo := func(id fairway.ServerID) int {
-			return len(slices.DeleteFunc(slices.Clone(d.orders), func(o mooring.Order) bool { return o.Release || o.To.Server != id }))
+		ordersTo := func(id fairway.ServerID, release bool) int {
+			n := 0
+			for _, o := range d.orders {
+				if o.To.Server == id && o.Release == release {
+					n++
+				}
+			}
+			return n
 		}
-		Expect(grantsTo("a")).To(Equal(1), "the first grant, which is held up")
-		d.complete("a", true, mooring.ResultAccepted)
+		Expect(ordersTo("a", false)).To(Equal(1), "the first grant, which is held up")
 		d.run(time.Second)
-		Expect(grantsTo("b")).To(BeZero(), "while the grant may still arrive")
+		Expect(ordersTo("a", true)).To(BeZero(), "while the grant may still arrive")
 		d.complete("a", false, mooring.ResultNoResponse)
 		d.run(time.Second)
-		Expect(grantsTo("b")).To(BeZero(), "after the grant may have arrived")
+		Expect(ordersTo("a", true)).To(Equal(1))
+		Expect(ordersTo("b", false)).To(BeZero(), "before the release is answered")
 		d.complete("a", true, mooring.ResultAccepted)
 		d.run(time.Second)
-		Expect(grantsTo("b")).To(Equal(1))
+		Expect(ordersTo("b", false)).To(Equal(1))
 	})
 })
 
--- a/mooring/server.go
+++ b/mooring/server.go
@@ -79,15 +79,13 @@
 // proofOf returns the proof that a former owner holds no keys of an assignment,
 // or an empty one if it may hold some.
 func (a *Assigner) proofOf(r *Assignment, instance ServerInstance) Proof {
-	s := a.server(instance)
-	// A release proves nothing yet if an earlier grant may still arrive.
-	if proof := a.stateOf(r).cleared[instance]; proof != "" && (proof != ProofReleased || !s.isGranting(r)) {
+	if proof := a.stateOf(r).cleared[instance]; proof != "" {
 		return proof
 	}
 	if proof := a.proofOfEnd(instance); proof != "" {
 		return proof
 	}
-	if len(s.grants) == 0 && a.now.Sub(a.lastGrant(s)) > a.maxHold() {
+	if s := a.server(instance); len(s.grants) == 0 && a.now.Sub(a.lastGrant(s)) > a.maxHold() {
 		return ProofHoldExpired
 	}
 	return ""
