--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -72,10 +72,20 @@
 	return n, err
 }
 
+// DialFunc opens a TCP connection to a backend server.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// dialTCP is the [DialFunc] that is used unless [Config] has another.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // dial opens a connection to a backend server.
-func dial(ctx context.Context, address string) (*connection, error) {
-	dialer := net.Dialer{Timeout: connectTimeout}
-	nc, err := dialer.DialContext(ctx, "tcp", address)
+func dial(ctx context.Context, dialServer DialFunc, address string) (*connection, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	nc, err := dialServer(dialCtx, address)
 	if err != nil {
 		if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
 			return nil, &Error{Op: "connect", Kind: KindCanceled, Err: err}
--- a/jetty/exchange_test.go
+++ b/jetty/exchange_test.go
@@ -39,7 +39,7 @@
 func newExchangeBench(extra float64) *exchangeBench {
 	b := &exchangeBench{service: &fairway.Service{Name: "readings"}, servers: make(map[fairway.ServerID]*exchangeServer)}
 	b.f = &forwarder{
-		headers: fakeProtocol{}.Headers(), upstream: newUpstream(requestConnections), drain: newDrain(), logs: quietLogs(), metrics: newMetrics(),
+		headers: fakeProtocol{}.Headers(), upstream: newUpstream(requestConnections, nil), drain: newDrain(), logs: quietLogs(), metrics: newMetrics(),
 		clusterState: newClusterState(fairway.NewActiveConfig()),
 		admissions: newAdmissionSet(admissionSetConfig{
 			Host: "host-0", ReassignmentDelay: time.Second,
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -53,6 +53,8 @@
 	Settings *Settings
 	Store    ledger.TxnStore
 	Protocol Protocol
+	// Dial opens the connections to backend servers; nil means plain TCP.
+	Dial DialFunc
 	// LogTo is where the log is written; nil means standard output.
 	LogTo io.Writer
 	// Reload reads the settings again; nil means that they do not change.
@@ -99,8 +101,8 @@
 		logs:          newLogs(cfg.LogTo, s),
 		metrics:       newMetrics(),
 		clusterState:  newClusterState(fairway.NewActiveConfig()),
-		upstream:      newUpstream(requestConnections),
-		orderUpstream: newUpstream(orderConnections),
+		upstream:      newUpstream(requestConnections, cfg.Dial),
+		orderUpstream: newUpstream(orderConnections, cfg.Dial),
 		loadCollector: newLoadCollector(),
 		drain:         newDrain(),
 	}
--- a/jetty/term_test.go
+++ b/jetty/term_test.go
@@ -108,7 +108,7 @@
 		t, err := claim(s, time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		server := newOrderServer()
-		o := &orderSender{protocol: fakeProtocol{}, upstream: newUpstream(orderConnections), logs: quietLogs(), metrics: newMetrics()}
+		o := &orderSender{protocol: fakeProtocol{}, upstream: newUpstream(orderConnections, nil), logs: quietLogs(), metrics: newMetrics()}
 		order := mooring.Order{To: mooring.ServerInstance{Server: "s", Address: server.address}}
 		Expect(o.send(context.Background(), t, order).Result).To(Equal(mooring.ResultAccepted))
 		t.ordersUntil.Store(0)
@@ -129,7 +129,7 @@
 	e := &election{
 		store: s, clusterState: newClusterState(fairway.NewActiveConfig()), admissions: newAdmissionSet(admissionSetConfig{}), loadCollector: newLoadCollector(), logs: logs,
 		metrics: newMetrics(), address: listener.Addr().String(), ttl: time.Second, maxHold: grantHold,
-		sender:  &orderSender{protocol: fakeProtocol{}, upstream: newUpstream(orderConnections), logs: logs, metrics: newMetrics()},
+		sender:  &orderSender{protocol: fakeProtocol{}, upstream: newUpstream(orderConnections, nil), logs: logs, metrics: newMetrics()},
 		scanned: func() bool { return true }, wake: make(chan struct{}, 1),
 	}
 	e.clusterState.activeConfig.SetIfNewer(config)
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -29,6 +29,7 @@
 	hosts int
 	// minConnections is the lower bound of a pool's limit.
 	minConnections int
+	dial           DialFunc
 	// opened counts the connections opened since the last call of count.
 	opened int64
 }
@@ -44,8 +45,13 @@
 	closed bool
 }
 
-func newUpstream(minConnections int) *upstream {
-	return &upstream{pools: make(map[fairway.ServerID]*pool), hosts: 1, minConnections: minConnections}
+// newUpstream returns an upstream without connections. If dial is nil, connections
+// are plain TCP connections.
+func newUpstream(minConnections int, dial DialFunc) *upstream {
+	if dial == nil {
+		dial = dialTCP
+	}
+	return &upstream{pools: make(map[fairway.ServerID]*pool), hosts: 1, minConnections: minConnections, dial: dial}
 }
 
 // update closes the pools of servers that are no longer in catalog or have
@@ -131,7 +137,7 @@
 	if found != nil {
 		return found, p, nil
 	}
-	c, err := dial(ctx, s.Address)
+	c, err := dial(ctx, u.dial, s.Address)
 	if err != nil {
 		u.decrementOpen(p)
 		return nil, nil, err
