--- a/jetty/grantsession_test.go
+++ b/jetty/grantsession_test.go
@@ -53,7 +53,7 @@
 		var address string
 		first, address = startGrantServer("127.0.0.1:0")
 		sender = newOrderSender(orderSenderConfig{
-			Protocol: fakeProtocol{}, Upstream: newUpstream(orderConnections), Logs: quietLogs(), Metrics: newMetrics(),
+			Protocol: fakeProtocol{}, Upstream: newUpstream(orderConnections, nil), Logs: quietLogs(), Metrics: newMetrics(),
 		})
 		t = &term{ttl: time.Second}
 		t.confirm(bootTimeNow())
