--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -99,6 +99,7 @@
 	admissions   *admissionSet
 	upstream     *upstream
 	clusterState *clusterState
+	reach        reachability
 	drain        *drain
 	logs         *logs
 	metrics      *metrics
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -30,6 +30,7 @@
 	// minConnections is the lower bound of a pool's limit.
 	minConnections int
 	dial           DialFunc
+	reach          reachability
 	// opened counts the connections opened since the last call of count.
 	opened int64
 }
@@ -51,7 +52,7 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &upstream{pools: make(map[fairway.ServerID]*pool), hosts: 1, minConnections: minConnections, dial: dial}
+	return &upstream{pools: make(map[fairway.ServerID]*pool), hosts: 1, minConnections: minConnections, dial: dial, reach: alwaysReaching{}}
 }
 
 // update closes the pools of servers that are no longer in catalog or have
