--- a/jetty/exchange_test.go
+++ b/jetty/exchange_test.go
@@ -40,7 +40,7 @@
 	b := &exchangeBench{service: &fairway.Service{Name: "readings"}, servers: make(map[fairway.ServerID]*exchangeServer)}
 	b.f = &forwarder{
 		headers: fakeProtocol{}.Headers(), upstream: newUpstream(requestConnections, nil), drain: newDrain(), logs: quietLogs(), metrics: newMetrics(),
-		clusterState: newClusterState(fairway.NewActiveConfig()),
+		clusterState: newClusterState(fairway.NewActiveConfig()), reach: alwaysReaching{},
 		admissions: newAdmissionSet(admissionSetConfig{
 			Host: "host-0", ReassignmentDelay: time.Second,
 			Budget: sluice.RetryBudgetConfig{Window: 10 * time.Second, Extra: extra},
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -84,6 +84,7 @@
 	ingress       *ingress
 	callers       *callerConns
 	drain         *drain
+	reach         reachability
 
 	httpServers     []*http.Server
 	ingressListener net.Listener
@@ -106,7 +107,9 @@
 		orderUpstream: newUpstream(orderConnections, cfg.Dial),
 		loadCollector: newLoadCollector(),
 		drain:         newDrain(),
+		reach:         alwaysReaching{},
 	}
+	h.upstream.reach = h.reach
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		Host:              s.Host,
 		Domain:            s.Domain,
@@ -147,7 +150,7 @@
 		metrics:      h.metrics,
 		forwarder: &forwarder{
 			headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, clusterState: h.clusterState,
-			drain: h.drain, logs: h.logs, metrics: h.metrics,
+			reach: h.reach, drain: h.drain, logs: h.logs, metrics: h.metrics,
 		},
 	}
 	return h, nil
