--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -49,6 +49,8 @@
 	predecessorUntil Instant
 	// writesBlocked is set while the store accepts no writes of this placer.
 	writesBlocked bool
+	// pathLost is set while failed orders indicate nothing about a single server.
+	pathLost bool
 
 	recorded *Table
 	revision StoreRevision
@@ -160,6 +162,9 @@
 		a.writesBlocked = !e.Allowed
 	case PredecessorEnded:
 		a.predecessorUntil = min(a.predecessorUntil, e.At)
+	case PathLost:
+		a.pathLost = e.Lost
+		a.clearFailures()
 	case Tick:
 	}
 	a.plan()
@@ -289,6 +294,10 @@
 	case ResultNotTried:
 		s.retryAt = a.now.Add(orderRetryDelay)
 	default:
+		if a.pathLost {
+			s.retryAt = a.now.Add(lostPathRetryDelay)
+			break
+		}
 		s.failures++
 		s.unanswered = e.Result == ResultNoResponse
 		s.retryAt = a.now.Add(orderRetryDelay)
@@ -446,7 +455,9 @@
 	moves = append(moves, a.renewTokens(next)...)
 	if candidates := a.candidates(); len(candidates) > 0 {
 		moves = append(moves, a.replaceOwners(next, candidates)...)
-		moves = append(moves, a.rebalance(next, candidates)...)
+		if !a.pathLost {
+			moves = append(moves, a.rebalance(next, candidates)...)
+		}
 	}
 	if len(moves) == 0 {
 		return
--- a/mooring/assigner_test.go
+++ b/mooring/assigner_test.go
@@ -179,6 +179,35 @@
 		expectAllKeysHeld(sim)
 	})
 
+	for _, lasts := range []time.Duration{3 * time.Second, pathOutageTime} {
+		for _, refused := range []bool{false, true} {
+			It(fmt.Sprintf("keeps the owners while the placer reaches no server for %v, and has them hold their keys soon afterwards (refused: %v)", lasts, refused), func() {
+				sim := newSimulation(4)
+				sim.run(2 * time.Second)
+				before, revision := ownersOf(sim), sim.revision
+				sim.losePath(lasts, refused, false)
+				sim.run(lasts)
+				Expect(sim.revision).To(Equal(revision), "no writes while the path is lost")
+				sim.run(1200 * time.Millisecond)
+				Expect(ownersOf(sim)).To(Equal(before))
+				expectAllKeysHeld(sim)
+			})
+		}
+	}
+
+	It("has every key held throughout when the placer loses the path to all servers and resigns", func() {
+		sim := newSimulation(4)
+		sim.run(2 * time.Second)
+		before := ownersOf(sim)
+		sim.losePath(pathOutageTime, false, true)
+		for range 50 {
+			sim.run(100 * time.Millisecond)
+			Expect(sim.holderCounts()).To(HaveEach(1), "%v", sim.now)
+		}
+		Expect(ownersOf(sim)).To(Equal(before))
+		expectAllKeysHeld(sim)
+	})
+
 	It("sends at most three orders to a server at a time", func() {
 		sim := newSimulation(4)
 		causeMoves(sim)
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -88,6 +88,12 @@
 	At Instant
 }
 
+// PathLost reports whether the placer cannot reach the servers as a whole, or none of
+// them answers. While that is so, failed orders indicate nothing about a single server.
+type PathLost struct {
+	Lost bool
+}
+
 func (Tick) event()             {}
 func (TableLoaded) event()      {}
 func (WriteSucceeded) event()   {}
@@ -97,6 +103,7 @@
 func (LoadReported) event()     {}
 func (WritesAllowed) event()    {}
 func (PredecessorEnded) event() {}
+func (PathLost) event()         {}
 
 // Result is the outcome of an order.
 type Result int
--- a/mooring/server.go
+++ b/mooring/server.go
@@ -21,6 +21,8 @@
 	// orderRetryDelay is the delay before a failed order is retried, a few round
 	// trips.
 	orderRetryDelay = 100 * time.Millisecond
+	// lostPathRetryDelay is the same while the path to the servers is lost.
+	lostPathRetryDelay = 250 * time.Millisecond
 	// maxOrdersPerServer bounds the orders in flight to one server, each of which
 	// uses a connection. A release takes until the server's work on the keys is
 	// finished.
@@ -141,6 +143,13 @@
 	}
 }
 
+// clearFailures forgets all failed orders.
+func (a *Assigner) clearFailures() {
+	for _, s := range a.servers {
+		s.failures, s.unanswered, s.avoidUntil = 0, false, 0
+	}
+}
+
 // candidates returns the servers that may get new keys, ordered by id.
 func (a *Assigner) candidates() []fairway.Endpoint {
 	var found []fairway.Endpoint
--- a/mooring/simulation_test.go
+++ b/mooring/simulation_test.go
@@ -42,6 +42,13 @@
 	predecessorOrderLimit = 10 * time.Second
 	// partitionTime is the duration of a partition.
 	partitionTime = 6 * time.Second
+	// pathNotice is how long after the loss of the path to all servers the placer
+	// knows of it. It resigns at once and another host claims after pathClaim. The
+	// resigned one confirms its end when its longest order has ended.
+	pathNotice     = 1100 * time.Millisecond
+	pathClaim      = 300 * time.Millisecond
+	longestOrder   = 700 * time.Millisecond
+	pathOutageTime = 6 * time.Second
 	// storeOutage is the duration of an outage of the store. It is longer than a
 	// hold and shorter than predecessorOrderLimit.
 	storeOutage = 6 * time.Second
@@ -67,6 +74,10 @@
 	faultNetworkCut     fault = "placer and server are cut off"
 	faultDrain          fault = "server drains"
 	faultPartition      fault = "placer and half of the servers are cut off from the store"
+	faultHalfCut        fault = "placer is cut off from half of the servers"
+	faultPathHangs      fault = "placer loses the path to all servers"
+	faultPathRefused    fault = "placer is refused by all servers"
+	faultPathMoves      fault = "placer loses the path to all servers and resigns"
 	// The store's call of the interaction, if it is one, is not executed, or
 	// executed and answered, or executed without an answer.
 	faultStoreOut       fault = "store goes out"
@@ -76,7 +87,8 @@
 
 var faults = []fault{
 	faultLost, faultResponseLost, faultLate, faultPlacerDies, faultServerDies, faultServerRestarts,
-	faultAddressReused, faultNetworkCut, faultDrain, faultPartition, faultStoreOut, faultStoreOutLater, faultStoreForgetful,
+	faultAddressReused, faultNetworkCut, faultDrain, faultPartition,
+	faultHalfCut, faultPathHangs, faultPathRefused, faultPathMoves, faultStoreOut, faultStoreOutLater, faultStoreForgetful,
 }
 
 // simServer is one instance of a backend server.
@@ -151,9 +163,16 @@
 	// storeOutUntil.
 	storeCalls    int
 	storeOutUntil mooring.Instant
-	steps         int
-	violations    []string
-	mostInFlight  int
+	// The placer of the term lostPathTerm reaches no server until lostPathUntil. If
+	// lostPathRefused is set, its connections are refused. lostPathKnown is set while
+	// the placer knows.
+	lostPathTerm    int
+	lostPathUntil   mooring.Instant
+	lostPathRefused bool
+	lostPathKnown   bool
+	steps           int
+	violations      []string
+	mostInFlight    int
 }
 
 func newSimulation(servers int) *simulation {
@@ -280,15 +299,20 @@
 		sim.schedule(sim.storeOutUntil.Sub(sim.now), sim.startPlacer)
 		return
 	}
+	sim.beginTerm()
+	if sim.formerAssigner == nil {
+		// The former placer's process has ended, which its host confirms.
+		sim.step(sim.term, mooring.PredecessorEnded{At: sim.now})
+	}
+}
+
+// beginTerm begins a term with a new assigner.
+func (sim *simulation) beginTerm() {
 	sim.term++
 	sim.assigner = mooring.NewAssigner(mooring.AssignerConfig{
 		Service: service, Now: sim.now, PredecessorUntil: sim.now.Add(predecessorOrderLimit), Timing: timing,
 	})
 	sim.step(sim.term, mooring.CatalogUpdated{Catalog: sim.catalog()})
-	if sim.formerAssigner == nil {
-		// The former placer's process has ended, which its host confirms.
-		sim.step(sim.term, mooring.PredecessorEnded{At: sim.now})
-	}
 }
 
 func (sim *simulation) killPlacer() {
@@ -320,6 +344,54 @@
 	})
 }
 
+// losePath cuts the placer off from all servers. If resigns is set, another placer that
+// reaches them takes over.
+func (sim *simulation) losePath(lasts time.Duration, refused, resigns bool) {
+	if sim.assigner == nil || sim.formerAssigner != nil || sim.now < sim.lostPathUntil {
+		return
+	}
+	term := sim.term
+	sim.lostPathTerm, sim.lostPathUntil, sim.lostPathRefused = term, sim.now.Add(lasts), refused
+	sim.schedule(pathNotice, func() {
+		if term != sim.term || sim.assigner == nil {
+			return
+		}
+		sim.lostPathKnown = true
+		sim.step(term, mooring.PathLost{Lost: true})
+		if resigns && sim.now >= sim.storeOutUntil {
+			sim.resignPlacer()
+		}
+	})
+}
+
+// resignPlacer ends the term before all of its orders have ended.
+func (sim *simulation) resignPlacer() {
+	sim.assigner = nil
+	sim.term++
+	next := sim.term + 1
+	sim.schedule(pathClaim, func() {
+		sim.beginTerm()
+		sim.schedule(longestOrder-pathClaim, func() { sim.step(next, mooring.PredecessorEnded{At: sim.now}) })
+	})
+}
+
+// halveReach cuts the placer off from every second server, which stay registered.
+func (sim *simulation) halveReach(lasts time.Duration) {
+	for id, s := range sim.servers {
+		if id[1]%2 == 0 {
+			s.cutUntil = sim.now.Add(lasts)
+		}
+	}
+}
+
+// regainPath has the placer know by an accepted order that it reaches the servers.
+func (sim *simulation) regainPath(term int, r mooring.Result) {
+	if sim.lostPathKnown && term == sim.lostPathTerm && r == mooring.ResultAccepted {
+		sim.lostPathKnown = false
+		sim.step(term, mooring.PathLost{Lost: false})
+	}
+}
+
 // stopStore makes the store unavailable. If it forgets its leases, another placer
 // takes over when it returns.
 func (sim *simulation) stopStore(lasts time.Duration, forgetful bool) {
@@ -371,7 +443,7 @@
 
 // unreachable reports whether the placer of a term cannot reach a server.
 func (sim *simulation) unreachable(s *simServer, term int) bool {
-	cut := s.cutUntil > sim.now
+	cut := s.cutUntil > sim.now || term == sim.lostPathTerm && sim.now < sim.lostPathUntil
 	if sim.formerAssigner != nil && term == sim.formerTerm {
 		return !cut
 	}
@@ -426,6 +498,10 @@
 		sim.killPlacer()
 	case faultPartition:
 		sim.partition(partitionTime)
+	case faultHalfCut:
+		sim.halveReach(pathOutageTime)
+	case faultPathHangs, faultPathRefused, faultPathMoves:
+		sim.losePath(pathOutageTime, injected == faultPathRefused, injected == faultPathMoves)
 	case faultStoreOut, faultStoreOutLater:
 		sim.stopStore(storeOutage, false)
 	case faultStoreForgetful:
@@ -490,10 +566,13 @@
 			if target != nil {
 				target.inFlight--
 			}
+			sim.regainPath(term, r)
 			sim.step(term, mooring.OrderCompleted{Order: order, Result: r, Session: sentIn, Handover: handover, Began: began, Ended: sim.now})
 		})
 	}
 	switch {
+	case term == sim.lostPathTerm && sim.now < sim.lostPathUntil && sim.lostPathRefused:
+		respond(latency, mooring.ResultNotSent, "")
 	case current != nil && sim.unreachable(current, term):
 		respond(350*time.Millisecond, mooring.ResultNoResponse, "")
 	case current == nil || !current.up:
