--- a/jetty/election.go
+++ b/jetty/election.go
@@ -125,6 +125,9 @@
 		previous.cancel()
 		<-previous.done
 	}
+	// The host is not its own predecessor, so the term counts the holds of its former
+	// one from the end of that one's last order.
+	t.began = bootTimeNow()
 	termCtx, cancel := context.WithCancel(ctx)
 	r := newTermRunner(e, t, cancel)
 	e.mu.Lock()
--- a/jetty/term.go
+++ b/jetty/term.go
@@ -42,8 +42,8 @@
 	// revision is that of the placer's record. Every write of the term is
 	// conditional on it.
 	revision ledger.Revision
-	// began is when this host received the store's confirmation that the record
-	// was written.
+	// began is when this host received the store's confirmation that the record was
+	// written, or later, when the last order of its own former term had ended.
 	began mooring.Instant
 	// predecessors lists the earlier placers that may still send orders.
 	predecessors placerList
--- a/jetty/term_test.go
+++ b/jetty/term_test.go
@@ -196,6 +196,27 @@
 	})
 })
 
+var _ = Describe("A host that claims again", func() {
+	It("begins its term after the last order of its former one", func() {
+		s := newFakeStore()
+		e, _ := newTestElection(s)
+		former := &termRunner{term: &term{}, cancel: func() {}, done: make(chan struct{})}
+		e.current = former
+		t, err := claimTerm(context.Background(), termConfig{Store: s, TTL: e.ttl, Address: e.address, Logs: e.logs})
+		Expect(err).NotTo(HaveOccurred())
+		var ended mooring.Instant
+		time.AfterFunc(50*time.Millisecond, func() {
+			ended = bootTimeNow()
+			close(former.done)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		e.startTerm(ctx, t)
+		Expect(t.began).To(BeNumerically(">=", ended))
+		Expect(e.termRunner().predecessorUntil).To(BeNumerically(">=", ended))
+	})
+})
+
 // committedStore reads the last committed values of a fake store.
 type committedStore struct{ *fakeStore }
 
