--- a/jetty/host.go
+++ b/jetty/host.go
@@ -84,7 +84,7 @@
 	ingress       *ingress
 	callers       *callerConns
 	drain         *drain
-	reach         reachability
+	reach         *reach
 
 	httpServers     []*http.Server
 	ingressListener net.Listener
@@ -107,9 +107,9 @@
 		orderUpstream: newUpstream(orderConnections, cfg.Dial),
 		loadCollector: newLoadCollector(),
 		drain:         newDrain(),
-		reach:         alwaysReaching{},
 	}
-	h.upstream.reach = h.reach
+	h.reach = newReach(h.clusterState, h.upstream)
+	h.upstream.reach, h.orderUpstream.reach = h.reach, h.reach
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		Host:              s.Host,
 		Domain:            s.Domain,
@@ -138,7 +138,7 @@
 	h.loadCollector.isPlacer = h.election.active
 	h.reporter = &reporter{
 		host: s.Host, domain: s.Domain, address: s.PeerAddress, linkMbps: s.LinkMbps,
-		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, logs: h.logs,
+		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, logs: h.logs,
 		onHostsChange: h.refresh, shuttingDown: h.shuttingDown.Load,
 	}
 	h.callers = newCallerConns()
@@ -185,6 +185,7 @@
 	h.launch(ctx, h.election.run)
 	h.launch(ctx, h.reporter.run)
 	h.launch(ctx, h.sweepLoop)
+	h.launch(ctx, h.reach.run)
 	h.launch(ctx, h.reloadLoop)
 	h.logs.started(h.cfg.Settings)
 	return nil
--- a/jetty/load.go
+++ b/jetty/load.go
@@ -1,9 +1,12 @@
 package jetty
 
 import (
+	"cmp"
 	"context"
+	"hash/fnv"
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +65,12 @@
 	// storeAnsweredAt is when the store last answered the host itself, or zero if
 	// the host receives changes from a feeder.
 	storeAnsweredAt time.Time
+	// cut is set if the host reaches no server.
+	cut bool
+	// answeredAt is when the host last reported responses, and answers the beginning
+	// of the latest interval in which it had some of each server.
+	answeredAt time.Time
+	answers    map[fairway.ServerID]time.Time
 }
 
 // reporting reports whether the host has sent a report recently.
@@ -69,6 +78,23 @@
 	return now.Sub(h.lastReport) <= feederTimeout
 }
 
+// reachesServers reports whether the host has had responses of servers recently.
+func (h reportingHost) reachesServers(now time.Time) bool {
+	return h.reporting(now) && !h.cut && now.Sub(h.answeredAt) <= feederTimeout
+}
+
+// recordAnswers records the servers of which a report has responses.
+func (h *reportingHost) recordAnswers(r *signal.LoadReport, now time.Time) {
+	since := now.Add(-time.Duration(r.IntervalMillis) * time.Millisecond)
+	for _, s := range r.Servers {
+		if s.Answers > 0 || s.SignsOfLife > 0 {
+			h.answeredAt = now
+			h.answers[fairway.ServerID(s.Server)] = since
+		}
+	}
+	maps.DeleteFunc(h.answers, func(_ fairway.ServerID, at time.Time) bool { return now.Sub(at) > hostTimeout })
+}
+
 // reachesStore reports whether the store has answered the host recently.
 func (h reportingHost) reachesStore(now time.Time) bool {
 	return h.reporting(now) && now.Sub(h.storeAnsweredAt) <= feedMaxAge
@@ -109,7 +135,15 @@
 // Report implements signal.LoadsServer.
 func (l *loadCollector) Report(_ context.Context, r *signal.LoadReport) (*signal.LoadReply, error) {
 	summary := l.add(r, time.Now())
-	reply := &signal.LoadReply{Hosts: uint32(summary.hosts), Placer: l.isPlacer(), Feeder: summary.feeder}
+	reply := &signal.LoadReply{
+		Hosts: uint32(summary.hosts), Placer: l.isPlacer(), Feeder: summary.feeder, Reaching: uint32(summary.reaching),
+	}
+	for _, p := range summary.peers {
+		reply.Peers = append(reply.Peers, string(p))
+	}
+	for _, id := range summary.answering {
+		reply.Answering = append(reply.Answering, string(id))
+	}
 	for _, id := range summary.overloaded {
 		reply.Crowded = append(reply.Crowded, string(id))
 	}
@@ -161,6 +195,12 @@
 	overloaded []fairway.ServerID
 	// granted has the ranges of each service whose grants are not recorded yet.
 	granted map[fairway.ServiceName][]mooring.Assignment
+	// peers are hosts that reach servers, for the reporting host, and answering those
+	// of its failing servers that answer others.
+	peers     []peerAddress
+	answering []fairway.ServerID
+	// reaching is the number of hosts that are not cut.
+	reaching int
 }
 
 // add records a report and returns the summary of all reports.
@@ -184,7 +224,9 @@
 		st.responses += int(s.Answers)
 		st.slowness += s.Slowness
 		l.stats[fairway.ServerID(s.Server)] = st
-		l.overload.Add(instantOf(now), fairway.ServerID(s.Server), int(s.Requests), int(s.Pressed))
+		if s.Requests > 0 {
+			l.overload.Add(instantOf(now), fairway.ServerID(s.Server), int(s.Requests), int(s.Pressed))
+		}
 	}
 	id := HostID(r.Host)
 	if r.Leaving {
@@ -192,8 +234,10 @@
 	} else {
 		h, known := l.reportingHosts[id]
 		if !known || h.address != r.Address || !h.reporting(now) {
-			h = reportingHost{domain: fairway.Domain(r.Domain), address: r.Address, firstReport: now}
+			h = reportingHost{domain: fairway.Domain(r.Domain), address: r.Address, firstReport: now, answers: make(map[fairway.ServerID]time.Time)}
 		}
+		h.cut = r.Cut
+		h.recordAnswers(r, now)
 		h.lastReport, h.linkMbps, h.storeAnsweredAt = now, r.LinkMbps, time.Time{}
 		if r.Direct {
 			h.storeAnsweredAt = now.Add(-time.Duration(r.StoreAgeMillis) * time.Millisecond)
@@ -206,6 +250,9 @@
 		}
 	}
 	return loadSummary{
+		peers:      l.peers(id, fairway.Domain(r.Domain), now),
+		answering:  l.answeringOthers(id, r.Failing, now),
+		reaching:   l.reaching(),
 		hosts:      max(len(l.reportingHosts), 1),
 		feeder:     l.feeder(fairway.Domain(r.Domain), now),
 		overloaded: l.overload.Overloaded(instantOf(now)),
@@ -213,6 +260,104 @@
 	}
 }
 
+// maxRelayPeers bounds the peers that a reply names, and maxOwnDomainPeers those of
+// the reporting host's failure domain if there are others.
+const (
+	maxRelayPeers     = 4
+	maxOwnDomainPeers = 3
+)
+
+// peers returns hosts that reach the servers, for another host. The hosts are spread
+// by rendezvous hashing, so that each is named to few others.
+func (l *loadCollector) peers(host HostID, domain fairway.Domain, now time.Time) []peerAddress {
+	var own, other []rankedPeer
+	for id, h := range l.reportingHosts {
+		if id == host || h.address == "" || !h.reachesServers(now) {
+			continue
+		}
+		p := rankedPeer{address: peerAddress(h.address), rank: rendezvousRank(host, id)}
+		if h.domain == domain {
+			own = append(own, p)
+		} else {
+			other = append(other, p)
+		}
+	}
+	byRank := func(a, b rankedPeer) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.address, b.address))
+	}
+	slices.SortFunc(own, byRank)
+	slices.SortFunc(other, byRank)
+	fromOwn := min(len(own), max(maxOwnDomainPeers, maxRelayPeers-len(other)))
+	fromOther := min(len(other), maxRelayPeers-fromOwn)
+	var peers []peerAddress
+	for _, p := range append(own[:fromOwn], other[:fromOther]...) {
+		peers = append(peers, p.address)
+	}
+	return peers
+}
+
+// rankedPeer is a host with its rank among the peers of another.
+type rankedPeer struct {
+	address peerAddress
+	rank    uint64
+}
+
+func rendezvousRank(host, peer HostID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(string(host) + "\x00" + string(peer)))
+	// The high bits of FNV hardly depend on the last bytes.
+	sum := h.Sum64()
+	sum ^= sum >> 33
+	sum *= 0xff51afd7ed558ccd
+	return sum ^ sum>>33
+}
+
+// answeringOthers returns those of a host's failing servers that answer other hosts.
+func (l *loadCollector) answeringOthers(host HostID, failing []string, now time.Time) []fairway.ServerID {
+	var answering []fairway.ServerID
+	for _, f := range failing {
+		server := fairway.ServerID(f)
+		for id, h := range l.reportingHosts {
+			at, ok := h.answers[server]
+			if ok && id != host && h.reachesServers(now) && now.Sub(at) <= feederTimeout+reportInterval {
+				answering = append(answering, server)
+				break
+			}
+		}
+	}
+	return answering
+}
+
+// reaching returns the number of hosts that are not cut.
+func (l *loadCollector) reaching() int {
+	n := 0
+	for _, h := range l.reportingHosts {
+		if !h.cut {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// answeringSince returns how many of some servers have answered a host other than
+// the one at an address since the instants given for them.
+func (l *loadCollector) answeringSince(since map[fairway.ServerID]mooring.Instant, except string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now, bootNow := time.Now(), bootTimeNow()
+	n := 0
+	for server, instant := range since {
+		after := now.Add(-bootNow.Sub(instant))
+		for _, h := range l.reportingHosts {
+			if at, ok := h.answers[server]; ok && h.address != except && !at.Before(after) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
 // feeder returns the address of the feeder of a failure domain, the host that
 // watches the store for the others. Among the hosts that the store answers, it is
 // the one with the fastest link, and among equals the one that has reported for
@@ -253,6 +398,7 @@
 	admissions    *admissionSet
 	loadCollector *loadCollector
 	changeLog     *changeLog
+	reach         *reach
 	logs          *logs
 	// onHostsChange is called when the number of hosts has changed.
 	onHostsChange func()
@@ -307,6 +453,12 @@
 		for _, id := range reply.Crowded {
 			summary.overloaded = append(summary.overloaded, fairway.ServerID(id))
 		}
+		for _, p := range reply.Peers {
+			summary.peers = append(summary.peers, peerAddress(p))
+		}
+		for _, id := range reply.Answering {
+			summary.answering = append(summary.answering, fairway.ServerID(id))
+		}
 	}
 	r.apply(summary)
 }
@@ -314,6 +466,7 @@
 // apply applies the summary that the placer returned.
 func (r *reporter) apply(summary loadSummary) {
 	r.clusterState.setFeeder(summary.feeder)
+	r.reach.setPeers(summary.peers, summary.answering)
 	overloaded := make(map[fairway.ServerID]bool, len(summary.overloaded))
 	for _, id := range summary.overloaded {
 		overloaded[id] = true
@@ -366,9 +519,22 @@
 			})
 		}
 	}
+	r.addReach(report)
 	return report
 }
 
+// addReach adds to a report which servers this host reaches.
+func (r *reporter) addReach(report *signal.LoadReport) {
+	reached := r.reach.takeReport()
+	report.Cut = reached.cut
+	for _, id := range reached.failing {
+		report.Failing = append(report.Failing, string(id))
+	}
+	for id, n := range reached.signs {
+		report.Servers = append(report.Servers, &signal.ServerPace{Server: string(id), SignsOfLife: uint32(n)})
+	}
+}
+
 func (r *reporter) call(ctx context.Context, placer string, report *signal.LoadReport) (*signal.LoadReply, error) {
 	if r.conn == nil || r.connAddress != placer {
 		r.closeConn()
--- a/jetty/orders.go
+++ b/jetty/orders.go
@@ -31,6 +31,7 @@
 var (
 	errTermEnded    = errors.New("this host is no longer the placer")
 	errSessionEnded = errors.New("the connection of the earlier grants is closed")
+	errNoResponse   = errors.New("the server did not respond")
 	errUnencodable  = errors.New("the order cannot be encoded")
 )
 
@@ -68,11 +69,24 @@
 		completed.Result, completed.Session, err = o.sendGrant(ctx, t, order)
 	}
 	completed.Ended = bootTimeNow()
+	o.recordReach(order.To.Server, completed.Result)
 	o.logs.orderAnswered(completed, err)
 	o.metrics.orderAnswered(order, completed.Result)
 	return completed
 }
 
+// recordReach records what the outcome of an order says about the path to its server.
+// A failed connect has been recorded already.
+func (o *orderSender) recordReach(server fairway.ServerID, result mooring.Result) {
+	switch result {
+	case mooring.ResultNotSent, mooring.ResultNotTried, mooring.ResultSessionEnded:
+	case mooring.ResultNoResponse:
+		o.upstream.reach.recordExchange(server, &Error{Op: "send order", Kind: KindTimeout, Err: errNoResponse})
+	default:
+		o.upstream.reach.recordExchange(server, nil)
+	}
+}
+
 // sendGrant sends a grant in the session with its server. It returns the session if
 // the grant may have arrived.
 func (o *orderSender) sendGrant(ctx context.Context, t *term, order mooring.Order) (mooring.Result, mooring.SessionID, error) {
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -89,6 +89,21 @@
 	return max(limit, u.minConnections)
 }
 
+// poolOf returns the pool of a server, which replaces that of an earlier incarnation,
+// and the idle connections of the replaced one. The caller holds mu.
+func (u *upstream) poolOf(s fairway.Endpoint, config *fairway.Config) (*pool, []*connection) {
+	var stale []*connection
+	p := u.pools[s.ID]
+	if p == nil || p.address != s.Address || p.incarnation != s.Incarnation {
+		if p != nil {
+			stale, p.idle, p.closed = p.idle, nil, true
+		}
+		p = &pool{address: s.Address, incarnation: s.Incarnation, limit: u.connectionLimit(s, config)}
+		u.pools[s.ID] = p
+	}
+	return p, stale
+}
+
 // getOptions restricts which connection get returns.
 type getOptions struct {
 	config *fairway.Config
@@ -100,16 +115,8 @@
 // get returns a connection to a server: an idle one if possible, else a new one
 // if the pool's limit allows it.
 func (u *upstream) get(ctx context.Context, s fairway.Endpoint, opts getOptions) (*connection, *pool, error) {
-	var stale []*connection
 	u.mu.Lock()
-	p := u.pools[s.ID]
-	if p == nil || p.address != s.Address || p.incarnation != s.Incarnation {
-		if p != nil {
-			stale, p.idle, p.closed = p.idle, nil, true
-		}
-		p = &pool{address: s.Address, incarnation: s.Incarnation, limit: u.connectionLimit(s, opts.config)}
-		u.pools[s.ID] = p
-	}
+	p, stale := u.poolOf(s, opts.config)
 	var found *connection
 	now := time.Now()
 	for found == nil && len(p.idle) > 0 {
@@ -139,6 +146,7 @@
 		return found, p, nil
 	}
 	c, err := dial(ctx, u.dial, s.Address)
+	u.reach.recordConnect(s.ID, err)
 	if err != nil {
 		u.decrementOpen(p)
 		return nil, nil, err
@@ -146,6 +154,40 @@
 	return c, p, nil
 }
 
+// connect opens a connection to a server, unless the pool's limit is reached. It is kept
+// if the pool has none that is idle.
+func (u *upstream) connect(ctx context.Context, s fairway.Endpoint, config *fairway.Config) {
+	u.mu.Lock()
+	p, stale := u.poolOf(s, config)
+	full := p.open >= p.limit
+	if !full {
+		p.open++
+		u.opened++
+	}
+	u.mu.Unlock()
+	for _, c := range stale {
+		_ = c.Close()
+	}
+	if full {
+		return
+	}
+	c, err := dial(ctx, u.dial, s.Address)
+	u.reach.recordConnect(s.ID, err)
+	if err != nil {
+		u.decrementOpen(p)
+		return
+	}
+	u.mu.Lock()
+	needed := len(p.idle) == 0
+	u.mu.Unlock()
+	if needed {
+		u.put(p, c)
+		return
+	}
+	u.decrementOpen(p)
+	_ = c.Close()
+}
+
 // count returns the number of open connections, and of those opened since the
 // last call.
 func (u *upstream) count() (open int, opened int64) {
