--- a/jetty/election.go
+++ b/jetty/election.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hornbeamwinch.example/ledger"
+	"hornbeamwinch.example/mooring"
 )
 
 const (
@@ -28,6 +29,7 @@
 	loadCollector *loadCollector
 	logs          *logs
 	metrics       *metrics
+	reach         reachability
 	address       string
 	ttl           time.Duration
 	maxHold       time.Duration
@@ -39,6 +41,7 @@
 	mu sync.Mutex
 	// current runs the present term, which may outlast the term's lease.
 	current      *termRunner
+	resignation  resignation
 	shuttingDown bool
 	// endedBefore is a revision of the store. Terms that were claimed before it
 	// must not start, since this host has confirmed to a later placer that its
@@ -85,7 +88,13 @@
 		case <-e.wake:
 		case <-time.After(claimInterval):
 		}
-		if !e.vacant() {
+		vacant := e.vacant()
+		if delay := e.claimDelay(vacant); delay > 0 {
+			pause(ctx, min(delay, maxClaimJitter))
+			signalOnce(e.wake)
+			continue
+		}
+		if !vacant {
 			continue
 		}
 		if !e.active() {
@@ -118,6 +127,29 @@
 	return e.scanned() && e.clusterState.currentPlacer().address == "" && e.clusterState.activeConfig.Current() != nil
 }
 
+// claimDelay returns how long this host still leaves a vacant term to hosts that reach
+// the servers.
+func (e *election) claimDelay(vacant bool) time.Duration {
+	cut := e.reach.cut()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.resignation.claimDelay(bootTimeNow(), vacant, cut)
+}
+
+// mustResign reports whether the placer whose term began at an instant leaves it to a
+// host that reaches the servers.
+func (e *election) mustResign(began mooring.Instant, pathLost, answersOthers bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.resignation.due(bootTimeNow(), began, pathLost, answersOthers)
+}
+
+func (e *election) recordResignation() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resignation.resigned(bootTimeNow())
+}
+
 // startTerm starts the runner of a term. If an earlier term of this host is still
 // running, which is the case when it has lost the store, that is ended first.
 func (e *election) startTerm(ctx context.Context, t *term) {
@@ -138,7 +170,7 @@
 	e.mu.Unlock()
 	if mustNotStart {
 		cancel()
-		t.resign(ctx)
+		_ = t.resign(ctx)
 		return
 	}
 	e.clusterState.setPlacer(placerRecord{address: e.address, revision: t.revision})
@@ -162,7 +194,7 @@
 	r := e.current
 	e.mu.Unlock()
 	if r != nil {
-		r.term.resign(ctx)
+		_ = r.term.resign(ctx)
 	}
 }
 
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -129,6 +129,7 @@
 		loadCollector: h.loadCollector,
 		logs:          h.logs,
 		metrics:       h.metrics,
+		reach:         h.reach,
 		address:       s.PeerAddress,
 		ttl:           max(placerLeaseTTL, s.MinLease),
 		maxHold:       s.Bounds.MaxHold,
--- a/jetty/term.go
+++ b/jetty/term.go
@@ -171,11 +171,12 @@
 // resign ends the term, so that another host can become the placer at once. If
 // the store cannot be reached, no other host can become the placer, and orders
 // continue.
-func (t *term) resign(ctx context.Context) {
+func (t *term) resign(ctx context.Context) error {
 	if err := t.store.RevokeLease(ctx, t.lease); err != nil {
 		t.logs.operationFailed("revoke placer lease", err)
-		return
+		return err
 	}
 	t.writesUntil.Store(0)
 	t.ordersUntil.Store(0)
+	return nil
 }
--- a/jetty/term_test.go
+++ b/jetty/term_test.go
@@ -129,8 +129,8 @@
 	e := &election{
 		store: s, clusterState: newClusterState(fairway.NewActiveConfig()), admissions: newAdmissionSet(admissionSetConfig{}), loadCollector: newLoadCollector(), logs: logs,
 		metrics: newMetrics(), address: listener.Addr().String(), ttl: time.Second, maxHold: grantHold,
-		sender:  newOrderSender(orderSenderConfig{Protocol: fakeProtocol{}, Upstream: newUpstream(orderConnections, nil), Logs: logs, Metrics: newMetrics()}),
-		scanned: func() bool { return true }, wake: make(chan struct{}, 1),
+		sender: newOrderSender(orderSenderConfig{Protocol: fakeProtocol{}, Upstream: newUpstream(orderConnections, nil), Logs: logs, Metrics: newMetrics()}),
+		reach:  alwaysReaching{}, scanned: func() bool { return true }, wake: make(chan struct{}, 1),
 	}
 	e.clusterState.activeConfig.SetIfNewer(config)
 	server := grpc.NewServer()
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -75,6 +75,10 @@
 	slowness map[fairway.ServerID]float64
 	// observedAt is when the load was last read.
 	observedAt time.Time
+	// path has what the orders show about the path to the servers, and pathLost the
+	// last result that the assigners have received.
+	path     *pathEvidence
+	pathLost bool
 }
 
 // assignerEvent is an event for the assigner of a service.
@@ -104,6 +108,7 @@
 		assigners:         make(map[fairway.ServiceName]*mooring.Assigner),
 		slowness:          make(map[fairway.ServerID]float64),
 		observedAt:        time.Now(),
+		path:              newPathEvidence(t.began),
 	}
 }
 
@@ -137,6 +142,7 @@
 		case <-ctx.Done():
 			return
 		case event := <-r.events:
+			r.recordOrder(ctx, event.event)
 			r.step(ctx, event.service, event.event)
 		case <-r.wake:
 			r.updateServers(ctx)
@@ -146,6 +152,10 @@
 		case <-ticker.C:
 			r.updateWritesAllowed(ctx)
 			r.updateLoad(ctx)
+			r.updatePathLost(ctx)
+			if r.resigned(ctx) {
+				return
+			}
 			r.stepAll(ctx, mooring.Tick{})
 		}
 	}
@@ -176,6 +186,51 @@
 	r.stepAll(ctx, mooring.WritesAllowed{Allowed: writesAllowed})
 }
 
+// recordOrder takes a completed order as evidence of the path to the servers.
+func (r *termRunner) recordOrder(ctx context.Context, e mooring.Event) {
+	if completed, ok := e.(mooring.OrderCompleted); ok {
+		r.path.record(completed)
+		r.updatePathLost(ctx)
+	}
+}
+
+// updatePathLost notifies the assigners when the path to the servers is lost or there
+// again.
+func (r *termRunner) updatePathLost(ctx context.Context) {
+	lost := r.path.lost(bootTimeNow(), r.election.clusterState.catalog())
+	if lost == r.pathLost {
+		return
+	}
+	r.pathLost = lost
+	event := "regained_servers"
+	if lost {
+		event = "lost_servers"
+	}
+	r.election.logs.placerTerm(event, r.term.revision)
+	r.stepAll(ctx, mooring.PathLost{Lost: lost})
+}
+
+// resigned ends the term if this host has lost the path to the servers and another one
+// has not, and reports whether it has. A host to which servers open connections is not
+// cut, even if no order is answered.
+func (r *termRunner) resigned(ctx context.Context) bool {
+	if !r.pathLost || !r.election.reach.cut() {
+		return false
+	}
+	answering := r.election.loadCollector.answeringSince(r.path.failedSince(), r.election.address)
+	if !r.election.mustResign(r.term.began, r.pathLost, answering >= minFailedServers) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseRenewInterval)
+	defer cancel()
+	if r.term.resign(ctx) != nil {
+		return false
+	}
+	r.election.recordResignation()
+	r.election.logs.placerTerm("resigned", r.term.revision)
+	return true
+}
+
 func (r *termRunner) stepAll(ctx context.Context, e mooring.Event) {
 	for service := range r.assigners {
 		r.step(ctx, service, e)
@@ -205,6 +260,9 @@
 					InitialDelay: minStartupWait, MaxInitialDelay: maxStartupWait, MinWriteInterval: minWriteInterval,
 				},
 			})
+			if r.pathLost {
+				r.step(ctx, service, mooring.PathLost{Lost: true})
+			}
 		}
 		r.step(ctx, service, mooring.CatalogUpdated{Catalog: catalog})
 	}
