--- a/jetty/endless_test.go
+++ b/jetty/endless_test.go
@@ -132,7 +132,7 @@
 	var n int
 	BeforeEach(func() {
 		f, n = &forwarder{
-			headers: fakeProtocol{}.Headers(), upstream: newUpstream(requestConnections), drain: newDrain(), logs: quietLogs(), metrics: newMetrics(),
+			headers: fakeProtocol{}.Headers(), upstream: newUpstream(requestConnections, nil), drain: newDrain(), logs: quietLogs(), metrics: newMetrics(),
 		}, 0
 	})
 	exchange := func(address string, timeout time.Duration) (*backendResponse, error) {
@@ -355,7 +355,7 @@
 var _ = Describe("An order to a backend server that sends without end", func() {
 	DescribeTable("ends by its timeout without a response", func(response endlessResponse, release bool) {
 		s := newEndlessServer(response)
-		o := newOrderSender(orderSenderConfig{Protocol: fakeProtocol{}, Upstream: newUpstream(orderConnections), Logs: quietLogs(), Metrics: newMetrics()})
+		o := newOrderSender(orderSenderConfig{Protocol: fakeProtocol{}, Upstream: newUpstream(orderConnections, nil), Logs: quietLogs(), Metrics: newMetrics()})
 		t := &term{ttl: time.Second}
 		t.confirm(bootTimeNow())
 		order := mooring.Order{To: mooring.ServerInstance{Server: "s", Address: s.address(), Incarnation: 1}, Release: release}
@@ -380,7 +380,7 @@
 			start:  "HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n" + strings.Repeat("x", maxOrderResponseBytes),
 			repeat: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", delay: 100 * time.Millisecond,
 		})
-		u := newUpstream(orderConnections)
+		u := newUpstream(orderConnections, nil)
 		o := newOrderSender(orderSenderConfig{Protocol: fakeProtocol{}, Upstream: u, Logs: quietLogs(), Metrics: newMetrics()})
 		t := &term{ttl: time.Second}
 		t.confirm(bootTimeNow())
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -100,6 +100,7 @@
 	admissions   *admissionSet
 	upstream     *upstream
 	clusterState *clusterState
+	reach        reachability
 	drain        *drain
 	logs         *logs
 	metrics      *metrics
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -53,6 +53,8 @@
 	Settings *Settings
 	Store    ledger.TxnStore
 	Protocol Protocol
+	// Dial opens the connections to backend servers; nil means plain TCP.
+	Dial DialFunc
 	// LogTo is where the log is written; nil means standard output.
 	LogTo io.Writer
 	// Reload reads the settings again; nil means that they do not change.
@@ -82,6 +84,7 @@
 	ingress       *ingress
 	callers       *callerConns
 	drain         *drain
+	reach         *reach
 
 	httpServers     []*http.Server
 	ingressListener net.Listener
@@ -100,11 +103,13 @@
 		logs:          newLogs(cfg.LogTo, s),
 		metrics:       newMetrics(),
 		clusterState:  newClusterState(fairway.NewActiveConfig()),
-		upstream:      newUpstream(requestConnections),
-		orderUpstream: newUpstream(orderConnections),
+		upstream:      newUpstream(requestConnections, cfg.Dial),
+		orderUpstream: newUpstream(orderConnections, cfg.Dial),
 		loadCollector: newLoadCollector(),
 		drain:         newDrain(),
 	}
+	h.reach = newReach(h.clusterState, h.upstream)
+	h.upstream.reach, h.orderUpstream.reach = h.reach, h.reach
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		Host:              s.Host,
 		Domain:            s.Domain,
@@ -124,6 +129,7 @@
 		loadCollector: h.loadCollector,
 		logs:          h.logs,
 		metrics:       h.metrics,
+		reach:         h.reach,
 		address:       s.PeerAddress,
 		ttl:           max(placerLeaseTTL, s.MinLease),
 		maxHold:       s.Bounds.MaxHold,
@@ -133,7 +139,7 @@
 	h.loadCollector.isPlacer = h.election.active
 	h.reporter = &reporter{
 		host: s.Host, domain: s.Domain, address: s.PeerAddress, linkMbps: s.LinkMbps,
-		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, logs: h.logs,
+		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, logs: h.logs,
 		onHostsChange: h.refresh, shuttingDown: h.shuttingDown.Load,
 	}
 	h.callers = newCallerConns()
@@ -145,7 +151,7 @@
 		metrics:      h.metrics,
 		forwarder: &forwarder{
 			headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, clusterState: h.clusterState,
-			drain: h.drain, logs: h.logs, metrics: h.metrics,
+			reach: h.reach, drain: h.drain, logs: h.logs, metrics: h.metrics,
 		},
 	}
 	return h, nil
@@ -180,6 +186,7 @@
 	h.launch(ctx, h.election.run)
 	h.launch(ctx, h.reporter.run)
 	h.launch(ctx, h.sweepLoop)
+	h.launch(ctx, h.reach.run)
 	h.launch(ctx, h.reloadLoop)
 	h.logs.started(h.cfg.Settings)
 	return nil
