--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -151,16 +151,26 @@
 	}
 }
 
-// setServers replaces the list of servers and the number of entry hosts.
-func (a *admission) setServers(servers []fairway.Endpoint, hosts int) {
+// setServers replaces the list of servers, the number of entry hosts and that of those
+// which reach the servers. The latter share the servers.
+func (a *admission) setServers(servers []fairway.Endpoint, hosts, reaching int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := monotonicNow()
-	a.controller.SetServers(now, servers, hosts)
+	a.controller.SetServers(now, servers, reaching)
 	a.retryBudget.SetHosts(hosts)
 	a.deliver(a.controller.Reevaluate(now))
 }
 
+// restore ends the suspicion of all servers within a short time.
+func (a *admission) restore() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := monotonicNow()
+	a.controller.Restore(now)
+	a.deliver(a.controller.Reevaluate(now))
+}
+
 // recordArrival counts a request and returns the expected size of its response.
 func (a *admission) recordArrival(route fairway.RouteName, key *mooring.Key) float64 {
 	a.mu.Lock()
@@ -235,6 +245,7 @@
 	admissions map[fairway.ServiceName]*admission
 	owners     map[fairway.ServiceName]*ownerTable
 	hosts      int
+	reaching   int
 }
 
 type admissionSetConfig struct {
@@ -252,6 +263,7 @@
 		admissions: make(map[fairway.ServiceName]*admission),
 		owners:     make(map[fairway.ServiceName]*ownerTable),
 		hosts:      1,
+		reaching:   1,
 	}
 }
 
@@ -280,7 +292,7 @@
 	if a == nil || service.Divided != (a.owners != nil) {
 		a = s.newAdmission(service)
 		s.admissions[service.Name] = a
-		a.setServers(catalog.ByService(service.Name), s.hosts)
+		a.setServers(catalog.ByService(service.Name), s.hosts, s.reaching)
 	}
 	return a
 }
@@ -303,14 +315,14 @@
 	return a
 }
 
-// refresh passes changed servers and the number of hosts on to every admission.
-func (s *admissionSet) refresh(catalog *fairway.Catalog, hosts int) {
+// refresh passes changed servers and numbers of hosts on to every admission.
+func (s *admissionSet) refresh(catalog *fairway.Catalog, hosts, reaching int) {
 	for name, a := range s.all() {
-		a.setServers(catalog.ByService(name), hosts)
+		a.setServers(catalog.ByService(name), hosts, reaching)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hosts = hosts
+	s.hosts, s.reaching = hosts, reaching
 }
 
 // all returns a copy of the admissions by service.
--- a/jetty/clusterstate.go
+++ b/jetty/clusterstate.go
@@ -16,6 +16,8 @@
 	servers      atomic.Pointer[fairway.Catalog]
 	// hosts is the number of entry hosts that share the servers.
 	hosts atomic.Int64
+	// reaching is the number of those that are not cut, or 0 if it is not known.
+	reaching atomic.Int64
 
 	mu     sync.Mutex
 	placer placerRecord
@@ -50,6 +52,14 @@
 	return int(s.hosts.Load())
 }
 
+// reachingCount returns the number of hosts that send requests to the servers.
+func (s *clusterState) reachingCount() int {
+	if n := s.reaching.Load(); n > 0 {
+		return int(min(n, s.hosts.Load()))
+	}
+	return s.hostCount()
+}
+
 func (s *clusterState) currentPlacer() placerRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -21,6 +21,12 @@
 	// connectTimeout bounds the opening of a connection to a backend server,
 	// which takes a round trip and a few milliseconds at the server.
 	connectTimeout = 300 * time.Millisecond
+	// userTimeout is how long data that a server does not acknowledge is waited for. It
+	// is less than most deadlines of callers, so that there is time for another send.
+	userTimeout = time.Second
+	// keepAliveInterval is the time between probes of a connection in which nothing
+	// else is sent. They end one that hangs by userTimeout, within 2.5 s.
+	keepAliveInterval = time.Second
 	// defaultIdleTimeout applies to servers that send no timeout in a
 	// Keep-Alive header.
 	defaultIdleTimeout = 4 * time.Second
@@ -72,7 +78,8 @@
 	return n, err
 }
 
-// DialFunc opens a TCP connection to a backend server.
+// DialFunc opens a TCP connection to a backend server. The host sets the options of the
+// socket if the connection has the methods of [net.TCPConn] for that.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
 // dialTCP is the [DialFunc] that is used unless [Config] has another.
@@ -92,9 +99,37 @@
 		}
 		return nil, &Error{Op: "connect", Kind: KindNotSent, Err: err}
 	}
+	limitHangs(nc)
 	return &connection{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
+// limitHangs sets the socket options that end a connection whose other side does not
+// acknowledge anything. A connection without them only hangs for longer.
+func limitHangs(nc net.Conn) {
+	socket, ok := nc.(interface {
+		syscall.Conn
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	})
+	if !ok {
+		return
+	}
+	_ = socket.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 3})
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+}
+
+// isHang reports whether err means that the other side did not acknowledge anything,
+// other than because ctx was done.
+func isHang(ctx context.Context, err error) bool {
+	var timeout net.Error
+	return errors.Is(err, syscall.ETIMEDOUT) || ctx.Err() == nil && errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // reusable reports whether the connection is still open and nothing has arrived
 // since the last response.
 func (c *connection) reusable() bool {
--- a/jetty/connection_test.go
+++ b/jetty/connection_test.go
@@ -7,12 +7,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/gauge"
@@ -228,3 +231,67 @@
 		Expect(err).To(MatchError(errConnectionLimit))
 	})
 })
+
+// socketOption returns an option of a connection's socket.
+func socketOption(c net.Conn, option int) int {
+	GinkgoHelper()
+	raw, err := c.(syscall.Conn).SyscallConn()
+	Expect(err).NotTo(HaveOccurred())
+	value := 0
+	var optErr error
+	Expect(raw.Control(func(fd uintptr) { value, optErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option) })).To(Succeed())
+	Expect(optErr).NotTo(HaveOccurred())
+	return value
+}
+
+var _ = Describe("Connections that hang", func() {
+	endpointOf := func(address string) fairway.Endpoint {
+		return fairway.Endpoint{ID: "s", Address: address, Incarnation: 1}
+	}
+	// keepTwo returns an upstream with two idle connections, whose later connects fail
+	// with err.
+	keepTwo := func(err error) *upstream {
+		GinkgoHelper()
+		server := newOrderServer()
+		dials := 0
+		u := newUpstream(3, func(ctx context.Context, address string) (net.Conn, error) {
+			if dials++; dials > 2 {
+				return nil, err
+			}
+			return dialTCP(ctx, address)
+		})
+		var kept []*connection
+		var p *pool
+		for range 2 {
+			c, pool, err := u.get(context.Background(), endpointOf(server.address), getOptions{maxIdleFraction: 1})
+			Expect(err).NotTo(HaveOccurred())
+			kept, p = append(kept, c), pool
+		}
+		for _, c := range kept {
+			u.put(p, c)
+		}
+		u.connect(context.Background(), endpointOf(server.address), nil)
+		return u
+	}
+	idle := func(u *upstream) int { return len(u.pools["s"].idle) }
+
+	It("end by the limits that are set on each", func() {
+		c, err := dial(context.Background(), dialTCP, newOrderServer().address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		Expect(socketOption(c.Conn, unix.TCP_USER_TIMEOUT)).To(Equal(1000))
+		Expect(socketOption(c.Conn, unix.TCP_KEEPIDLE)).To(Equal(1))
+		Expect(socketOption(c.Conn, unix.TCP_KEEPINTVL)).To(Equal(1))
+	})
+
+	It("are dropped when another connect hangs", func() {
+		u := keepTwo(&net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded})
+		Expect(idle(u)).To(BeZero())
+		open, _ := u.count()
+		Expect(open).To(BeZero())
+	})
+
+	It("are kept when another connect is refused", func() {
+		Expect(idle(keepTwo(&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}))).To(Equal(2))
+	})
+})
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -108,7 +108,7 @@
 		loadCollector: newLoadCollector(),
 		drain:         newDrain(),
 	}
-	h.reach = newReach(h.clusterState, h.upstream)
+	h.reach = newReach(h.clusterState, h.upstream, h.restoreServers)
 	h.upstream.reach, h.orderUpstream.reach = h.reach, h.reach
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		Host:              s.Host,
@@ -166,12 +166,20 @@
 // refresh passes the changed cluster state to the components that depend on it.
 func (h *Host) refresh() {
 	catalog, hosts := h.clusterState.catalog(), h.clusterState.hostCount()
-	h.upstream.update(catalog, h.clusterState.activeConfig.Current(), hosts)
+	reaching := h.clusterState.reachingCount()
+	h.upstream.update(catalog, h.clusterState.activeConfig.Current(), reaching)
 	h.orderUpstream.update(catalog, nil, hosts)
-	h.admissions.refresh(catalog, hosts)
+	h.admissions.refresh(catalog, hosts, reaching)
 	h.election.notify()
 }
 
+// restoreServers ends the suspicion of all servers when this host reaches them again.
+func (h *Host) restoreServers() {
+	for _, adm := range h.admissions.all() {
+		adm.restore()
+	}
+}
+
 // Start opens the listeners and starts the host's goroutines. If it fails, no
 // listener stays open.
 func (h *Host) Start(context.Context) error {
--- a/jetty/load.go
+++ b/jetty/load.go
@@ -67,10 +67,12 @@
 	storeAnsweredAt time.Time
 	// cut is set if the host reaches no server.
 	cut bool
-	// answeredAt is when the host last reported responses, and answers the beginning
-	// of the latest interval in which it had some of each server.
+	// answeredAt is when the host last reported signs of life of a server, and answers
+	// the beginning of the latest interval in which it had some of each. responses is
+	// the same for whole responses.
 	answeredAt time.Time
 	answers    map[fairway.ServerID]time.Time
+	responses  map[fairway.ServerID]time.Time
 }
 
 // reporting reports whether the host has sent a report recently.
@@ -91,8 +93,13 @@
 			h.answeredAt = now
 			h.answers[fairway.ServerID(s.Server)] = since
 		}
+		if s.Answers > 0 {
+			h.responses[fairway.ServerID(s.Server)] = since
+		}
 	}
-	maps.DeleteFunc(h.answers, func(_ fairway.ServerID, at time.Time) bool { return now.Sub(at) > hostTimeout })
+	old := func(_ fairway.ServerID, at time.Time) bool { return now.Sub(at) > hostTimeout }
+	maps.DeleteFunc(h.answers, old)
+	maps.DeleteFunc(h.responses, old)
 }
 
 // reachesStore reports whether the store has answered the host recently.
@@ -234,7 +241,8 @@
 	} else {
 		h, known := l.reportingHosts[id]
 		if !known || h.address != r.Address || !h.reporting(now) {
-			h = reportingHost{domain: fairway.Domain(r.Domain), address: r.Address, firstReport: now, answers: make(map[fairway.ServerID]time.Time)}
+			h = reportingHost{domain: fairway.Domain(r.Domain), address: r.Address, firstReport: now}
+			h.answers, h.responses = make(map[fairway.ServerID]time.Time), make(map[fairway.ServerID]time.Time)
 		}
 		h.cut = r.Cut
 		h.recordAnswers(r, now)
@@ -339,9 +347,20 @@
 	return max(n, 1)
 }
 
-// answeringSince returns how many of some servers have answered a host other than
-// the one at an address since the instants given for them.
+// answeringSince returns how many of some servers have shown signs of life to a host
+// other than the one at an address since the instants given for them.
 func (l *loadCollector) answeringSince(since map[fairway.ServerID]mooring.Instant, except string) int {
+	return l.countSince(since, except, func(h reportingHost) map[fairway.ServerID]time.Time { return h.answers })
+}
+
+// respondingSince is like answeringSince for whole responses.
+func (l *loadCollector) respondingSince(since map[fairway.ServerID]mooring.Instant, except string) int {
+	return l.countSince(since, except, func(h reportingHost) map[fairway.ServerID]time.Time { return h.responses })
+}
+
+func (l *loadCollector) countSince(
+	since map[fairway.ServerID]mooring.Instant, except string, timesOf func(reportingHost) map[fairway.ServerID]time.Time,
+) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now, bootNow := time.Now(), bootTimeNow()
@@ -349,7 +368,7 @@
 	for server, instant := range since {
 		after := now.Add(-bootNow.Sub(instant))
 		for _, h := range l.reportingHosts {
-			if at, ok := h.answers[server]; ok && h.address != except && !at.Before(after) {
+			if at, ok := timesOf(h)[server]; ok && h.address != except && !at.Before(after) {
 				n++
 				break
 			}
@@ -400,7 +419,8 @@
 	changeLog     *changeLog
 	reach         *reach
 	logs          *logs
-	// onHostsChange is called when the number of hosts has changed.
+	// onHostsChange is called when the number of hosts, or of those that reach the
+	// servers, has changed.
 	onHostsChange func()
 	shuttingDown  func() bool
 
@@ -449,7 +469,7 @@
 		if !reply.Placer {
 			return
 		}
-		summary = loadSummary{hosts: int(reply.Hosts), feeder: reply.Feeder, granted: decodeGranted(reply.Granted)}
+		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), feeder: reply.Feeder, granted: decodeGranted(reply.Granted)}
 		for _, id := range reply.Crowded {
 			summary.overloaded = append(summary.overloaded, fairway.ServerID(id))
 		}
@@ -482,7 +502,8 @@
 			adm.reevaluate()
 		}
 	}
-	if int64(summary.hosts) != r.clusterState.hosts.Swap(int64(summary.hosts)) {
+	hosts, reaching := int64(summary.hosts), int64(summary.reaching)
+	if hosts != r.clusterState.hosts.Swap(hosts) || reaching != r.clusterState.reaching.Swap(reaching) {
 		r.onHostsChange()
 	}
 }
--- a/jetty/reach.go
+++ b/jetty/reach.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"hornbeamwinch.example/fairway"
@@ -29,8 +30,9 @@
 	minProbeInterval = 250 * time.Millisecond
 	maxProbeInterval = time.Second
 	// idleProbeInterval is the same for a host without requests. It lets other hosts
-	// tell a failure of the servers from one of their own path.
-	idleProbeInterval = 500 * time.Millisecond
+	// tell a failure of the servers from one of their own path. It is short
+	// enough for every second report to have a response.
+	idleProbeInterval = 900 * time.Millisecond
 	// reachInterval is the time between two checks whether a connection is to be
 	// opened.
 	reachInterval = 50 * time.Millisecond
@@ -63,6 +65,8 @@
 	// last failure since this one did, or zero.
 	failures int
 	failedAt mooring.Instant
+	// respondedAt is when the server last responded, or zero.
+	respondedAt mooring.Instant
 	// signs counts the responses since the last report.
 	signs int
 }
@@ -82,12 +86,15 @@
 	return r
 }
 
-// responded records that a server has responded or accepted a connection.
-func (s *reachState) responded(now mooring.Instant, id fairway.ServerID) {
+// responded records that a server has responded or accepted a connection. It reports
+// whether that ends a time in which none has.
+func (s *reachState) responded(now mooring.Instant, id fairway.ServerID) bool {
+	restored := s.isCut || s.silent(now)
 	s.respondedAt, s.isCut, s.probes = now, false, 0
 	r := s.server(id)
-	r.failures, r.failedAt = 0, 0
+	r.failures, r.failedAt, r.respondedAt = 0, 0, now
 	r.signs++
+	return restored
 }
 
 // failed records a connect or send that has failed.
@@ -102,8 +109,14 @@
 
 // cut reports whether this host reaches no server while others do.
 func (s *reachState) cut(now mooring.Instant) bool {
-	if s.isCut || now.Sub(s.respondedAt) < cutSilence || !s.hasPeers(now) {
-		return s.isCut
+	s.isCut = s.isCut || s.hasPeers(now) && s.silent(now)
+	return s.isCut
+}
+
+// silent reports whether several servers have failed and none has responded for a while.
+func (s *reachState) silent(now mooring.Instant) bool {
+	if now.Sub(s.respondedAt) < cutSilence {
+		return false
 	}
 	failures, servers := 0, 0
 	for _, r := range s.servers {
@@ -112,14 +125,34 @@
 			servers++
 		}
 	}
-	s.isCut = failures >= cutFailures && servers >= cutServers
-	return s.isCut
+	return failures >= cutFailures && servers >= cutServers
 }
 
 func (s *reachState) hasPeers(now mooring.Instant) bool {
 	return len(s.peers) > 0 && now.Sub(s.repliedAt) <= peersMaxAge
 }
 
+// reachesFew reports whether this host is cut, or at least half of the servers that it
+// has tried lately fail and answer others.
+func (s *reachState) reachesFew(now mooring.Instant) bool {
+	if s.cut(now) {
+		return true
+	}
+	failing, tried := 0, 0
+	for id, r := range s.servers {
+		switch {
+		case r.failedAt != 0 && now.Sub(r.failedAt) <= failingMaxAge:
+			tried++
+			if s.answering[id] {
+				failing++
+			}
+		case r.respondedAt != 0 && now.Sub(r.respondedAt) <= failingMaxAge:
+			tried++
+		}
+	}
+	return failing >= cutServers && 2*failing >= tried && now.Sub(s.repliedAt) <= failingMaxAge
+}
+
 // failing returns the servers that do not answer this host.
 func (s *reachState) failing(now mooring.Instant) []fairway.ServerID {
 	var failing []fairway.ServerID
@@ -216,13 +249,15 @@
 type reach struct {
 	clusterState *clusterState
 	upstream     *upstream
+	// onRestored is called with the first response after a time without any.
+	onRestored func()
 
 	mu    sync.Mutex
 	state *reachState
 }
 
-func newReach(clusterState *clusterState, u *upstream) *reach {
-	return &reach{clusterState: clusterState, upstream: u, state: newReachState(bootTimeNow())}
+func newReach(clusterState *clusterState, u *upstream, onRestored func()) *reach {
+	return &reach{clusterState: clusterState, upstream: u, onRestored: onRestored, state: newReachState(bootTimeNow())}
 }
 
 func (r *reach) cut() bool {
@@ -231,6 +266,12 @@
 	return r.state.cut(bootTimeNow())
 }
 
+func (r *reach) reachesFew() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.reachesFew(bootTimeNow())
+}
+
 func (r *reach) relayPeers(server fairway.ServerID) []peerAddress {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -248,13 +289,20 @@
 	if kind == KindCanceled || errors.Is(err, errConnectionLimit) {
 		return
 	}
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		r.upstream.dropIdle(server)
+	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	restored := false
 	if err == nil || kind == KindInvalidResponse {
-		r.state.responded(bootTimeNow(), server)
-		return
+		restored = r.state.responded(bootTimeNow(), server)
+	} else {
+		r.state.failed(bootTimeNow(), server)
+	}
+	r.mu.Unlock()
+	if restored {
+		r.onRestored()
 	}
-	r.state.failed(bootTimeNow(), server)
 }
 
 func (r *reach) recordHop(peer peerAddress, err error) {
--- a/jetty/reach_test.go
+++ b/jetty/reach_test.go
@@ -33,6 +33,15 @@
 		Expect(s.cut(began.Add(2*time.Minute))).To(BeFalse(), "the failures came before the response")
 	})
 
+	It("is restored by the first response after failures at several servers", func() {
+		s.setPeers(began, nil, nil)
+		fail(100*time.Millisecond, "a", "b", "a")
+		Expect(s.responded(began.Add(cutSilence), "a")).To(BeTrue())
+		Expect(s.responded(began.Add(2*cutSilence), "a")).To(BeFalse())
+		fail(time.Second, "a")
+		Expect(s.responded(began.Add(2*time.Second), "a")).To(BeFalse(), "one server had failed")
+	})
+
 	It("is not cut by a single server", func() {
 		fail(100*time.Millisecond, "a", "a", "a", "a")
 		Expect(s.cut(began.Add(time.Second))).To(BeFalse())
@@ -59,6 +68,17 @@
 		Expect(s.relayPeers(began.Add(hopExclusion), "")).To(Equal([]peerAddress{"p", "q"}))
 	})
 
+	It("is to few servers when most fail that answer others", func() {
+		s.setPeers(began, []peerAddress{"p"}, []fairway.ServerID{"a", "b", "c"})
+		s.responded(began, "d")
+		Expect(s.reachesFew(began)).To(BeFalse())
+		fail(0, "a", "b")
+		Expect(s.reachesFew(began)).To(BeTrue())
+		s.responded(began, "e")
+		s.responded(began, "f")
+		Expect(s.reachesFew(began)).To(BeFalse())
+	})
+
 	It("lists the servers that fail", func() {
 		fail(0, "b", "a", "c")
 		s.responded(began, "c")
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -148,6 +148,9 @@
 	c, err := dial(ctx, u.dial, s.Address)
 	u.reach.recordConnect(s.ID, err)
 	if err != nil {
+		if isHang(ctx, err) {
+			u.dropIdle(s.ID)
+		}
 		u.decrementOpen(p)
 		return nil, nil, err
 	}
@@ -174,6 +177,9 @@
 	c, err := dial(ctx, u.dial, s.Address)
 	u.reach.recordConnect(s.ID, err)
 	if err != nil {
+		if isHang(ctx, err) {
+			u.dropIdle(s.ID)
+		}
 		u.decrementOpen(p)
 		return
 	}
@@ -188,6 +194,21 @@
 	_ = c.Close()
 }
 
+// dropIdle closes the idle connections to a server to which packets are lost. A refused
+// connection is no reason, since kept ones may live on.
+func (u *upstream) dropIdle(id fairway.ServerID) {
+	u.mu.Lock()
+	var dropped []*connection
+	if p := u.pools[id]; p != nil {
+		dropped, p.idle = p.idle, nil
+		p.open -= len(dropped)
+	}
+	u.mu.Unlock()
+	for _, c := range dropped {
+		_ = c.Close()
+	}
+}
+
 // count returns the number of open connections, and of those opened since the
 // last call.
 func (u *upstream) count() (open int, opened int64) {
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -173,6 +173,16 @@
 	c.updateUseUnconfirmed()
 }
 
+// Restore ends the suspicion of all servers, since this host reaches them again after
+// it had not. The ends are spread over restoreTime, and each server gets one request
+// until it has answered.
+func (c *Controller) Restore(now mooring.Instant) {
+	for i, server := range c.ranked {
+		until := now.Add(restoreTime * time.Duration(i) / time.Duration(len(c.ranked)))
+		server.window.restore(until)
+	}
+}
+
 // SetOverloaded sets which servers are overloaded according to the reports of
 // all hosts. Servers that are not in the map are not overloaded.
 func (c *Controller) SetOverloaded(now mooring.Instant, overloaded map[fairway.ServerID]bool) {
--- a/sluice/controller_test.go
+++ b/sluice/controller_test.go
@@ -137,6 +137,24 @@
 		Expect(resolved).To(HaveLen(1))
 	})
 
+	It("gives unreachable servers a request each soon after they are reached again", func() {
+		c := newController(endpoint("s1", "a"), endpoint("s2", "a"))
+		now := start
+		for id := range sluice.RequestID(10) {
+			now = now.Add(time.Minute)
+			first, second := newRequest(2*id, now), newRequest(2*id+1, now)
+			for _, server := range []fairway.ServerID{expectDispatch(c.Admit(now, first)), expectDispatch(c.Admit(now, second))} {
+				c.Finish(now, firstInstance(server), sluice.OutcomeUnreachable, 0, objective)
+			}
+		}
+		c.Restore(now)
+		first := expectDispatch(c.Admit(now, newRequest(31, now)))
+		later := now.Add(300 * time.Millisecond)
+		Expect(expectDispatch(c.Admit(later, newRequest(32, later)))).NotTo(Equal(first))
+		expectWait(c.Admit(later, newRequest(33, later)))
+		Expect(c.Finish(later, firstInstance(first), sluice.OutcomeAnswered, 10*time.Millisecond, objective)).To(HaveLen(1))
+	})
+
 	It("ignores results of requests from an earlier run of a server", func() {
 		c := newController(endpoint("s1", "a"))
 		expectDispatch(c.Admit(start, newRequest(1, start)))
--- a/sluice/window.go
+++ b/sluice/window.go
@@ -66,6 +66,9 @@
 	// connection. The time doubles with each further failure, up to maxBackoff.
 	initialBackoff = 250 * time.Millisecond
 	maxBackoff     = 4 * time.Second
+	// restoreTime is the time over which the suspicion of all servers ends when
+	// this host reaches them again.
+	restoreTime = 300 * time.Millisecond
 )
 
 // window limits the requests of this host in flight at one server.
@@ -266,6 +269,12 @@
 	w.size = min(w.size, 1)
 }
 
+// restore ends the suspicion of the server at an instant, unless it ends earlier.
+func (w *window) restore(until mooring.Instant) {
+	w.failures = min(w.failures, 1)
+	w.suspectedUntil = min(w.suspectedUntil, until)
+}
+
 // shrink reduces the window at most once for requests that were in flight
 // together.
 func (w *window) shrink(now mooring.Instant, factor float64) {
