--- a/jetty/election.go
+++ b/jetty/election.go
@@ -29,7 +29,7 @@
 	loadCollector *loadCollector
 	logs          *logs
 	metrics       *metrics
-	reach         reachability
+	reach         *reach
 	address       string
 	ttl           time.Duration
 	maxHold       time.Duration
@@ -130,18 +130,18 @@
 // claimDelay returns how long this host still leaves a vacant term to hosts that reach
 // the servers.
 func (e *election) claimDelay(vacant bool) time.Duration {
-	cut := e.reach.cut()
+	reachesFew := e.reach.reachesFew()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.resignation.claimDelay(bootTimeNow(), vacant, cut)
+	return e.resignation.claimDelay(bootTimeNow(), vacant, reachesFew)
 }
 
 // mustResign reports whether the placer whose term began at an instant leaves it to a
 // host that reaches the servers.
-func (e *election) mustResign(began mooring.Instant, pathLost, answersOthers bool) bool {
+func (e *election) mustResign(began mooring.Instant, ordersFail, answersOthers bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.resignation.due(bootTimeNow(), began, pathLost, answersOthers)
+	return e.resignation.due(bootTimeNow(), began, ordersFail, answersOthers)
 }
 
 func (e *election) recordResignation() {
--- a/jetty/pathevidence.go
+++ b/jetty/pathevidence.go
@@ -49,6 +49,10 @@
 	// when the first of them ended.
 	failures int
 	failedAt mooring.Instant
+	// missed counts the failed orders since this server answered one, and missedAt is
+	// when the first of them ended.
+	missed   int
+	missedAt mooring.Instant
 }
 
 func newPathEvidence(began mooring.Instant) *pathEvidence {
@@ -69,11 +73,15 @@
 		if s.failures == 1 {
 			s.failedAt = e.Ended
 		}
+		s.missed++
+		if s.missed == 1 {
+			s.missedAt = e.Ended
+		}
 	default:
 		// Any answer shows that the path is there.
 		p.isLost = false
 		p.acceptedAt = e.Ended
-		s.acceptedAt = e.Ended
+		s.acceptedAt, s.missed = e.Ended, 0
 		for _, other := range p.servers {
 			other.failures = 0
 		}
@@ -115,6 +123,28 @@
 	return failed
 }
 
+// mostFailing returns, for the servers whose orders have failed repeatedly, when the
+// first of them had failed, if that is at least half of the listed servers that were
+// sent orders. Other servers may answer: servers that have started since may be on
+// another path.
+func (p *pathEvidence) mostFailing(catalog *fairway.Catalog) map[fairway.ServerID]mooring.Instant {
+	failing := make(map[fairway.ServerID]mooring.Instant)
+	ordered := 0
+	for id, s := range p.servers {
+		if _, listed := catalog.Get(id); !listed {
+			continue
+		}
+		ordered++
+		if s.missed >= pathFailures {
+			failing[id] = s.missedAt
+		}
+	}
+	if len(failing) < minFailedServers || 2*len(failing) < ordered {
+		return nil
+	}
+	return failing
+}
+
 // resignation decides when a placer that has lost the path to the servers resigns,
 // and how long this host leaves the next claim to others. It is not safe for
 // concurrent use.
@@ -128,8 +158,8 @@
 
 // due reports whether a placer whose term began at an instant must resign. Servers
 // that answer other hosts show that the path is lost and not the servers.
-func (r *resignation) due(now, began mooring.Instant, pathLost, answersOthers bool) bool {
-	if !pathLost || !answersOthers || now.Sub(began) < minTermLength {
+func (r *resignation) due(now, began mooring.Instant, ordersFail, answersOthers bool) bool {
+	if !ordersFail || !answersOthers || now.Sub(began) < minTermLength {
 		return false
 	}
 	return r.resignedAt == 0 || now.Sub(r.resignedAt) >= r.interval
@@ -146,8 +176,8 @@
 }
 
 // claimDelay returns how long this host still waits for others to claim the term. A
-// host that has resigned lately counts as cut.
-func (r *resignation) claimDelay(now mooring.Instant, vacant, cut bool) time.Duration {
+// host that has resigned lately waits like one that reaches few servers.
+func (r *resignation) claimDelay(now mooring.Instant, vacant, reachesFew bool) time.Duration {
 	if !vacant {
 		r.vacantSince = 0
 		return 0
@@ -155,7 +185,7 @@
 	if r.vacantSince == 0 {
 		r.vacantSince = now
 	}
-	if !cut && (r.resignedAt == 0 || now.Sub(r.resignedAt) >= minResignInterval) {
+	if !reachesFew && (r.resignedAt == 0 || now.Sub(r.resignedAt) >= minResignInterval) {
 		return 0
 	}
 	return max(0, cutClaimDelay-now.Sub(r.vacantSince))
--- a/jetty/pathevidence_test.go
+++ b/jetty/pathevidence_test.go
@@ -79,6 +79,20 @@
 		p.expectLost(2*time.Second, false)
 	})
 
+	It("is lost to most servers while some answer", func() {
+		Expect(p.evidence.mostFailing(p.catalog)).To(BeNil())
+		p.ordered(700*time.Millisecond, mooring.ResultNotSent, "a", "b")
+		Expect(p.evidence.mostFailing(p.catalog)).To(BeNil(), "one order may be lost")
+		p.ordered(800*time.Millisecond, mooring.ResultAccepted, "c")
+		p.ordered(900*time.Millisecond, mooring.ResultNotSent, "a", "b")
+		Expect(p.evidence.mostFailing(p.catalog)).To(Equal(map[fairway.ServerID]mooring.Instant{
+			"a": p.at(700 * time.Millisecond), "b": p.at(700 * time.Millisecond),
+		}))
+		p.expectLost(1500*time.Millisecond, false)
+		p.ordered(1500*time.Millisecond, mooring.ResultAccepted, "a")
+		Expect(p.evidence.mostFailing(p.catalog)).To(BeNil())
+	})
+
 	It("is there again with the first answer", func() {
 		p.ordered(700*time.Millisecond, mooring.ResultNotSent, "a", "b", "c")
 		p.ordered(800*time.Millisecond, mooring.ResultNotSent, "a", "b", "c")
@@ -180,6 +194,7 @@
 		l.add(report("a1", "a", "s", "t"), time.Now())
 		l.add(report("a0", "a", "u"), time.Now())
 		before, after := bootTimeNow().Add(-time.Second), bootTimeNow().Add(-300*time.Millisecond)
+		Expect(l.respondingSince(map[fairway.ServerID]mooring.Instant{"s": before}, "a0")).To(BeZero())
 		Expect(l.answeringSince(map[fairway.ServerID]mooring.Instant{"s": before, "t": after, "u": before}, "a0")).To(Equal(1))
 	})
 })
--- a/jetty/term_test.go
+++ b/jetty/term_test.go
@@ -126,11 +126,12 @@
 	config, err := fairway.NewConfig(1, fairway.Limits{}, nil, []*fairway.Service{{Name: "readings", Divided: true}})
 	Expect(err).NotTo(HaveOccurred())
 	logs := quietLogs()
+	clusterState := newClusterState(fairway.NewActiveConfig())
 	e := &election{
-		store: s, clusterState: newClusterState(fairway.NewActiveConfig()), admissions: newAdmissionSet(admissionSetConfig{}), loadCollector: newLoadCollector(), logs: logs,
+		store: s, clusterState: clusterState, admissions: newAdmissionSet(admissionSetConfig{}), loadCollector: newLoadCollector(), logs: logs,
 		metrics: newMetrics(), address: listener.Addr().String(), ttl: time.Second, maxHold: grantHold,
 		sender: newOrderSender(orderSenderConfig{Protocol: fakeProtocol{}, Upstream: newUpstream(orderConnections, nil), Logs: logs, Metrics: newMetrics()}),
-		reach:  alwaysReaching{}, scanned: func() bool { return true }, wake: make(chan struct{}, 1),
+		reach:  newReach(clusterState, nil, nil), scanned: func() bool { return true }, wake: make(chan struct{}, 1),
 	}
 	e.clusterState.activeConfig.SetIfNewer(config)
 	server := grpc.NewServer()
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -210,15 +210,11 @@
 	r.stepAll(ctx, mooring.PathLost{Lost: lost})
 }
 
-// resigned ends the term if this host has lost the path to the servers and another one
-// has not, and reports whether it has. A host to which servers open connections is not
-// cut, even if no order is answered.
+// resigned ends the term if this host has lost the path to the servers, or to most of
+// them, and another one has not. It reports whether it has.
 func (r *termRunner) resigned(ctx context.Context) bool {
-	if !r.pathLost || !r.election.reach.cut() {
-		return false
-	}
-	answering := r.election.loadCollector.answeringSince(r.path.failedSince(), r.election.address)
-	if !r.election.mustResign(r.term.began, r.pathLost, answering >= minFailedServers) {
+	ordersFail, answersOthers := r.lostPathAlone()
+	if !r.election.mustResign(r.term.began, ordersFail, answersOthers) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaseRenewInterval)
@@ -231,6 +227,22 @@
 	return true
 }
 
+// lostPathAlone reports whether orders to most servers fail, and whether these servers
+// answer other hosts. Where hosts have no requests, the connections that servers accept
+// have to tell; a suspended server accepts them too, but then this host is not cut.
+func (r *termRunner) lostPathAlone() (ordersFail, answersOthers bool) {
+	collector, address := r.election.loadCollector, r.election.address
+	if failing := r.path.mostFailing(r.election.clusterState.catalog()); failing != nil {
+		ordersFail = true
+		answersOthers = 2*collector.respondingSince(failing, address) >= len(failing)
+	}
+	if !answersOthers && r.pathLost && r.election.reach.cut() {
+		ordersFail = true
+		answersOthers = collector.answeringSince(r.path.failedSince(), address) >= minFailedServers
+	}
+	return ordersFail, answersOthers
+}
+
 func (r *termRunner) stepAll(ctx context.Context, e mooring.Event) {
 	for service := range r.assigners {
 		r.step(ctx, service, e)
