--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -39,8 +39,8 @@
 	// those of them whose retry, taken from the budget, is left to the next one.
 	unsent  int
 	retries int
-	// unreached is the server to which this host could not send the latest attempt.
-	unreached fairway.ServerID
+	// unreached are the servers to which this host could not send the request.
+	unreached []fairway.ServerID
 	// peers are those to which the request has been offered.
 	peers []peerAddress
 }
@@ -150,11 +150,11 @@
 	if e.drain.excludes(e.r.deadline) {
 		return e.lastResult(e.stopped(e.r))
 	}
-	if unreached := e.unreached; unreached != "" && e.r.key != nil || e.reach.cut() {
-		e.unreached = ""
-		if e.startRelay(ctx, unreached) {
-			return nil
-		}
+	if e.reach.cut() && e.startRelay(ctx, "") {
+		return nil
+	}
+	if n := len(e.unreached); n > 0 && e.r.key != nil && e.startRelay(ctx, e.unreached[n-1]) {
+		return nil
 	}
 	start := time.Now()
 	decision := e.acquire(ctx)
@@ -166,7 +166,7 @@
 	case sluice.Dispatch:
 		return e.dispatch(ctx, decision.Server)
 	case sluice.Refuse:
-		if decision.Reason == sluice.ReasonSuspected && e.startRelay(ctx, decision.Server) {
+		if e.mayReachMore(decision) && e.startRelay(ctx, e.requiredServer(decision)) {
 			return nil
 		}
 		if len(e.pending) > 0 {
@@ -240,6 +240,26 @@
 	return e.adm.allowRetry()
 }
 
+// mayReachMore reports whether a request was refused for servers that this host does
+// not reach, so that a peer may do better.
+func (e *exchange) mayReachMore(decision sluice.Refuse) bool {
+	return decision.Reason == sluice.ReasonSuspected || decision.Reason == sluice.ReasonNoServer && len(e.unreached) > 0
+}
+
+// requiredServer returns the owner of the key of a refused request, or nothing if any
+// server may answer it.
+func (e *exchange) requiredServer(decision sluice.Refuse) fairway.ServerID {
+	if e.r.key == nil {
+		return ""
+	}
+	return decision.Server
+}
+
+// sentTo returns the servers to which the request was sent.
+func (e *exchange) sentTo() []fairway.ServerID {
+	return slices.DeleteFunc(slices.Clone(e.req.Tried), func(id fairway.ServerID) bool { return slices.Contains(e.unreached, id) })
+}
+
 // startRelay starts an attempt of a peer, if there is one that has answers of a server
 // that this host does not reach, or of any server if it is empty. It reports whether
 // it did.
@@ -259,7 +279,7 @@
 	}
 	e.peers = append(e.peers, peers...)
 	e.start(&attempt{exchange: e, ctx: ctx, relay: &relayCall{
-		relayClient: e.relay, r: e.r, offer: e.relay.relayOffer(e.r, e.req), peers: peers, caller: e.caller,
+		relayClient: e.relay, r: e.r, offer: e.relay.relayOffer(e.r, e.req, e.sentTo()), peers: peers, caller: e.caller,
 	}})
 	return true
 }
@@ -297,7 +317,7 @@
 		e.retries++
 	}
 	if a.relay == nil {
-		e.unreached = a.server.ID
+		e.unreached = append(e.unreached, a.server.ID)
 	}
 }
 
--- a/jetty/relayclient.go
+++ b/jetty/relayclient.go
@@ -80,8 +80,8 @@
 	unbind func() bool
 }
 
-// relayOffer returns the offer of a request.
-func (c *relayClient) relayOffer(r *request, req *sluice.Request) *signal.RelayOffer {
+// relayOffer returns the offer of a request that was sent to the servers tried.
+func (c *relayClient) relayOffer(r *request, req *sluice.Request, tried []fairway.ServerID) *signal.RelayOffer {
 	offer := &signal.RelayOffer{
 		Host: string(c.host), RequestId: r.id, Service: string(r.service.Name), Route: string(r.route.Name),
 		Method: r.outgoingRequest.Method, Target: r.outgoingRequest.Target, HostHeader: r.outgoingRequest.Host,
@@ -93,7 +93,7 @@
 		key := uint32(*r.key)
 		offer.Key = &key
 	}
-	for _, id := range req.Tried {
+	for _, id := range tried {
 		offer.Tried = append(offer.Tried, string(id))
 	}
 	return offer
