--- a/jetty/relay_test.go
+++ b/jetty/relay_test.go
@@ -91,6 +91,20 @@
 	return err
 }
 
+// respond accepts an offer and, once it is to be sent, answers with a body and no end.
+func respond(stream relayServerStream, id, body string) error {
+	if err := awaitGo(stream); err != nil {
+		return err
+	}
+	err := stream.Send(&signal.RelayReply{Part: &signal.RelayReply_Head{Head: &signal.RelayHead{
+		Status: http.StatusOK, Server: "s", Headers: []*signal.RelayHeader{
+			{Name: "Signed", Value: []byte("y")}, {Name: "Id", Value: []byte(id)},
+		},
+	}}})
+	_, writeErr := (&relayWriter{stream: stream}).Write([]byte(body))
+	return errors.Join(err, writeErr)
+}
+
 func serveRelay(server signal.RelayServer) (peerAddress, *grpc.Server) {
 	GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -370,18 +384,7 @@
 
 	It("cuts the caller's response, or answers 502, if the peer states no end", func() {
 		for _, body := range []string{large[:100], large[:2*maxBufferedBytes]} {
-			peer := &scriptedPeer{handle: func(stream relayServerStream) error {
-				if err := awaitGo(stream); err != nil {
-					return err
-				}
-				err := stream.Send(&signal.RelayReply{Part: &signal.RelayReply_Head{Head: &signal.RelayHead{
-					Status: http.StatusOK, Server: "s", Headers: []*signal.RelayHeader{
-						{Name: "Signed", Value: []byte("y")}, {Name: "Id", Value: []byte("request-1")},
-					},
-				}}})
-				_, writeErr := (&relayWriter{stream: stream}).Write([]byte(body))
-				return errors.Join(err, writeErr)
-			}}
+			peer := &scriptedPeer{handle: func(stream relayServerStream) error { return respond(stream, "request-1", body) }}
 			address, _ := serveRelay(peer)
 			b, _ := newCutHost(0, address)
 			got, err := callerOf(b)
@@ -393,7 +396,26 @@
 		}
 	})
 
-	It("does not pass on the response to another request", func() {
+	DescribeTable("does not pass on a peer's response", func(id string, stated int, served bool) {
+		peer := &scriptedPeer{handle: func(stream relayServerStream) error {
+			err := respond(stream, id, "done")
+			return errors.Join(err, stream.Send(&signal.RelayReply{Part: &signal.RelayReply_End{End: &signal.RelayEnd{Bytes: uint64(stated)}}}))
+		}}
+		address, _ := serveRelay(peer)
+		b, _ := newCutHost(0, address)
+		res := <-b.send(context.Background(), once(b.request(1, time.Second)))
+		if served {
+			expectServed(res, "done")
+		} else {
+			Expect(res.result).To(BeAssignableToTypeOf(gatewayError{}))
+		}
+	},
+		Entry("to another request", "other", 4, false),
+		Entry("that is shorter than stated", "request-1", 5, false),
+		Entry("except the whole one to its request", "request-1", 4, true),
+	)
+
+	It("does not pass on a server's response to another request", func() {
 		p := newRelayPeer()
 		p.serve("s", 20, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Id", "other")
@@ -416,6 +438,21 @@
 		expectNothingLeft(p)
 	})
 
+	It("has the server's work ended when its own drain ends", func() {
+		p := newRelayPeer()
+		s := p.serve("s", 20, work(time.Minute))
+		b, _ := newCutHost(0, p.address)
+		results := b.send(context.Background(), once(b.request(1, 20*time.Second)))
+		Eventually(s.arrived.Load).Should(BeEquivalentTo(1))
+		b.f.drain.begin(time.Now())
+		b.f.drain.end()
+		var res timedResult
+		Eventually(results).WithTimeout(500 * time.Millisecond).Should(Receive(&res))
+		Expect(res.result).To(Equal(gatewayError{status: http.StatusBadGateway, reason: reasonHostStopping}))
+		Eventually(s.left.Load).WithTimeout(500 * time.Millisecond).Should(BeEquivalentTo(1))
+		expectNothingLeft(p)
+	})
+
 	It("has a large response ended when the caller leaves", func() {
 		p := newRelayPeer()
 		s := p.serve("s", 20, func(w http.ResponseWriter, r *http.Request) {
