--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -270,7 +270,7 @@
 	}
 	var peers []peerAddress
 	for _, peer := range e.reach.relayPeers(server) {
-		if len(e.peers)+len(peers) < maxRelayPeers && !slices.Contains(e.peers, peer) {
+		if len(e.peers)+len(peers) < maxOfferedPeers && !slices.Contains(e.peers, peer) {
 			peers = append(peers, peer)
 		}
 	}
--- a/jetty/relayclient.go
+++ b/jetty/relayclient.go
@@ -22,8 +22,8 @@
 	// maxOfferFraction is the part of the time left for which an offer may wait in
 	// the queue of a peer. The rest is for another peer.
 	maxOfferFraction = 0.5
-	// maxRelayPeers is the number of peers to which a request is offered.
-	maxRelayPeers = 2
+	// maxOfferedPeers is the number of peers to which a request is offered.
+	maxOfferedPeers = 2
 	// relayChunkBytes is the size of the messages that carry bodies.
 	relayChunkBytes = 32 << 10
 	// maxRelayedBodyBytes bounds the request bodies that are passed on, which the
--- a/jetty/term.go
+++ b/jetty/term.go
@@ -42,8 +42,8 @@
 	// revision is that of the placer's record. Every write of the term is
 	// conditional on it.
 	revision ledger.Revision
-	// began is when this host received the store's confirmation that the record
-	// was written.
+	// began is when this host received the store's confirmation that the record was
+	// written, or later, when the last order of its own former term had ended.
 	began mooring.Instant
 	// predecessors lists the earlier placers that may still send orders.
 	predecessors placerList
@@ -171,11 +171,12 @@
 // resign ends the term, so that another host can become the placer at once. If
 // the store cannot be reached, no other host can become the placer, and orders
 // continue.
-func (t *term) resign(ctx context.Context) {
+func (t *term) resign(ctx context.Context) error {
 	if err := t.store.RevokeLease(ctx, t.lease); err != nil {
 		t.logs.operationFailed("revoke placer lease", err)
-		return
+		return err
 	}
 	t.writesUntil.Store(0)
 	t.ordersUntil.Store(0)
+	return nil
 }
