--- a/jetty/endless_test.go
+++ b/jetty/endless_test.go
@@ -132,7 +132,8 @@
 	var n int
 	BeforeEach(func() {
 		f, n = &forwarder{
-			headers: fakeProtocol{}.Headers(), upstream: newUpstream(requestConnections, nil), drain: newDrain(), logs: quietLogs(), metrics: newMetrics(),
+			headers: fakeProtocol{}.Headers(), upstream: newUpstream(requestConnections, nil), drain: newDrain(), reach: alwaysReaching{},
+			logs: quietLogs(), metrics: newMetrics(),
 		}, 0
 	})
 	exchange := func(address string, timeout time.Duration) (*backendResponse, error) {
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -67,8 +67,8 @@
 	body      []byte
 	remaining io.Reader
 	server    fairway.ServerID
-	// interrupt makes reads of remaining fail, and finish releases the connection
-	// that it reads from. Both are set together with remaining.
+	// interrupt makes reads of remaining fail, and finish releases the connection or
+	// stream that it reads from. Both are set together with remaining.
 	interrupt func()
 	finish    func(whole bool)
 }
@@ -101,14 +101,17 @@
 	upstream     *upstream
 	clusterState *clusterState
 	reach        reachability
-	drain        *drain
-	logs         *logs
-	metrics      *metrics
+	// relay passes requests on to peers; nil means that none are passed on.
+	relay   *relayClient
+	drain   *drain
+	logs    *logs
+	metrics *metrics
 }
 
 // forward waits for admission, sends r to a backend server and retries it as
 // far as its route allows. The context ends when the caller leaves.
 func (f *forwarder) forward(ctx context.Context, r *request) result {
+	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	ctx, unbind := f.drain.bind(ctx)
@@ -123,7 +126,7 @@
 		ResponseBytes: adm.recordArrival(r.route.Name, r.key),
 	}
 	e := &exchange{
-		forwarder: f, r: r, adm: adm, req: req,
+		forwarder: f, r: r, adm: adm, req: req, caller: caller,
 		ended: make(chan *attempt), over: make(chan struct{}),
 	}
 	return e.run(ctx)
@@ -170,6 +173,9 @@
 func (f *forwarder) recordOutcome(r *request, adm *admission, a *attempt) {
 	outcome := f.serverOutcome(r, a.resp)
 	a.finish(outcome)
+	if a.relay != nil {
+		return
+	}
 	if outcome == sluice.OutcomeAnswered {
 		adm.recordResponse(r.route.Name, a.server.ID, len(a.resp.body), a.took)
 	}
@@ -271,6 +277,9 @@
 		return f.interrupted(ctx, r), false
 	}
 	a.finish(failureOutcome(a.err))
+	if a.relay != nil && a.relay.refused != nil {
+		return f.refuse(r, *a.relay.refused), false
+	}
 	f.logs.sendFailed(r, a.server, "", a.err)
 	if (kind == KindNotSent || r.repeatable()) && f.mayRetry(ctx, r) {
 		return nil, true
@@ -324,6 +333,9 @@
 	left := max(time.Until(r.deadline), minServerTimeout)
 	m.Header.Set(f.headers.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	httpResp, err := c.roundTrip(ctx, &m, f.headers.RequestID, r.id)
+	if kindOf(err) != KindCanceled {
+		f.reach.recordExchange(s.ID, err)
+	}
 	if err != nil {
 		f.upstream.discard(p, c)
 		return nil, err
