--- a/jetty/reach.go
+++ b/jetty/reach.go
@@ -219,7 +219,7 @@
 	case s.probedAt > s.respondedAt:
 		interval = minProbeInterval
 	}
-	if len(listed) == 0 || now.Sub(s.respondedAt) < min(interval, cutSilence) || now.Sub(s.probedAt) < interval {
+	if len(listed) == 0 || now.Sub(s.respondedAt) < interval || now.Sub(s.probedAt) < interval {
 		return "", false
 	}
 	next := listed[0]
