--- a/jetty/relay_test.go
+++ b/jetty/relay_test.go
@@ -438,6 +438,23 @@
 		expectNothingLeft(p)
 	})
 
+	It("does not take a peer as lost when the caller leaves, or the time ends, before it has accepted", func() {
+		peer := &scriptedPeer{handle: func(stream relayServerStream) error {
+			<-stream.Context().Done()
+			return stream.Context().Err()
+		}}
+		address, _ := serveRelay(peer)
+		b, reach := newCutHost(0, address)
+		ctx, cancel := context.WithCancel(context.Background())
+		left := b.send(ctx, once(b.request(1, 20*time.Second)))
+		late := b.send(context.Background(), once(b.request(1, 300*time.Millisecond)))
+		Eventually(peer.offers.Load).Should(BeEquivalentTo(2))
+		cancel()
+		Expect((<-left).result).To(Equal(callerLeft{}))
+		Expect((<-late).result).To(BeAssignableToTypeOf(refusal{}))
+		Expect(reach.failed).To(BeEmpty())
+	})
+
 	It("has the server's work ended when its own drain ends", func() {
 		p := newRelayPeer()
 		s := p.serve("s", 20, work(time.Minute))
--- a/jetty/relayclient.go
+++ b/jetty/relayclient.go
@@ -114,7 +114,7 @@
 			c.offers = append(c.offers, relayedOffer{peer: peer, err: hopErr})
 			continue
 		}
-		accepted, hopErr := c.awaitAcceptance(hop)
+		accepted, hopErr := c.awaitAcceptance(ctx, hop)
 		if !accepted {
 			hop.close()
 			if hopErr != nil {
@@ -163,9 +163,7 @@
 	}
 	if err != nil {
 		hop.close()
-		if ctx.Err() == nil {
-			c.reach.recordHop(peer, err)
-		}
+		c.recordBreak(ctx, peer, err)
 		return nil, err
 	}
 	c.reach.recordHop(peer, nil)
@@ -174,7 +172,7 @@
 
 // awaitAcceptance waits until the peer has accepted the offer. It sets refused if the
 // peer has refused it.
-func (c *relayCall) awaitAcceptance(hop *relayHop) (bool, error) {
+func (c *relayCall) awaitAcceptance(ctx context.Context, hop *relayHop) (bool, error) {
 	timer := time.AfterFunc(time.Duration(maxOfferFraction*float64(time.Until(c.r.deadline))), hop.cancel)
 	reply, err := hop.stream.Recv()
 	inTime := timer.Stop()
@@ -198,11 +196,20 @@
 			err = errRelayMessage
 		}
 	}
-	c.reach.recordHop(hop.peer, err)
+	if inTime {
+		c.recordBreak(ctx, hop.peer, err)
+	}
 	c.offers = append(c.offers, relayedOffer{peer: hop.peer, err: err})
 	return false, err
 }
 
+// recordBreak records a hop that broke, unless this host ended it.
+func (c *relayCall) recordBreak(ctx context.Context, peer peerAddress, err error) {
+	if ctx.Err() == nil && c.caller.Err() == nil && time.Until(c.r.deadline) > 0 {
+		c.reach.recordHop(peer, err)
+	}
+}
+
 // relayReason returns the reason of a refusal by a peer. Those that this host does
 // not know are not passed on.
 func relayReason(text string) sluice.Reason {
@@ -228,9 +235,7 @@
 	_ = hop.stream.CloseSend()
 	reply, err := hop.stream.Recv()
 	if err != nil {
-		if ctx.Err() == nil {
-			c.reach.recordHop(hop.peer, err)
-		}
+		c.recordBreak(ctx, hop.peer, err)
 		return nil, c.classifyError(ctx, err)
 	}
 	switch part := reply.GetPart().(type) {
