Restart servers of the soak at their address, and register them late

Change: the fault restarts the server under its id and at its address behind the same proxy, and registers it up to a second later.

--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -43,7 +43,8 @@
 	// serverKilled kills a server. Its registration is removed 2.6 s later, and
 	// another server replaces it.
 	serverKilled struct{}
-	// serverReborn kills a server and restarts it at once under the same id.
+	// serverReborn kills a server and restarts it at once under the same id and at the
+	// same address. It registers up to maxRegisterDelay later.
 	serverReborn struct{}
 	// serverLeaves drains a server and stops it later; another server replaces it.
 	serverLeaves struct{}
--- a/cmd/soak/server.go
+++ b/cmd/soak/server.go
@@ -29,14 +29,12 @@
 	n   int
 }
 
-// start starts a server; an empty id stands for a new id.
-func (s *servers) start(service, id string) error {
+// start starts a server under a new id.
+func (s *servers) start(service string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if id == "" {
-		s.n++
-		id = fmt.Sprintf("%s-%d", service, s.n)
-	}
+	s.n++
+	id := fmt.Sprintf("%s-%d", service, s.n)
 	var proxy *faultProxy
 	var proxyErr error
 	backend, err := platformtest.StartBackendServer(platformtest.BackendServerConfig{
@@ -81,6 +79,20 @@
 	srv.proxy.close()
 }
 
+// restart kills a server and starts its next incarnation, under the same id and at the
+// same address, which registers after a while.
+func (s *servers) restart(srv *server, registerAfter time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next, err := srv.process.Restart(registerAfter)
+	srv.running = false
+	if err != nil {
+		return err
+	}
+	s.all = append(s.all, &server{process: next, id: srv.id, service: srv.service, proxy: srv.proxy, running: true})
+	return nil
+}
+
 // drain makes a server announce in the store that it drains.
 func (s *servers) drain(srv *server) {
 	srv.process.Drain()
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -44,6 +44,8 @@
 	holderCheckInterval = 5 * time.Millisecond
 	// deregisterDelay is how long the registration of a killed server remains.
 	deregisterDelay = 2600 * time.Millisecond
+	// maxRegisterDelay bounds how late a restarted server registers.
+	maxRegisterDelay = time.Second
 	// drainLimit is how long a draining server may be sent new requests, and
 	// drainMargin how long a request may take to reach it.
 	drainLimit  = 2 * time.Second
@@ -100,7 +102,7 @@
 		if i >= dividedServers {
 			service = platformtest.UndividedService
 		}
-		if err := tb.servers.start(service, ""); err != nil {
+		if err := tb.servers.start(service); err != nil {
 			return nil, errors.Join(err, tb.cleanUp())
 		}
 	}
@@ -357,12 +359,13 @@
 		tb.servers.kill(srv)
 		time.Sleep(deregisterDelay)
 		srv.process.Deregister()
-		tb.startServer(srv.service, "")
+		tb.startServer(srv.service)
 	case serverReborn:
-		tb.servers.kill(srv)
-		tb.startServer(srv.service, srv.id)
+		if err := tb.servers.restart(srv, min(s.duration, maxRegisterDelay)); err != nil {
+			tb.checker.recordViolation("restart server %s: %v", srv.id, err)
+		}
 	case serverLeaves:
-		tb.startServer(srv.service, "")
+		tb.startServer(srv.service)
 		tb.servers.drain(srv)
 		time.Sleep(2*drainLimit + s.duration)
 		tb.servers.kill(srv)
@@ -376,8 +379,8 @@
 	}
 }
 
-func (tb *testbed) startServer(service, id string) {
-	if err := tb.servers.start(service, id); err != nil {
+func (tb *testbed) startServer(service string) {
+	if err := tb.servers.start(service); err != nil {
 		tb.checker.recordViolation("start server: %v", err)
 	}
 }
