--- /dev/null
+++ b/jetty/reporter.go
@@ -0,0 +1,201 @@
+package jetty
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/signal"
+)
+
+// reporter reports the load that this host has measured to the placer and applies
+// the summary that the placer returns.
+type reporter struct {
+	host          HostID
+	domain        fairway.Domain
+	address       string
+	linkMbps      int
+	clusterState  *clusterState
+	admissions    *admissionSet
+	loadCollector *loadCollector
+	changeLog     *changeLog
+	reach         *reach
+	logs          *logs
+	// onHostsChange is called when the number of hosts, or of those that reach the
+	// servers, has changed.
+	onHostsChange func()
+	shuttingDown  func() bool
+
+	// conn is the connection to the placer at connAddress, or nil.
+	conn        *grpc.ClientConn
+	connAddress string
+	// lost reports whether the last report could not be delivered.
+	lost bool
+	// sentAt is when the last report was collected.
+	sentAt time.Time
+}
+
+// run reports every reportInterval until ctx is done.
+func (r *reporter) run(ctx context.Context) {
+	r.sentAt = time.Now()
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	defer r.closeConn()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.report(ctx)
+		}
+	}
+}
+
+func (r *reporter) report(ctx context.Context) {
+	report := r.collect()
+	placer := r.clusterState.currentPlacer().address
+	if placer == "" {
+		return
+	}
+	var summary loadSummary
+	if placer == r.address {
+		summary = r.loadCollector.add(report, time.Now())
+	} else {
+		reply, err := r.call(ctx, placer, report)
+		if err != nil {
+			r.recordResult(placer, err)
+			r.clusterState.setFeeder("")
+			return
+		}
+		r.recordResult(placer, nil)
+		if !reply.Placer {
+			return
+		}
+		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), feeder: reply.Feeder, granted: decodeGranted(reply.Granted)}
+		for _, id := range reply.Crowded {
+			summary.overloaded = append(summary.overloaded, fairway.ServerID(id))
+		}
+		for _, p := range reply.Peers {
+			summary.peers = append(summary.peers, peerAddress(p))
+		}
+		for _, id := range reply.Answering {
+			summary.answering = append(summary.answering, fairway.ServerID(id))
+		}
+	}
+	r.apply(summary)
+}
+
+// apply applies the summary that the placer returned.
+func (r *reporter) apply(summary loadSummary) {
+	r.clusterState.setFeeder(summary.feeder)
+	r.reach.setPeers(summary.peers, summary.answering)
+	overloaded := make(map[fairway.ServerID]bool, len(summary.overloaded))
+	for _, id := range summary.overloaded {
+		overloaded[id] = true
+	}
+	for _, adm := range r.admissions.all() {
+		adm.setOverloaded(overloaded)
+	}
+	for service, granted := range summary.granted {
+		if !r.admissions.ownersOf(service).addGranted(granted) {
+			continue
+		}
+		if adm := r.admissions.all()[service]; adm != nil {
+			adm.reevaluate()
+		}
+	}
+	hosts, reaching := int64(summary.hosts), int64(summary.reaching)
+	if hosts != r.clusterState.hosts.Swap(hosts) || reaching != r.clusterState.reaching.Swap(reaching) {
+		r.onHostsChange()
+	}
+}
+
+// collect returns the load measured since the last report.
+func (r *reporter) collect() *signal.LoadReport {
+	now := time.Now()
+	report := &signal.LoadReport{
+		Host:           string(r.host),
+		IntervalMillis: uint32(now.Sub(r.sentAt).Milliseconds()),
+		Leaving:        r.shuttingDown(),
+		Domain:         string(r.domain),
+		Address:        r.address,
+		LinkMbps:       uint32(r.linkMbps),
+	}
+	direct, answeredAt := r.changeLog.storeContact()
+	report.Direct = direct
+	report.StoreAgeMillis = uint32(min(now.Sub(answeredAt).Milliseconds(), math.MaxUint32))
+	r.sentAt = now
+	for name, adm := range r.admissions.all() {
+		requests, stats := adm.takeLoad()
+		if adm.owners != nil {
+			counts := &signal.KeyCounts{Service: string(name)}
+			for key, n := range requests {
+				counts.Keys = append(counts.Keys, uint32(key))
+				counts.Counts = append(counts.Counts, uint32(n))
+			}
+			report.Services = append(report.Services, counts)
+		}
+		for id, st := range stats {
+			report.Servers = append(report.Servers, &signal.ServerPace{
+				Server: string(id), Answers: uint32(st.responses), Slowness: st.slowness,
+				Requests: uint32(st.requests), Pressed: uint32(st.overloadSamples),
+			})
+		}
+	}
+	r.addReach(report)
+	return report
+}
+
+// addReach adds to a report which servers this host reaches.
+func (r *reporter) addReach(report *signal.LoadReport) {
+	reached := r.reach.takeReport()
+	report.Cut = reached.cut
+	for _, id := range reached.failing {
+		report.Failing = append(report.Failing, string(id))
+	}
+	for id, n := range reached.signs {
+		report.Servers = append(report.Servers, &signal.ServerPace{Server: string(id), SignsOfLife: uint32(n)})
+	}
+}
+
+func (r *reporter) call(ctx context.Context, placer string, report *signal.LoadReport) (*signal.LoadReply, error) {
+	if r.conn == nil || r.connAddress != placer {
+		r.closeConn()
+		conn, err := dialPeer(placer, grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: peerKeepAlive}))
+		if err != nil {
+			return nil, err
+		}
+		r.conn, r.connAddress = conn, placer
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return signal.NewLoadsClient(r.conn).Report(ctx, report)
+}
+
+// recordResult logs the loss and return of the connection to the placer. After a
+// failure the connection is closed, and the next report opens a new one.
+func (r *reporter) recordResult(placer string, err error) {
+	switch {
+	case err != nil:
+		r.closeConn()
+		if !r.lost {
+			r.logs.dependencyLost("placer "+placer, err)
+		}
+	case r.lost:
+		r.logs.dependencyRegained("placer "+placer, 0)
+	}
+	r.lost = err != nil
+}
+
+func (r *reporter) closeConn() {
+	if r.conn != nil {
+		if err := r.conn.Close(); err != nil {
+			r.logs.operationFailed("close connection to placer", err)
+		}
+		r.conn = nil
+	}
+}
