Answer 504 when the time of a relayed request has ended at the peer

Cause: the time that a peer is given ends a moment before the caller's, since it counts from the acceptance. Its timeout reached the first host while that one's deadline had not passed, which then answered 502, server_failed. Change: a timeout of a relayed attempt is the end of the request's time. A peer whose server acknowledges nothing reports that as a reset, which it is.

--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -284,7 +284,9 @@
 	if (kind == KindNotSent || r.repeatable()) && f.mayRetry(ctx, r) {
 		return nil, true
 	}
-	if ctx.Err() != nil && r.mayHaveRun {
+	// The time that a peer is given ends a little before the request's deadline.
+	timedOut := ctx.Err() != nil || a.relay != nil && kind == KindTimeout
+	if timedOut && r.mayHaveRun {
 		return gatewayError{status: http.StatusGatewayTimeout, reason: reasonDeadline}, false
 	}
 	return f.retriesExhausted(r, reasonServerFailed), false
--- a/jetty/relay_test.go
+++ b/jetty/relay_test.go
@@ -509,6 +509,21 @@
 		expectNothingLeft(p)
 	})
 
+	It("answers 504 when the peer's time has ended and the caller's has a moment left", func() {
+		b := newExchangeBench(0)
+		r := once(b.request(1, time.Second))
+		r.sends = 1
+		for kind, want := range map[Kind]gatewayError{
+			KindTimeout: {status: http.StatusGatewayTimeout, reason: reasonDeadline},
+			KindReset:   {status: http.StatusBadGateway, reason: reasonServerFailed},
+		} {
+			a := &attempt{relay: &relayCall{}, err: &Error{Op: "relay", Kind: kind, Err: errRelayCut}}
+			res, again := b.f.handleFailure(context.Background(), r, a)
+			Expect(again).To(BeFalse())
+			Expect(res).To(Equal(want))
+		}
+	})
+
 	It("serves a request with one attempt at a second server if the first refuses the connection", func() {
 		b := newExchangeBench(0)
 		s, t := b.serve("s", 20, work(0)), b.serve("t", 20, work(0))
--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -257,31 +257,34 @@
 		}
 		if errors.Is(ctx.Err(), context.Canceled) || kindOf(err) == KindCanceled {
 			q.finish(s, sluice.OutcomeCanceled, took)
-			return q.fail(s, err)
+			return q.fail(ctx, s, err)
 		}
 		q.finish(s, failureOutcome(err), took)
 		q.logs.sendFailed(q.r, s, "", err)
 		if kindOf(err) != KindNotSent || connects == maxRelayConnects {
-			return q.fail(s, err)
+			return q.fail(ctx, s, err)
 		}
 		q.req.Tried = append(q.req.Tried, s.ID)
 		q.req.Deadline = instantOf(q.r.deadline)
 		next, _ := q.acquire(ctx)
 		if next == nil {
-			return q.fail(s, err)
+			return q.fail(ctx, s, err)
 		}
 		s = *next
 	}
 }
 
-// fail reports a send that ended without a response.
-func (q *relayedRequest) fail(s fairway.Endpoint, err error) error {
+// fail reports a send that ended without a response. A timeout is the end of the
+// request's time; a server that acknowledges nothing fails as with a reset.
+func (q *relayedRequest) fail(ctx context.Context, s fairway.Endpoint, err error) error {
 	kind := signal.RelayFailureKind_RELAY_FAILURE_KIND_RESET
 	switch kindOf(err) {
 	case KindNotSent:
 		kind = signal.RelayFailureKind_RELAY_FAILURE_KIND_NOT_SENT
 	case KindTimeout:
-		kind = signal.RelayFailureKind_RELAY_FAILURE_KIND_TIMEOUT
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			kind = signal.RelayFailureKind_RELAY_FAILURE_KIND_TIMEOUT
+		}
 	case KindInvalidResponse:
 		kind = signal.RelayFailureKind_RELAY_FAILURE_KIND_INVALID
 	default:
