--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -203,7 +203,7 @@
 	}
 }
 
-// receive waits for the word to send the request, and for its body. It sets the
+// receive waits for the RelayGo of the request, and for its body. It sets the
 // deadline: the time left counts from the acceptance, which came before the first
 // host determined it, so the deadline is never later than the caller's.
 func (q *relayedRequest) receive(ctx context.Context, bodyBytes int) error {
