--- a/jetty/changelog.go
+++ b/jetty/changelog.go
@@ -145,8 +145,12 @@
 // Changes implements signal.FeedServer.
 func (l *changeLog) Changes(ctx context.Context, r *signal.ChangesRequest) (*signal.ChangesReply, error) {
 	timeout := time.After(time.Duration(r.WaitMillis) * time.Millisecond)
+	after, err := l.requestedRevision(r)
+	if err != nil {
+		return nil, err
+	}
 	for {
-		reply, changed := l.reply(ledger.Revision(r.After))
+		reply, changed := l.reply(after)
 		if len(reply.Changes) > 0 || reply.Snapshot || !reply.Direct {
 			return reply, nil
 		}
@@ -154,7 +158,7 @@
 		case <-changed:
 		case <-timeout:
 			// The reply states the age of the data, which may have grown.
-			reply, _ = l.reply(ledger.Revision(r.After))
+			reply, _ = l.reply(after)
 			return reply, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -162,15 +166,32 @@
 	}
 }
 
+// requestedRevision returns the revision after which a host asks for changes.
+func (l *changeLog) requestedRevision(r *signal.ChangesRequest) (ledger.Revision, error) {
+	era := ledger.Era(r.Era)
+	if era == 0 {
+		l.mu.Lock()
+		era = l.revision.Era()
+		l.mu.Unlock()
+	}
+	return ledger.NewRevision(era, r.After)
+}
+
+// reply returns the changes after a revision. Those of a later era follow as a
+// snapshot, since what an earlier one has lost is not known as removed.
 func (l *changeLog) reply(after ledger.Revision) (*signal.ChangesReply, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	reply := &signal.ChangesReply{
-		Revision:  uint64(max(l.revision, after)),
+		Revision:  l.revision.Number(),
+		Era:       uint32(l.revision.Era()),
 		AgeMillis: uint32(time.Since(l.storeAnsweredAt).Milliseconds()),
 		Direct:    l.direct,
 		Snapshot:  after < l.compactedRevision,
 	}
+	if after.Era() == l.revision.Era() {
+		reply.Revision = max(l.revision, after).Number()
+	}
 	var changes []ledger.Change
 	for _, c := range l.latest {
 		if reply.Snapshot && !c.Removed || !reply.Snapshot && c.Revision > after {
@@ -179,7 +200,7 @@
 	}
 	slices.SortFunc(changes, byRevision)
 	for _, c := range changes {
-		sc := &signal.StoreChange{Key: c.Key, Value: c.Value, Revision: uint64(c.Revision), Removed: c.Removed}
+		sc := &signal.StoreChange{Key: c.Key, Value: c.Value, Revision: c.Revision.Number(), Removed: c.Removed}
 		if len(c.Value) >= minCompressBytes {
 			sc.Value, sc.Compressed = l.compress(c), true
 		}
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -35,6 +35,7 @@
 	eventServerRejected       event = "server_turned_away"
 	eventSettingsReloaded     event = "settings_reloaded"
 	eventStoreCompacted       event = "store_history_gone"
+	eventStoreRestored        event = "store_restored"
 )
 
 // events has every kind of log line. A test compares it with the operations
@@ -64,6 +65,7 @@
 	eventServerRejected,
 	eventSettingsReloaded,
 	eventStoreCompacted,
+	eventStoreRestored,
 }
 
 // outcome is how a request ended for its caller.
--- a/jetty/feed.go
+++ b/jetty/feed.go
@@ -31,6 +31,7 @@
 var (
 	errNotDirect = errors.New("feeder does not watch the store itself")
 	errStaleFeed = errors.New("feeder has had no response from the store for too long")
+	errOlderFeed = errors.New("feeder does not know of the store's last restore")
 )
 
 // feedClient receives the store's changes from another entry host of the failure
@@ -80,8 +81,9 @@
 	ctx, cancel := context.WithTimeout(ctx, feedPollTimeout+feedCallMargin)
 	defer cancel()
 	reply, err := signal.NewFeedClient(f.conn).Changes(ctx, &signal.ChangesRequest{
-		After: uint64(after), WaitMillis: uint32(feedPollTimeout.Milliseconds()),
+		After: after.Number(), Era: uint32(after.Era()), WaitMillis: uint32(feedPollTimeout.Milliseconds()),
 	})
+	era := ledger.Era(reply.GetEra())
 	switch {
 	case err != nil:
 		return feedUpdate{}, err
@@ -89,19 +91,25 @@
 		return feedUpdate{}, errNotDirect
 	case time.Duration(reply.AgeMillis)*time.Millisecond > feedMaxAge:
 		return feedUpdate{}, errStaleFeed
+	case era < after.Era():
+		return feedUpdate{}, errOlderFeed
 	}
-	update := feedUpdate{
-		changes:  make([]ledger.Change, 0, len(reply.Changes)),
-		revision: ledger.Revision(reply.Revision),
-		snapshot: reply.Snapshot,
+	revision, err := ledger.NewRevision(era, reply.Revision)
+	if err != nil {
+		return feedUpdate{}, err
 	}
+	update := feedUpdate{changes: make([]ledger.Change, 0, len(reply.Changes)), revision: revision, snapshot: reply.Snapshot}
 	for _, c := range reply.Changes {
 		value, err := decompress(c)
 		if err != nil {
 			return feedUpdate{}, err
 		}
+		changed, err := ledger.NewRevision(era, c.Revision)
+		if err != nil {
+			return feedUpdate{}, err
+		}
 		update.changes = append(update.changes, ledger.Change{
-			Entry:   ledger.Entry{Key: c.Key, Value: value, Revision: ledger.Revision(c.Revision)},
+			Entry:   ledger.Entry{Key: c.Key, Value: value, Revision: changed},
 			Removed: c.Removed,
 		})
 	}
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -172,11 +172,29 @@
 }
 
 func (l *logs) feedFailed(feeder string, revision ledger.Revision, err error) {
-	l.newLine(&l.system, true).Str("feeder", feeder).Uint64("revision", uint64(revision)).Err(err).Msg(string(eventFeedFailed))
+	withRevision(l.newLine(&l.system, true).Str("feeder", feeder), revision).Err(err).Msg(string(eventFeedFailed))
 }
 
 func (l *logs) storeCompacted(revision ledger.Revision) {
-	l.newLine(&l.system, true).Uint64("revision", uint64(revision)).Msg(string(eventStoreCompacted))
+	withRevision(l.newLine(&l.system, true), revision).Msg(string(eventStoreCompacted))
+}
+
+// storeRestored logs that the store has come back from an older copy.
+func (l *logs) storeRestored(before, revision ledger.Revision) {
+	withRevision(l.newLine(&l.system, true), revision).
+		Uint64("revision_before", before.Number()).
+		Uint32("store_era_before", uint32(before.Era())).
+		Msg(string(eventStoreRestored))
+}
+
+// withRevision adds a revision as the store counts it, and its era if the store states
+// one.
+func withRevision(e *log.Entry, revision ledger.Revision) *log.Entry {
+	e = e.Uint64("revision", revision.Number())
+	if era := revision.Era(); era != 0 {
+		e = e.Uint32("store_era", uint32(era))
+	}
+	return e
 }
 
 func (l *logs) configApplied(c *fairway.Config) {
@@ -201,11 +219,11 @@
 }
 
 func (l *logs) placerChanged(p placerRecord) {
-	l.newLine(&l.system, false).Str("placer", p.address).Uint64("revision", uint64(p.revision)).Msg(string(eventPlacerChanged))
+	withRevision(l.newLine(&l.system, false).Str("placer", p.address), p.revision).Msg(string(eventPlacerChanged))
 }
 
 func (l *logs) placerTerm(event string, revision ledger.Revision) {
-	l.newLine(&l.system, false).Str("event", event).Uint64("revision", uint64(revision)).Msg(string(eventPlacerTerm))
+	withRevision(l.newLine(&l.system, false).Str("event", event), revision).Msg(string(eventPlacerTerm))
 }
 
 // earlierPlacersEnded logs that the terms of the earlier placers have ended.
@@ -216,13 +234,12 @@
 // keysMoved logs the changes of a service's table.
 func (l *logs) keysMoved(service fairway.ServiceName, moves []mooring.Move, revision ledger.Revision) {
 	for _, m := range moves {
-		e := l.newLine(&l.system, false).
+		e := withRevision(l.newLine(&l.system, false), revision).
 			Str("service", string(service)).
 			Str("keys", m.KeyRange.String()).
 			Str("from", string(m.From)).
 			Str("to", string(m.To)).
 			Uint64("fence", uint64(m.Token)).
-			Uint64("revision", uint64(revision)).
 			Str("reason", string(m.Reason))
 		if m.Proof != "" {
 			e = e.Str("proof", string(m.Proof))
@@ -258,7 +275,7 @@
 	if r.key != nil {
 		e.Uint16("key", uint16(*r.key)).
 			Uint64("fence", uint64(r.token)).
-			Uint64("table_revision", uint64(r.tableRevision))
+			Uint64("table_revision", ledger.Revision(r.tableRevision).Number())
 	}
 	return e
 }
--- a/jetty/takeover.go
+++ b/jetty/takeover.go
@@ -184,7 +184,7 @@
 		return err
 	}
 	defer func() { _ = conn.Close() }()
-	_, err = signal.NewTermsClient(conn).EndTerms(ctx, &signal.EndTermsRequest{Before: uint64(c.before)}, grpc.WaitForReady(true))
+	_, err = signal.NewTermsClient(conn).EndTerms(ctx, &signal.EndTermsRequest{Before: c.before.Number(), Era: uint32(c.before.Era())}, grpc.WaitForReady(true))
 	return err
 }
 
@@ -198,7 +198,15 @@
 
 // EndTerms implements signal.TermsServer.
 func (s *termsServer) EndTerms(ctx context.Context, r *signal.EndTermsRequest) (*signal.EndTermsReply, error) {
-	if err := s.election.endTermsBefore(ctx, ledger.Revision(r.Before)); err != nil {
+	era := ledger.Era(r.Era)
+	if era == 0 {
+		era = s.election.clusterState.currentPlacer().revision.Era()
+	}
+	before, err := ledger.NewRevision(era, r.Before)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.election.endTermsBefore(ctx, before); err != nil {
 		return nil, err
 	}
 	return &signal.EndTermsReply{}, nil
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -212,6 +212,10 @@
 // a registration are removed.
 func (w *watcher) applySnapshot(entries []ledger.Entry, revision ledger.Revision, direct bool) {
 	w.checkOutage()
+	if w.revision != 0 && revision.Era() > w.revision.Era() {
+		w.logs.storeRestored(w.revision, revision)
+		w.unconfirmedUntil = time.Now().Add(reregisterTimeout)
+	}
 	changes := make([]ledger.Change, 0, len(entries))
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -8,10 +8,6 @@
 // MaxValueBytes is the size limit of a value in the store.
 const MaxValueBytes = 1 << 20
 
-// Revision identifies one version of the value of a key. Revisions increase with
-// every write to the store. Zero stands for a key that does not exist.
-type Revision uint64
-
 // LeaseID identifies a lease.
 type LeaseID string
 
