--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -53,6 +53,12 @@
 
 	// revision is the one up to which changes have been applied.
 	revision ledger.Revision
+	// restoredAt is the revision at which the store was first read after it had come
+	// back from an older copy, or zero. Records up to that one may be from the copy.
+	restoredAt ledger.Revision
+	// departures has the servers that are leaving or have left, which the store may
+	// have forgotten.
+	departures departures
 	// scanned reports whether the store has been read as a whole, and all changes
 	// since then. initialized is set by the first time.
 	scanned     atomic.Bool
@@ -215,6 +221,7 @@
 	if w.revision != 0 && revision.Era() > w.revision.Era() {
 		w.logs.storeRestored(w.revision, revision)
 		w.unconfirmedUntil = time.Now().Add(reregisterTimeout)
+		w.restoredAt = revision
 	}
 	changes := make([]ledger.Change, 0, len(entries))
 	listed := make(map[string]bool, len(entries))
@@ -264,6 +271,9 @@
 		case ServerRecord:
 			updated, removed = withoutServer(updated, record.ID), append(removed, record.ID)
 			if record.Err == nil {
+				if c.Revision <= w.restoredAt && w.departures.includes(record.Endpoint) {
+					record.Endpoint.Draining = true
+				}
 				updated, removed = append(updated, record.Endpoint), removed[:len(removed)-1]
 			}
 			w.logs.serverUpdated(record)
@@ -322,6 +332,12 @@
 func (w *watcher) updateServers(updated []fairway.Endpoint, removed []fairway.ServerID) {
 	for _, e := range updated {
 		delete(w.missing, e.ID)
+		w.departures.registered(time.Now(), e)
+	}
+	for _, id := range removed {
+		if e, known := w.clusterState.catalog().Get(id); known {
+			w.departures.removed(time.Now(), e)
+		}
 	}
 	var removedNow []fairway.ServerID
 	for _, id := range removed {
