--- a/jetty/clusterstate.go
+++ b/jetty/clusterstate.go
@@ -6,6 +6,7 @@
 
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
+	"hornbeamwinch.example/mooring"
 )
 
 // clusterState is what this host has read or received about the rest of the
@@ -21,6 +22,9 @@
 
 	mu     sync.Mutex
 	placer placerRecord
+	// restoredAt is when this host read the store for the first time after it had come
+	// back from an older copy, or 0 if it has not.
+	restoredAt mooring.Instant
 	// feeder is the address of the host that watches the store for this failure
 	// domain, or empty if there is none.
 	feeder string
@@ -78,6 +82,21 @@
 	return true
 }
 
+// setRestored records that the store has come back from an older copy.
+func (s *clusterState) setRestored(at mooring.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restoredAt = at
+}
+
+// restored reports whether the store has come back from an older copy while this host
+// runs, and when it was read after the last time.
+func (s *clusterState) restored() (at mooring.Instant, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restoredAt, s.restoredAt != 0
+}
+
 func (s *clusterState) feederAddress() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/jetty/election.go
+++ b/jetty/election.go
@@ -39,8 +39,10 @@
 	wake chan struct{}
 
 	mu sync.Mutex
-	// current runs the present term, which may outlast the term's lease.
+	// current runs the present term, which may outlast the term's lease. former is the
+	// one before that, or nil.
 	current      *termRunner
+	former       *formerTerm
 	resignation  resignation
 	shuttingDown bool
 	// endedBefore is a revision of the store. Terms that were claimed before it
@@ -103,7 +105,7 @@
 				continue
 			}
 		}
-		t, err := claimTerm(ctx, termConfig{Store: e.store, TTL: e.ttl, Address: e.address, Logs: e.logs})
+		t, err := claimTerm(ctx, e.claimConfig())
 		if err != nil {
 			if !ledger.IsKind(err, ledger.KindConflict) {
 				e.logs.operationFailed("claim placer record", err)
@@ -124,7 +126,30 @@
 	if shuttingDown || current != nil && current.term.mayWrite() {
 		return false
 	}
-	return e.scanned() && e.clusterState.currentPlacer().address == "" && e.clusterState.activeConfig.Current() != nil
+	placer := e.clusterState.currentPlacer()
+	return e.scanned() && (placer.address == "" || e.isRestoredRecord(placer)) && e.clusterState.activeConfig.Current() != nil
+}
+
+// isRestoredRecord reports whether a placer's record is that of an ended term of this
+// host, which the store has brought back from an older copy.
+func (e *election) isRestoredRecord(p placerRecord) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current == nil && p.address == e.address && e.former.endedBefore(p.revision)
+}
+
+// claimConfig returns the parameters of the next claim.
+func (e *election) claimConfig() termConfig {
+	placer := e.clusterState.currentPlacer()
+	cfg := termConfig{Store: e.store, TTL: e.ttl, Address: e.address, Logs: e.logs, Era: placer.revision.Era()}
+	if e.isRestoredRecord(placer) {
+		cfg.Replaces = placer.revision
+	}
+	_, cfg.Restored = e.clusterState.restored()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	cfg.Former = e.former
+	return cfg
 }
 
 // claimDelay returns how long this host still leaves a vacant term to hosts that reach
@@ -183,7 +208,9 @@
 	defer e.mu.Unlock()
 	if e.current == r {
 		e.current = nil
+		e.former = r.former()
 	}
+	signalOnce(e.wake)
 }
 
 // resign ends the current term and prevents new ones, for the shutdown of this
--- /dev/null
+++ b/jetty/erafence.go
@@ -0,0 +1,78 @@
+package jetty
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	"hornbeamwinch.example/ledger"
+)
+
+// eraPrefix is the prefix of the keys of the records of eras. There is one record, of the
+// present era.
+const eraPrefix = internalPrefix + "eras/"
+
+// eraFence is the record of the store's present era, on which all writes of a term are
+// conditional. The first claim of the next era removes it. A write of an earlier era that
+// the store executes late cannot take effect on a revision that has been given out again.
+type eraFence struct {
+	// record is the zero value if the store states no era.
+	record ledger.Expectation
+	// created reports whether this claim has recorded the era, and restored whether
+	// there was a record of an earlier one.
+	created  bool
+	restored bool
+}
+
+// raiseEraFence returns the fence of the present era, which it records if needed, and
+// removes those of earlier ones.
+func raiseEraFence(ctx context.Context, store ledger.TxnStore) (eraFence, error) {
+	entries, revision, err := store.Scan(ctx, eraPrefix)
+	if err != nil {
+		return eraFence{}, err
+	}
+	key := eraPrefix + strconv.FormatUint(uint64(revision.Era()), 10)
+	fence := eraFence{record: ledger.Expectation{Key: key}}
+	var remove ledger.Txn
+	for _, e := range entries {
+		switch {
+		case e.Key == key:
+			fence.record.Revision = e.Revision
+		case strings.HasPrefix(e.Key, eraPrefix):
+			fence.restored = true
+			remove.Expect = append(remove.Expect, ledger.Expectation{Key: e.Key, Revision: e.Revision})
+			remove.Remove = append(remove.Remove, e.Key)
+		}
+	}
+	if fence.record.Revision == 0 {
+		fence.record.Revision, err = store.Commit(ctx, ledger.Txn{
+			Expect: []ledger.Expectation{fence.record},
+			Put:    []ledger.Write{{Key: key}},
+		})
+		if err != nil {
+			return eraFence{}, err
+		}
+		fence.created = true
+	}
+	if fence.restored {
+		remove.Expect = append(remove.Expect, fence.record)
+		if _, err := store.Commit(ctx, remove); err != nil {
+			return eraFence{}, err
+		}
+	}
+	return fence, nil
+}
+
+// mayPrecede reports whether a record may be from the copy from which the store has come
+// back. The first claim of a host that knows of eras does not count as a restore.
+func (f eraFence) mayPrecede(revision ledger.Revision, restored bool) bool {
+	return revision < f.record.Revision && (restored || f.restored || !f.created)
+}
+
+// guard makes a write conditional on the fence.
+func (f eraFence) guard(txn ledger.Txn) ledger.Txn {
+	if f.record.Key != "" {
+		txn.Expect = append(txn.Expect, f.record)
+	}
+	return txn
+}
--- a/jetty/ownertable.go
+++ b/jetty/ownertable.go
@@ -71,6 +71,12 @@
 	return true
 }
 
+// knowsLater reports whether tokens have been given out that a table does not know of.
+func (t *ownerTable) knowsLater(table *mooring.Table) bool {
+	current := t.current.Load()
+	return current != nil && current.table.NextToken > table.NextToken
+}
+
 // addGranted adds assignments that the placer has granted without a record. It
 // reports whether any is newer than what is known.
 func (t *ownerTable) addGranted(granted []mooring.Assignment) bool {
--- /dev/null
+++ b/jetty/restore_test.go
@@ -0,0 +1,311 @@
+package jetty
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/ledger"
+	"hornbeamwinch.example/mooring"
+	"hornbeamwinch.example/signal"
+)
+
+// eraStore is a store with conditional writes, which can come back from an older copy.
+type eraStore struct {
+	*fakeStore
+
+	era    ledger.Era
+	number uint64
+	items  map[string]ledger.Entry
+}
+
+func newEraStore() *eraStore {
+	return &eraStore{fakeStore: newFakeStore(), era: 1, items: make(map[string]ledger.Entry)}
+}
+
+func (s *eraStore) revision() ledger.Revision {
+	r, err := ledger.NewRevision(s.era, s.number)
+	Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
+// Get implements ledger.TxnStore.
+func (s *eraStore) Get(_ context.Context, key string) (ledger.Entry, error) {
+	e, ok := s.items[key]
+	if !ok {
+		return e, &ledger.Error{Op: "get", Kind: ledger.KindNotFound, Err: errFake}
+	}
+	return e, nil
+}
+
+// Scan implements ledger.TxnStore.
+func (s *eraStore) Scan(_ context.Context, prefix string) ([]ledger.Entry, ledger.Revision, error) {
+	var found []ledger.Entry
+	for key, e := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, e)
+		}
+	}
+	return found, s.revision(), nil
+}
+
+// Commit implements ledger.TxnStore. Like the platform's store, it compares the numbers
+// of revisions only.
+func (s *eraStore) Commit(_ context.Context, txn ledger.Txn) (ledger.Revision, error) {
+	for _, e := range txn.Expect {
+		if s.items[e.Key].Revision.Number() != e.Revision.Number() {
+			return 0, &ledger.Error{Op: "commit", Kind: ledger.KindConflict, Key: e.Key, Err: errFake}
+		}
+	}
+	for _, w := range txn.Put {
+		s.number++
+		s.items[w.Key] = ledger.Entry{Key: w.Key, Value: w.Value, Revision: s.revision()}
+	}
+	for _, key := range txn.Remove {
+		s.number++
+		delete(s.items, key)
+	}
+	return s.revision(), nil
+}
+
+// restore has the store come back from its content at a number of writes.
+func (s *eraStore) restore(number uint64) {
+	s.era++
+	s.number = number
+	for key, e := range s.items {
+		if e.Revision.Number() > number {
+			delete(s.items, key)
+			continue
+		}
+		r, err := ledger.NewRevision(s.era, e.Revision.Number())
+		Expect(err).NotTo(HaveOccurred())
+		e.Revision = r
+		s.items[key] = e
+	}
+}
+
+var _ = Describe("The fence of an era", func() {
+	ctx := context.Background()
+
+	It("stops a write of an earlier era whose revision has been given out again", func() {
+		s := newEraStore()
+		fence, err := raiseEraFence(ctx, s)
+		Expect(err).NotTo(HaveOccurred())
+		copied := s.number
+		earlier, err := s.Commit(ctx, fence.guard(ledger.Txn{Put: []ledger.Write{{Key: "table", Value: []byte("1")}}}))
+		Expect(err).NotTo(HaveOccurred())
+		late := fence.guard(ledger.Txn{
+			Expect: []ledger.Expectation{{Key: "table", Revision: earlier}},
+			Put:    []ledger.Write{{Key: "table", Value: []byte("late")}},
+		})
+
+		s.restore(copied)
+		next, err := raiseEraFence(ctx, s)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(next.restored).To(BeTrue())
+		s.number = earlier.Number() - 1
+		_, err = s.Commit(ctx, next.guard(ledger.Txn{Put: []ledger.Write{{Key: "table", Value: []byte("2")}}}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.items["table"].Revision.Number()).To(Equal(earlier.Number()))
+		_, err = s.Commit(ctx, late)
+		Expect(ledger.IsKind(err, ledger.KindConflict)).To(BeTrue())
+		Expect(string(s.items["table"].Value)).To(Equal("2"))
+	})
+
+	It("is recorded once", func() {
+		s := newEraStore()
+		first, err := raiseEraFence(ctx, s)
+		Expect(err).NotTo(HaveOccurred())
+		writes := s.number
+		second, err := raiseEraFence(ctx, s)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.record).To(Equal(first.record))
+		Expect(s.number).To(Equal(writes))
+	})
+
+	It("tells a record of the copy from one that was written since", func() {
+		fence := eraFence{record: ledger.Expectation{Key: "k", Revision: 10}, created: true}
+		Expect(fence.mayPrecede(9, true)).To(BeTrue())
+		Expect(fence.mayPrecede(11, true)).To(BeFalse())
+		Expect(fence.mayPrecede(9, false)).To(BeFalse(), "first claim of a host that knows of eras")
+	})
+})
+
+var _ = Describe("A placer's term of an earlier era", func() {
+	record := func(e *election, era ledger.Era, number uint64, address string) {
+		r, err := ledger.NewRevision(era, number)
+		Expect(err).NotTo(HaveOccurred())
+		e.clusterState.setPlacer(placerRecord{address: address, revision: r})
+	}
+	termOf := func(era ledger.Era, number uint64, ttl time.Duration) *term {
+		r, err := ledger.NewRevision(era, number)
+		Expect(err).NotTo(HaveOccurred())
+		t := &term{revision: r, ttl: ttl}
+		t.confirm(bootTimeNow())
+		return t
+	}
+
+	It("ends, also if the copy has no record of a placer", func() {
+		e, _ := newTestElection(newFakeStore())
+		r := &termRunner{election: e, term: termOf(1, 50, time.Second)}
+		record(e, 1, 50, e.address)
+		Expect(r.mustStop()).To(BeFalse())
+		record(e, 2, 10, "")
+		Expect(r.mustStop()).To(BeTrue())
+	})
+
+	It("does not take the table of the next era", func() {
+		s := newEraStore()
+		encoded, err := mooring.NewTable("readings").Encode()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.Commit(context.Background(), ledger.Txn{Put: []ledger.Write{{Key: tableKey("readings"), Value: encoded}}})
+		Expect(err).NotTo(HaveOccurred())
+		e, _ := newTestElection(s)
+		w := &actionWorker{termRunner: &termRunner{election: e, term: termOf(1, 50, time.Second)}}
+		loaded, err := w.tryLoad(context.Background(), "readings")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Table).NotTo(BeNil())
+		s.restore(0)
+		_, err = w.tryLoad(context.Background(), "readings")
+		Expect(err).To(MatchError(errTermEnded), "no table in the copy")
+	})
+
+	It("leaves a record that its host replaces at once, and no other host", func() {
+		for _, own := range []bool{true, false} {
+			e, _ := newTestElection(newFakeStore())
+			e.former = &formerTerm{term: termOf(1, 50, time.Second)}
+			address := e.address
+			if !own {
+				address = "10.0.0.9:1"
+			}
+			record(e, 1, 50, address)
+			Expect(e.vacant()).To(BeFalse(), "a record of the same era")
+			record(e, 2, 10, address)
+			Expect(e.vacant()).To(Equal(own))
+			if own {
+				Expect(e.claimConfig().Replaces.Number()).To(Equal(uint64(10)))
+			}
+		}
+	})
+
+	It("is continued only within its lease and into the next era", func() {
+		former := &formerTerm{term: termOf(1, 50, time.Second)}
+		Expect(former.continues(2)).To(BeTrue())
+		Expect(former.continues(1)).To(BeFalse())
+		Expect(former.continues(3)).To(BeFalse())
+		Expect((&formerTerm{term: termOf(1, 50, -time.Second)}).continues(2)).To(BeFalse())
+		Expect((*formerTerm)(nil).continues(2)).To(BeFalse())
+	})
+})
+
+var _ = Describe("What a host knows when the store comes back from an older copy", func() {
+	var w *watcher
+	revision := func(era ledger.Era, number uint64) ledger.Revision {
+		r, err := ledger.NewRevision(era, number)
+		Expect(err).NotTo(HaveOccurred())
+		return r
+	}
+	entry := func(key, value string, r ledger.Revision) ledger.Entry {
+		return ledger.Entry{Key: key, Value: []byte(value), Revision: r}
+	}
+	encoded := func(next mooring.Token) string {
+		t := mooring.NewTable("readings")
+		t.NextToken = next
+		data, err := t.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		return string(data)
+	}
+	knownToken := func() mooring.Token { return w.admissions.ownersOf("readings").current.Load().table.NextToken }
+	BeforeEach(func() {
+		w = &watcher{
+			protocol: fakeProtocol{}, clusterState: newClusterState(fairway.NewActiveConfig()), admissions: newAdmissionSet(admissionSetConfig{}),
+			logs: quietLogs(), changeLog: newChangeLog(), onChange: func() {}, missing: make(map[fairway.ServerID]bool),
+		}
+		w.applySnapshot([]ledger.Entry{
+			entry("server/a", "", revision(1, 5)), entry("server/b", "", revision(1, 6)), entry("config", "123", revision(1, 7)),
+			entry(tableKey("readings"), encoded(9), revision(1, 8)),
+		}, revision(1, 8), true)
+		w.advance([]ledger.Change{{Entry: entry("server/a", "", revision(1, 9)), Removed: true}}, revision(1, 9), true)
+	})
+	restore := func() {
+		w.applySnapshot([]ledger.Entry{
+			entry("server/a", "", revision(2, 5)), entry("config", "12", revision(2, 4)), entry(tableKey("readings"), encoded(7), revision(2, 5)),
+		}, revision(2, 6), true)
+	}
+
+	It("has a server that has left stay so until it registers again", func() {
+		restore()
+		a, _ := w.clusterState.catalog().Get("a")
+		Expect(a.Draining).To(BeTrue())
+		w.advance([]ledger.Change{{Entry: entry("server/a", "", revision(2, 7))}}, revision(2, 7), true)
+		a, _ = w.clusterState.catalog().Get("a")
+		Expect(a.Draining).To(BeFalse())
+	})
+
+	It("keeps a server that the copy does not have for a while", func() {
+		restore()
+		b, known := w.clusterState.catalog().Get("b")
+		Expect(known).To(BeTrue())
+		Expect(b.Unconfirmed).To(BeTrue())
+	})
+
+	It("is not replaced by an older configuration or table", func() {
+		restore()
+		Expect(w.clusterState.activeConfig.Current().Version).To(Equal(fairway.Version(3)))
+		Expect(knownToken()).To(Equal(mooring.Token(9)))
+		w.advance([]ledger.Change{{Entry: entry(tableKey("readings"), encoded(8), revision(2, 7))}}, revision(2, 7), true)
+		Expect(knownToken()).To(Equal(mooring.Token(8)), "a table of the next era")
+	})
+})
+
+var _ = Describe("A host of this build beside one of the build before, which knows no era", func() {
+	numberOf := func(r ledger.Revision, err error) ledger.Revision {
+		GinkgoHelper()
+		Expect(err).NotTo(HaveOccurred())
+		return r
+	}
+	at := numberOf(ledger.NewRevision(3, 40))
+
+	It("sends it the revisions that the store counts", func() {
+		l := newChangeLog()
+		l.reset([]ledger.Entry{{Key: "a", Revision: at}}, at, true)
+		reply, err := l.Changes(context.Background(), &signal.ChangesRequest{After: 39, WaitMillis: 1})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Revision).To(Equal(uint64(40)))
+		reply, err = l.Changes(context.Background(), &signal.ChangesRequest{After: 40, WaitMillis: 1})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Snapshot).To(BeFalse())
+		Expect(reply.Changes).To(BeEmpty())
+	})
+
+	It("sends a host of this build that has missed a restore a snapshot", func() {
+		l := newChangeLog()
+		l.reset([]ledger.Entry{{Key: "a", Revision: at}}, at, true)
+		reply, err := l.Changes(context.Background(), &signal.ChangesRequest{After: 90, Era: 2, WaitMillis: 1})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Snapshot).To(BeTrue())
+		Expect(reply.Era).To(Equal(uint32(3)))
+	})
+
+	It("does not use it as a feeder", func() {
+		l := newChangeLog()
+		l.reset(nil, 40, true)
+		f := &feedClient{}
+		DeferCleanup(f.closeConn)
+		_, err := f.changes(context.Background(), serveFeed(l), at)
+		Expect(err).To(MatchError(errOlderFeed))
+	})
+
+	It("ends its terms at its word, by the revisions of the present era", func() {
+		e, _ := newTestElection(newFakeStore())
+		e.clusterState.setPlacer(placerRecord{revision: at})
+		s := &termsServer{election: e}
+		_, err := s.EndTerms(context.Background(), &signal.EndTermsRequest{Before: 41})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.endedBefore).To(Equal(at + 1))
+	})
+})
--- a/jetty/takeover.go
+++ b/jetty/takeover.go
@@ -86,6 +86,18 @@
 	return l
 }
 
+// merge returns the list with the hosts of another one.
+func (l placerList) merge(other placerList) placerList {
+	l.Addresses = slices.Clone(l.Addresses)
+	for _, address := range other.Addresses {
+		if !slices.Contains(l.Addresses, address) {
+			l.Addresses = append(l.Addresses, address)
+		}
+	}
+	l.Incomplete = l.Incomplete || other.Incomplete
+	return l
+}
+
 // takeover ends the terms of earlier placers by calling their hosts. The term of a
 // host that cannot be reached has ended when its orders are too old to be sent;
 // see orderGracePeriod.
@@ -138,10 +150,10 @@
 func (t *takeover) pruneList(ctx context.Context) {
 	list, err := placerList{}.with(t.term.address).encode()
 	if err == nil {
-		_, err = t.term.store.Commit(ctx, ledger.Txn{
+		_, err = t.term.store.Commit(ctx, t.term.fence.guard(ledger.Txn{
 			Expect: []ledger.Expectation{{Key: placerKey, Revision: t.term.revision}},
 			Put:    []ledger.Write{{Key: placerListKey, Value: list}},
-		})
+		}))
 	}
 	if err != nil {
 		// Placers that have ended stay in the list. The next placer waits for
--- a/jetty/term.go
+++ b/jetty/term.go
@@ -47,7 +47,14 @@
 	began mooring.Instant
 	// predecessors lists the earlier placers that may still send orders.
 	predecessors placerList
+	// fence is the record of the store's era.
+	fence eraFence
+	// continued is this host's term in the era before, or nil if another host may have
+	// been the placer since.
+	continued *formerTerm
 
+	// leaseUntil is the instant until which no other host can have been the placer.
+	leaseUntil atomic.Int64
 	// writesUntil and ordersUntil are the instants from which the term must not
 	// send any write or order, in nanoseconds of the clock of bootTimeNow.
 	writesUntil atomic.Int64
@@ -60,15 +67,38 @@
 	TTL     time.Duration
 	Address string
 	Logs    *logs
+	// Era is the store's era as far as this host knows, or 0 if the store states none.
+	Era ledger.Era
+	// Replaces is the revision of the record to replace, or 0 if there is none: one of
+	// this host's earlier term that the store has brought back from an older copy.
+	Replaces ledger.Revision
+	// Restored reports whether this host has seen the store come back.
+	Restored bool
+	// Former is the host's own former term, or nil.
+	Former *formerTerm
 }
 
 // claimTerm makes this host the placer if there is none.
 func claimTerm(ctx context.Context, cfg termConfig) (*term, error) {
+	var fence eraFence
+	if cfg.Era != 0 {
+		var err error
+		if fence, err = raiseEraFence(ctx, cfg.Store); err != nil {
+			return nil, err
+		}
+	}
 	predecessors, listRevision, err := readPlacers(ctx, cfg.Store, cfg.Logs)
 	if err != nil {
 		return nil, err
 	}
 	predecessors = predecessors.without(cfg.Address)
+	continued := cfg.Former.continues(fence.record.Revision.Era())
+	switch {
+	case continued:
+		predecessors = predecessors.merge(cfg.Former.term.predecessors)
+	case fence.mayPrecede(listRevision, cfg.Restored):
+		predecessors.Incomplete = true
+	}
 	list, err := predecessors.with(cfg.Address).encode()
 	if err != nil {
 		return nil, err
@@ -78,15 +108,15 @@
 	if err != nil {
 		return nil, err
 	}
-	revision, err := cfg.Store.Commit(ctx, ledger.Txn{
-		Expect: []ledger.Expectation{{Key: placerKey}, {Key: placerListKey, Revision: listRevision}},
+	revision, err := cfg.Store.Commit(ctx, fence.guard(ledger.Txn{
+		Expect: []ledger.Expectation{{Key: placerKey, Revision: cfg.Replaces}, {Key: placerListKey, Revision: listRevision}},
 		// The placer's record is the last item, since a transaction returns the
 		// revision of its last item, whether each item has its own or not.
 		Put: []ledger.Write{
 			{Key: placerListKey, Value: list},
 			{Key: placerKey, Value: []byte(cfg.Address), Lease: lease},
 		},
-	})
+	}))
 	if err != nil {
 		// If the write took effect nevertheless, the record is removed with its
 		// lease.
@@ -97,7 +127,10 @@
 	}
 	t := &term{
 		store: cfg.Store, lease: lease, ttl: cfg.TTL, logs: cfg.Logs, address: cfg.Address,
-		revision: revision, began: bootTimeNow(), predecessors: predecessors,
+		revision: revision, began: bootTimeNow(), predecessors: predecessors, fence: fence,
+	}
+	if continued {
+		t.continued = cfg.Former
 	}
 	t.confirm(requestedAt)
 	return t, nil
@@ -105,6 +138,7 @@
 
 // confirm extends the term after the store confirmed it at an instant.
 func (t *term) confirm(at mooring.Instant) {
+	t.leaseUntil.Store(int64(at.Add(t.ttl)))
 	t.writesUntil.Store(int64(at.Add(t.ttl - leaseMargin)))
 	t.ordersUntil.Store(int64(at.Add(orderGracePeriod - grantTimeout - leaseMargin)))
 }
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -167,9 +167,24 @@
 		return true
 	}
 	placer := r.election.clusterState.currentPlacer()
+	if placer.revision.Era() > r.term.revision.Era() {
+		return true
+	}
 	return placer.address != "" && placer.revision > r.term.revision
 }
 
+// former returns the term and its tables, for the next term of this host. The runner must
+// have ended.
+func (r *termRunner) former() *formerTerm {
+	f := &formerTerm{term: r.term, tables: make(map[fairway.ServiceName]*mooring.Table)}
+	for service, assigner := range r.assigners {
+		if table := assigner.Table(); table != nil {
+			f.tables[service] = table
+		}
+	}
+	return f
+}
+
 // updateWritesAllowed notifies the assigners when the term loses or regains the
 // right to write to the store.
 func (r *termRunner) updateWritesAllowed(ctx context.Context) {
@@ -267,6 +282,8 @@
 				Service:          service,
 				Now:              r.term.began,
 				PredecessorUntil: r.predecessorUntil,
+				Era:              mooring.Era(r.term.revision.Era()),
+				Recovery:         r.recovery(service),
 				Timing: mooring.Timing{
 					Hold: hold, RenewInterval: grantRenewInterval, HoldMargin: holdMargin, RebalanceInterval: balanceInterval,
 					InitialDelay: minStartupWait, MaxInitialDelay: maxStartupWait, MinWriteInterval: minWriteInterval,
@@ -280,6 +297,26 @@
 	}
 }
 
+// recovery returns what this host knows of a service's assignments that the store may
+// have forgotten.
+func (r *termRunner) recovery(service fairway.ServiceName) mooring.Recovery {
+	restoredAt, restored := r.election.clusterState.restored()
+	recovery := mooring.Recovery{
+		Restored:       restored || r.term.fence.restored,
+		ServersKnownAt: r.term.began,
+	}
+	if known := r.election.admissions.ownersOf(service).current.Load(); known != nil {
+		recovery.KnownTable = known.table
+	}
+	if r.term.continued != nil {
+		recovery.EarlierTable = r.term.continued.tables[service]
+	}
+	if restored {
+		recovery.ServersKnownAt = restoredAt.Add(reregisterTimeout)
+	}
+	return recovery
+}
+
 // updateLoad passes the reported load to the assigners once each loadInterval.
 func (r *termRunner) updateLoad(ctx context.Context) {
 	interval := time.Since(r.observedAt)
@@ -373,23 +410,15 @@
 	}
 }
 
-// load reads the recorded table. It retries until that succeeds.
+// load reads the recorded table. It retries until that succeeds. A table of a later era of
+// the store is for the next term.
 func (w *actionWorker) load(ctx context.Context, service fairway.ServiceName) mooring.Event {
-	e := w.termRunner.election
 	for retry := watchRetryDelay; ; retry = min(2*retry, maxWatchRetryDelay) {
-		entry, err := e.store.Get(ctx, tableKey(service))
-		switch {
-		case err == nil:
-			table, derr := mooring.Decode(entry.Value)
-			if derr == nil {
-				return mooring.TableLoaded{Table: table, Revision: mooring.StoreRevision(entry.Revision)}
-			}
-			e.logs.operationFailed("load table", derr)
-		case ledger.IsKind(err, ledger.KindNotFound):
-			return mooring.TableLoaded{}
-		default:
-			e.logs.operationFailed("load table", err)
+		loaded, err := w.tryLoad(ctx, service)
+		if err == nil {
+			return loaded
 		}
+		w.termRunner.election.logs.operationFailed("load table", err)
 		pause(ctx, retry)
 		if ctx.Err() != nil {
 			return mooring.Tick{}
@@ -397,6 +426,24 @@
 	}
 }
 
+func (w *actionWorker) tryLoad(ctx context.Context, service fairway.ServiceName) (mooring.TableLoaded, error) {
+	entries, revision, err := w.termRunner.election.store.Scan(ctx, tableKey(service))
+	switch {
+	case err != nil:
+		return mooring.TableLoaded{}, err
+	case revision.Era() != w.termRunner.term.revision.Era():
+		return mooring.TableLoaded{}, errTermEnded
+	}
+	for _, e := range entries {
+		if e.Key != tableKey(service) {
+			continue
+		}
+		table, err := mooring.Decode(e.Value)
+		return mooring.TableLoaded{Table: table, Revision: mooring.StoreRevision(e.Revision)}, err
+	}
+	return mooring.TableLoaded{}, nil
+}
+
 // write records a table in the store, on condition that this host is still the
 // placer and that the table has not changed.
 func (w *actionWorker) write(ctx context.Context, service fairway.ServiceName, a mooring.WriteTable) mooring.Event {
@@ -409,13 +456,13 @@
 		e.logs.operationFailed("write table", err)
 		return mooring.WriteFailed{}
 	}
-	revision, err := e.store.Commit(ctx, ledger.Txn{
+	revision, err := e.store.Commit(ctx, w.termRunner.term.fence.guard(ledger.Txn{
 		Expect: []ledger.Expectation{
 			{Key: placerKey, Revision: w.termRunner.term.revision},
 			{Key: tableKey(service), Revision: ledger.Revision(a.Revision)},
 		},
 		Put: []ledger.Write{{Key: tableKey(service), Value: data}},
-	})
+	}))
 	if err != nil {
 		e.logs.operationFailed("write table", err)
 		return mooring.WriteFailed{}
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -222,6 +222,7 @@
 		w.logs.storeRestored(w.revision, revision)
 		w.unconfirmedUntil = time.Now().Add(reregisterTimeout)
 		w.restoredAt = revision
+		w.clusterState.setRestored(bootTimeNow())
 	}
 	changes := make([]ledger.Change, 0, len(entries))
 	listed := make(map[string]bool, len(entries))
@@ -323,7 +324,11 @@
 		w.logs.recordUnreadable(UnreadableRecord{Key: c.Key, Err: err})
 		return
 	}
-	w.admissions.ownersOf(fairway.ServiceName(name)).update(monotonicNow(), table, mooring.StoreRevision(c.Revision))
+	owners := w.admissions.ownersOf(fairway.ServiceName(name))
+	if c.Revision <= w.restoredAt && owners.knowsLater(table) {
+		return
+	}
+	owners.update(monotonicNow(), table, mooring.StoreRevision(c.Revision))
 }
 
 // updateServers changes the catalog. A server that is missing soon after an
--- a/jetty/watcher_test.go
+++ b/jetty/watcher_test.go
@@ -154,7 +154,10 @@
 		forged := fairway.Endpoint{ID: "f", Service: "forged", Address: owner.Address, Incarnation: 2, Slots: 4}
 		config, err := fairway.NewConfig(1, fairway.Limits{}, nil, []*fairway.Service{{Name: "readings", Divided: true}})
 		Expect(err).NotTo(HaveOccurred())
-		e := &election{clusterState: newClusterState(fairway.NewActiveConfig()), loadCollector: newLoadCollector(), maxHold: grantHold}
+		e := &election{
+			clusterState: newClusterState(fairway.NewActiveConfig()), admissions: newAdmissionSet(admissionSetConfig{}),
+			loadCollector: newLoadCollector(), maxHold: grantHold,
+		}
 		e.clusterState.activeConfig.SetIfNewer(config)
 		e.clusterState.servers.Store(fairway.NewCatalog([]fairway.Endpoint{owner, forged}))
 		r := &termRunner{
--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -36,7 +36,11 @@
 	// reason is that a placer continues to renew grants for some time after it
 	// has lost its connection to the store.
 	PredecessorUntil Instant
-	Timing           Timing
+	// Era is the store's era in which the term began.
+	Era Era
+	// Recovery is what is known if the store came back from an older copy.
+	Recovery Recovery
+	Timing   Timing
 }
 
 // Assigner assigns the keys of one service to backend servers. It is a state
@@ -55,6 +59,11 @@
 
 	recorded *Table
 	revision StoreRevision
+	// restored is a loaded table that the store has brought back from an older copy,
+	// until the recovered one is recorded. There is no recorded table meanwhile.
+	// restoredToken is its next token as the store has it.
+	restored      *Table
+	restoredToken Token
 	// pending is the table of the write in flight, or nil.
 	pending *Table
 	loading bool
@@ -117,9 +126,12 @@
 	case TableLoaded:
 		a.tableLoaded(e)
 	case WriteSucceeded:
+		if a.restored != nil {
+			a.restored, a.recorded = nil, a.pending
+		}
 		a.setRecorded(a.pending, e.Revision)
 	case WriteFailed:
-		a.pending = nil
+		a.pending, a.restored = nil, nil
 		a.reload()
 	case CatalogUpdated:
 		a.catalog = e.Catalog
@@ -154,9 +166,16 @@
 
 func (a *Assigner) tableLoaded(e TableLoaded) {
 	a.loading = false
-	table := e.Table
-	if table == nil {
-		table = NewTable(a.cfg.Service)
+	table := NewTable(a.cfg.Service)
+	if e.Table != nil {
+		table = e.Table.clone()
+	}
+	restored := a.recorded == nil && a.isRestored(table)
+	nextToken := table.NextToken
+	table.NextToken = max(nextToken, firstToken(a.cfg.Era))
+	if restored {
+		a.restored, a.restoredToken, a.revision = table, nextToken, e.Revision
+		return
 	}
 	a.setRecorded(table, e.Revision)
 }
@@ -288,6 +307,10 @@
 // those of the newer table, and a grant extends the time for which the newer
 // table waits for the former owner.
 func (a *Assigner) plan() {
+	if a.restored != nil {
+		a.recover()
+		return
+	}
 	if a.recorded == nil {
 		if !a.writesBlocked {
 			a.reload()
@@ -332,20 +355,26 @@
 	}
 }
 
-// unreleased returns the first former owner that may still hold keys of an
-// assignment. What was proved of the others stays proved: a grant of other keys
+// unreleased returns a former owner that may still hold keys of an assignment, one that
+// can be sent an order if there is any. What was proved of the others stays proved: a grant of other keys
 // to one of them must not interrupt the grants of the next owner, which may have
 // begun.
 func (a *Assigner) unreleased(r *Assignment) (ServerInstance, bool) {
 	state := a.stateOf(r)
+	var blocked ServerInstance
 	for _, instance := range r.FormerOwners {
-		proof := a.proofOf(r, instance)
-		if proof == "" {
+		if proof := a.proofOf(r, instance); proof != "" {
+			state.cleared[instance] = proof
+			continue
+		}
+		if s := a.server(instance); s.canSend(a.now) && !s.isGranting(r) {
 			return instance, true
 		}
-		state.cleared[instance] = proof
+		if blocked.Server == "" {
+			blocked = instance
+		}
 	}
-	return ServerInstance{}, false
+	return blocked, blocked.Server != ""
 }
 
 // release emits an order to a former owner to release the assignment at index
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -220,6 +220,7 @@
 	ReasonFormerOwnerCleared Reason = "former_owner_cleared"
 	ReasonTokenSuperseded    Reason = "token_superseded"
 	ReasonSessionEnded       Reason = "session_ended"
+	ReasonStoreRestored      Reason = "store_restored"
 )
 
 // Proof is why a former owner cannot hold any keys of an assignment.
--- a/mooring/simulation_test.go
+++ b/mooring/simulation_test.go
@@ -55,6 +55,15 @@
 	// writeLimit is how long after the beginning of an outage the placer knows
 	// that its lease may have expired.
 	writeLimit = placerLease - 100*time.Millisecond
+	// copyAge is the age of the copy from which the store comes back after
+	// storeAbsence. Servers that it has forgotten are registered again after
+	// rewriteDelay, and all are after serversKnown.
+	copyAge      = 2 * time.Second
+	storeAbsence = 300 * time.Millisecond
+	rewriteDelay = 1500 * time.Millisecond
+	serversKnown = 2200 * time.Millisecond
+	// watchLag is how long after a write other hosts have read it.
+	watchLag = 250 * time.Millisecond
 	// storeRetryDelay is the time between two attempts to read the table.
 	storeRetryDelay = 100 * time.Millisecond
 )
@@ -83,12 +92,20 @@
 	faultStoreOut       fault = "store goes out"
 	faultStoreOutLater  fault = "store goes out after the call"
 	faultStoreForgetful fault = "store goes out during the call and forgets its leases"
+	// The store comes back from an older copy, and the next placer is the host of the
+	// former one, or another host that cannot ask it, since it is lost or cut off from all
+	// but the servers.
+	faultRestored         fault = "store is restored"
+	faultRestoredTwice    fault = "store is restored twice"
+	faultRestoredLost     fault = "store is restored and the placer is lost"
+	faultRestoredIsolated fault = "store is restored and the placer is isolated"
 )
 
 var faults = []fault{
 	faultLost, faultResponseLost, faultLate, faultPlacerDies, faultServerDies, faultServerRestarts,
 	faultAddressReused, faultNetworkCut, faultDrain, faultPartition,
 	faultHalfCut, faultPathHangs, faultPathRefused, faultPathMoves, faultStoreOut, faultStoreOutLater, faultStoreForgetful,
+	faultRestored, faultRestoredTwice, faultRestoredLost, faultRestoredIsolated,
 }
 
 // simServer is one instance of a backend server.
@@ -97,6 +114,7 @@
 	// registered is the instance that the catalog has, which may be an earlier one.
 	registered mooring.ServerInstance
 	up         bool
+	startedAt  mooring.Instant
 	// cutUntil is until when the placer cannot reach the server.
 	cutUntil mooring.Instant
 	// dropsResponses is set for servers that execute orders but whose responses
@@ -141,8 +159,21 @@
 	incarnation fairway.Incarnation
 	recorded    *mooring.Table
 	revision    mooring.StoreRevision
-	term        int
-	assigner    *mooring.Assigner
+	// history has the writes that took effect.
+	history []recordedTable
+	// era counts the restores of the store, the last of which was at restoredAt.
+	// fenced is the era in which a term has begun since.
+	era        mooring.Era
+	fenced     mooring.Era
+	restoredAt mooring.Instant
+	// earlier is the table of the next placer's own term before the restore, if it had
+	// one, and known the newest table that its host had read. The store's list of placers is
+	// incomplete until incompleteUntil.
+	earlier         *mooring.Table
+	known           *mooring.Table
+	incompleteUntil mooring.Instant
+	term            int
+	assigner        *mooring.Assigner
 	// formerAssigner belongs to a placer that a partition has cut off from the
 	// store and from the servers on the other side, but not from its own side.
 	formerAssigner *mooring.Assigner
@@ -177,11 +208,19 @@
 	mostInFlight    int
 }
 
+// recordedTable is a table as the store recorded it.
+type recordedTable struct {
+	at       mooring.Instant
+	table    *mooring.Table
+	revision mooring.StoreRevision
+}
+
 func newSimulation(servers int) *simulation {
 	sim := &simulation{
 		now:          mooring.Instant(time.Minute),
 		servers:      make(map[fairway.ServerID]*simServer),
 		incarnation:  1000,
+		era:          1,
 		highestToken: make(map[mooring.Key]mooring.Token),
 		lastOwner:    make(map[mooring.Key]mooring.ServerInstance),
 		faultAt:      make(map[int]fault),
@@ -207,7 +246,7 @@
 	instance := mooring.ServerInstance{Server: id, Incarnation: sim.incarnation, Address: address}
 	s := &simServer{
 		instance: instance, registered: instance,
-		up: true, listed: true,
+		up: true, listed: true, startedAt: sim.now,
 		tokens:    make([]mooring.Token, len(sampledKeys)),
 		heldUntil: make([]mooring.Instant, len(sampledKeys)),
 	}
@@ -302,7 +341,7 @@
 		return
 	}
 	sim.beginTerm()
-	if sim.formerAssigner == nil {
+	if sim.formerAssigner == nil && sim.now >= sim.incompleteUntil {
 		// The former placer's process has ended, which its host confirms.
 		sim.step(sim.term, mooring.PredecessorEnded{At: sim.now})
 	}
@@ -311,9 +350,15 @@
 // beginTerm begins a term with a new assigner.
 func (sim *simulation) beginTerm() {
 	sim.term++
+	sim.fenced = sim.era
 	sim.assigner = mooring.NewAssigner(mooring.AssignerConfig{
 		Service: service, Now: sim.now, PredecessorUntil: sim.now.Add(predecessorOrderLimit), Timing: timing,
+		Era: sim.era,
+		Recovery: mooring.Recovery{
+			Restored: sim.era > 1, EarlierTable: sim.earlier, KnownTable: sim.known, ServersKnownAt: sim.restoredAt.Add(serversKnown),
+		},
 	})
+	sim.earlier = nil
 	sim.step(sim.term, mooring.CatalogUpdated{Catalog: sim.catalog()})
 }
 
@@ -428,6 +473,56 @@
 	})
 }
 
+// restoreStore has the store come back from an older copy. The next placer is the host of
+// the former one, which has not ended its term, if same is set.
+func (sim *simulation) restoreStore(same bool) {
+	if sim.now < sim.storeOutUntil {
+		return
+	}
+	sim.storeOutUntil = sim.now.Add(storeAbsence)
+	copied := recordedTable{}
+	for _, r := range sim.history {
+		if sim.now.Sub(r.at) >= copyAge {
+			copied = r
+		}
+		if sim.now.Sub(r.at) >= watchLag {
+			sim.known = r.table
+		}
+	}
+	copiedAt := sim.now - mooring.Instant(copyAge)
+	term := sim.term
+	sim.schedule(storeAbsence, func() {
+		sim.recorded, sim.revision = copied.table, copied.revision
+		sim.era++
+		sim.restoredAt = sim.now
+		sim.forgetServers(copiedAt)
+		if sim.assigner == nil || term != sim.term {
+			sim.incompleteUntil = sim.now.Add(predecessorOrderLimit)
+			return
+		}
+		if sim.fenced+1 == sim.era {
+			sim.earlier = sim.assigner.Table()
+		}
+		if !same {
+			sim.earlier = nil
+			sim.incompleteUntil = sim.now.Add(predecessorOrderLimit)
+		}
+		sim.assigner = nil
+		sim.term++
+		sim.schedule(pathClaim, sim.startPlacer)
+	})
+}
+
+// forgetServers removes the registrations since an instant, which are written again.
+func (sim *simulation) forgetServers(since mooring.Instant) {
+	for _, s := range sim.servers {
+		if s.listed && s.startedAt > since {
+			s.listed = false
+			sim.schedule(rewriteDelay, func() { s.listed = s.up; sim.updateCatalog() })
+		}
+	}
+}
+
 // storeUnreachable reports whether the placer of a term cannot reach the store.
 func (sim *simulation) storeUnreachable(term int) bool {
 	return sim.now < sim.storeOutUntil || sim.formerAssigner != nil && term == sim.formerTerm
@@ -523,12 +618,29 @@
 		sim.stopStore(storeOutage, false)
 	case faultStoreForgetful:
 		sim.stopStore(storeOutage, true)
+	case faultRestored:
+		sim.restoreStore(true)
+	case faultRestoredTwice:
+		sim.restoreStore(true)
+		sim.schedule(copyAge/2, func() { sim.restoreStore(true) })
+	case faultRestoredLost:
+		sim.restoreStore(false)
+	case faultRestoredIsolated:
+		if sim.assigner != nil && sim.formerAssigner == nil && sim.now >= sim.storeOutUntil {
+			sim.isolatePlacer(partitionTime)
+			sim.restoreStore(false)
+		}
 	default:
 	}
 }
 
 func (sim *simulation) write(term int, a mooring.WriteTable, injected fault) {
+	era := sim.era
 	apply := func() bool {
+		// Since the first term of an era, no write of an earlier one takes effect.
+		if era < sim.fenced {
+			return false
+		}
 		// A write of an earlier term fails because the placer's record has
 		// changed. A term lasts until the next one begins.
 		if a.Revision != sim.revision || term < sim.term-1 || term != sim.term && sim.assigner != nil {
@@ -536,6 +648,7 @@
 		}
 		sim.revision++
 		sim.recorded = a.Table
+		sim.history = append(sim.history, recordedTable{at: sim.now, table: a.Table, revision: sim.revision})
 		return true
 	}
 	if sim.storeUnreachable(term) {
