--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -261,6 +261,13 @@
 	o.testbed.checker.log("configuration %d", o.version)
 }
 
+// rewrite writes the configuration in force again.
+func (o *operator) rewrite() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.testbed.store.Put("op/config", platformtest.Configuration(o.version))
+}
+
 func (o *operator) newestVersion() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -16,6 +16,7 @@
 //	soak --daemon bin/hornbeamwinchd --seed 7 --for 30s --log-dir /tmp/soak
 //	soak --daemon bin/hornbeamwinchd --seeds 50
 //	soak --daemon bin/hornbeamwinchd --seeds 50 --planned
+//	soak --daemon bin/hornbeamwinchd --seeds 50 --restores
 //
 // It prints the timeline and each violation, and exits with 1 if there was one.
 // With --log-dir, the logs of the hosts are kept.
@@ -40,6 +41,7 @@
 	Processes int           `long:"processes" default:"5" description:"number of entry hosts"`
 	Callers   int           `long:"callers" default:"8" description:"number of callers"`
 	Planned   bool          `long:"planned" description:"inject planned faults only for each seed, not only for every third one"`
+	Restores  bool          `long:"restores" description:"have the store come back from older copies in each seed"`
 	LogDir    string        `long:"log-dir" description:"directory in which logs are kept; if not given, they are removed"`
 	Verbose   bool          `long:"verbose" description:"also print the timeline of seeds without a violation"`
 }
@@ -84,8 +86,14 @@
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
-	planned := o.Planned || plannedOnly(seed)
-	tb, err := newTestbed(testbedConfig{Daemon: o.Daemon, Hosts: o.Processes, Callers: o.Callers, Dir: dir, Seed: seed, Planned: planned})
+	m := mixOf(seed)
+	switch {
+	case o.Restores:
+		m = mixRestores
+	case o.Planned:
+		m = mixPlanned
+	}
+	tb, err := newTestbed(testbedConfig{Daemon: o.Daemon, Hosts: o.Processes, Callers: o.Callers, Dir: dir, Seed: seed, Mix: m})
 	if err != nil {
 		return 0, err
 	}
@@ -93,7 +101,7 @@
 	if err := tb.startTraffic(); err != nil {
 		return 0, err
 	}
-	tb.runSchedule(newSchedule(seed, planned, o.For, o.Processes))
+	tb.runSchedule(newSchedule(seed, m, o.For, o.Processes))
 	tb.finish()
 	violations := tb.checker.violations()
 	if len(violations) > 0 || o.Verbose {
--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -40,6 +40,9 @@
 	storeLosesAnswers struct{}
 	// storeForgets compacts the store's change history.
 	storeForgets struct{}
+	// storeRestored has the store come back from a copy that is some seconds old. The
+	// operator and the servers write again what it has lost.
+	storeRestored struct{}
 	// serverKilled kills a server. Its registration is removed 2.6 s later, and
 	// another server replaces it.
 	serverKilled struct{}
@@ -67,6 +70,7 @@
 func (storeOut) fault()           {}
 func (storeLosesAnswers) fault()  {}
 func (storeForgets) fault()       {}
+func (storeRestored) fault()      {}
 func (serverKilled) fault()       {}
 func (serverReborn) fault()       {}
 func (serverLeaves) fault()       {}
@@ -118,6 +122,19 @@
 	serverLeaves{},
 }
 
+// restoreKinds are the faults of schedules in which the store comes back from older
+// copies, several times and also during planned work.
+var restoreKinds = slices.Concat(faultKinds, []fault{hostsRoll{}, configChanges{}, storeRestored{}, storeRestored{}, storeRestored{}})
+
+// mix selects the kinds of faults of a schedule.
+type mix string
+
+const (
+	mixAny      mix = "any"
+	mixPlanned  mix = "planned"
+	mixRestores mix = "restores"
+)
+
 // isPlanned reports whether a fault is planned work, in which no request may be
 // lost.
 func isPlanned(f fault) bool {
@@ -127,10 +144,12 @@
 // plannedShare is one in how many seeds has planned faults only.
 const plannedShare = 3
 
-// plannedOnly reports whether the schedule of a seed has planned faults only, unless
-// the command line says that all have.
-func plannedOnly(seed uint64) bool {
-	return seed%plannedShare == 0
+// mixOf returns the mix of a seed, unless the command line says another one.
+func mixOf(seed uint64) mix {
+	if seed%plannedShare == 0 {
+		return mixPlanned
+	}
+	return mixAny
 }
 
 // step is one fault of a schedule.
@@ -159,14 +178,17 @@
 	maxTarget   = 1000
 )
 
-// newSchedule draws the faults of a run from the seed, if planned is true only
-// planned ones. Some are followed by further faults against the same target, planned
-// ones more often.
-func newSchedule(seed uint64, planned bool, duration time.Duration, hosts int) []step {
+// newSchedule draws the faults of a run from the seed. Some are followed by further
+// faults against the same target, planned ones more often.
+func newSchedule(seed uint64, m mix, duration time.Duration, hosts int) []step {
 	rng := rand.New(rand.NewPCG(seed, uint64(hosts)))
 	kinds, gap, series := faultKinds, meanGap, 5
-	if planned {
+	switch m {
+	case mixPlanned:
 		kinds, gap, series = plannedKinds, plannedGap, 3
+	case mixRestores:
+		kinds = restoreKinds
+	default:
 	}
 	var steps []step
 	for at := time.Duration(0); at < duration; at += time.Duration(rng.Int64N(int64(2 * gap))) {
--- a/cmd/soak/server.go
+++ b/cmd/soak/server.go
@@ -101,6 +101,23 @@
 	srv.drainingSince = time.Now()
 }
 
+// rewrite has the running servers register again, and removes the registrations of the
+// others.
+func (s *servers) rewrite() {
+	running := make(map[string]bool)
+	for _, srv := range s.list() {
+		if srv.running {
+			running[srv.id] = true
+			srv.process.Register()
+		}
+	}
+	for _, srv := range s.list() {
+		if !running[srv.id] {
+			srv.process.Deregister()
+		}
+	}
+}
+
 // list returns copies of all servers in their current state.
 func (s *servers) list() []server {
 	s.mu.Lock()
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -19,16 +19,16 @@
 
 var _ = Describe("The schedule", func() {
 	It("depends on the seed alone", func() {
-		a, b := newSchedule(7, false, 20*time.Second, 5), newSchedule(7, false, 20*time.Second, 5)
+		a, b := newSchedule(7, mixAny, 20*time.Second, 5), newSchedule(7, mixAny, 20*time.Second, 5)
 		Expect(a).To(Equal(b))
-		Expect(newSchedule(8, false, 20*time.Second, 5)).NotTo(Equal(a))
+		Expect(newSchedule(8, mixAny, 20*time.Second, 5)).NotTo(Equal(a))
 	})
 
 	It("has every kind of fault, some of them at the same time", func() {
 		seen := map[fault]bool{}
 		overlapping := 0
 		for seed := range uint64(20) {
-			steps := newSchedule(seed, plannedOnly(seed), 20*time.Second, 5)
+			steps := slices.Concat(newSchedule(seed, mixOf(seed), 20*time.Second, 5), newSchedule(seed, mixRestores, 20*time.Second, 5))
 			for i, s := range steps {
 				seen[s.fault] = true
 				if i > 0 && steps[i-1].at+steps[i-1].duration > s.at {
@@ -36,7 +36,7 @@
 				}
 			}
 		}
-		for _, f := range slices.Concat(faultKinds, plannedKinds) {
+		for _, f := range slices.Concat(faultKinds, plannedKinds, restoreKinds) {
 			Expect(seen).To(HaveKey(f))
 		}
 		Expect(overlapping).To(BeNumerically(">", 100))
@@ -45,7 +45,7 @@
 	It("has planned faults only if told so", func() {
 		overlapping := 0
 		for seed := range uint64(20) {
-			steps := newSchedule(seed, true, 20*time.Second, 5)
+			steps := newSchedule(seed, mixPlanned, 20*time.Second, 5)
 			for i, s := range steps {
 				Expect(isPlanned(s.fault)).To(BeTrue(), "%v", s)
 				if i > 0 && steps[i-1].at+steps[i-1].duration > s.at {
@@ -70,6 +70,10 @@
 	3047,
 }
 
+// restoreSeeds are the seeds of the schedules with restores of the store that the tests
+// run.
+var restoreSeeds = []uint64{1, 2}
+
 var _ = Describe("Hosts under faults", Ordered, func() {
 	var daemon string
 	BeforeAll(func() {
@@ -80,22 +84,27 @@
 		DeferCleanup(gexec.CleanupBuildArtifacts)
 	})
 
+	violateNothing := func(seed uint64, m mix) {
+		GinkgoHelper()
+		dir, err := os.MkdirTemp("", "soak")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(os.RemoveAll, dir)
+		tb, err := newTestbed(testbedConfig{Daemon: daemon, Hosts: 4, Callers: 4, Dir: dir, Seed: seed, Mix: m})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(tb.close)
+		Expect(tb.startTraffic()).To(Succeed())
+		tb.runSchedule(newSchedule(seed, m, 8*time.Second, 4))
+		tb.finish()
+		Expect(tb.checker.violations()).To(BeEmpty(), "seed %d", seed)
+	}
 	for _, seed := range seeds {
 		text := "violate no guarantee"
-		if plannedOnly(seed) {
+		if mixOf(seed) == mixPlanned {
 			text += " under planned work"
 		}
-		It(text, func() {
-			dir, err := os.MkdirTemp("", "soak")
-			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(os.RemoveAll, dir)
-			tb, err := newTestbed(testbedConfig{Daemon: daemon, Hosts: 4, Callers: 4, Dir: dir, Seed: seed, Planned: plannedOnly(seed)})
-			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(tb.close)
-			Expect(tb.startTraffic()).To(Succeed())
-			tb.runSchedule(newSchedule(seed, plannedOnly(seed), 8*time.Second, 4))
-			tb.finish()
-			Expect(tb.checker.violations()).To(BeEmpty(), "seed %d", seed)
-		})
+		It(text, func() { violateNothing(seed, mixOf(seed)) })
+	}
+	for _, seed := range restoreSeeds {
+		It("violate no guarantee while the store comes back from older copies", func() { violateNothing(seed, mixRestores) })
 	}
 })
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -24,8 +24,8 @@
 	Callers int
 	Dir     string
 	Seed    uint64
-	// Planned makes the requests long, for a schedule of planned faults only.
-	Planned bool
+	// Mix is that of the schedule. With planned faults only, the requests are long.
+	Mix mix
 }
 
 const (
@@ -65,6 +65,7 @@
 	servers     *servers
 	hosts       []*host
 	op          *operator
+	copies      *storeCopies
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -94,7 +95,8 @@
 	tb := &testbed{cfg: cfg, checker: newChecker(), store: platformtest.NewStore()}
 	tb.storeServer = httptest.NewServer(tb.store)
 	tb.servers = &servers{store: tb.store}
-	tb.longRequests.Store(cfg.Planned)
+	tb.copies = &storeCopies{store: tb.store}
+	tb.longRequests.Store(cfg.Mix == mixPlanned)
 	tb.op = &operator{testbed: tb, caller: newCaller(tb, -1), version: 1}
 	tb.store.Put("op/config", platformtest.Configuration(1))
 	for i := range dividedServers + undividedServers {
@@ -155,8 +157,9 @@
 	tb.cancel = cancel
 	tb.startLoop(ctx, tb.checkHoldersLoop)
 	tb.startLoop(ctx, tb.op.run)
+	tb.startLoop(ctx, tb.copies.loop)
 	callers := tb.cfg.Callers
-	if tb.cfg.Planned {
+	if tb.cfg.Mix == mixPlanned {
 		callers *= longCallers
 	}
 	for n := range callers {
@@ -308,6 +311,8 @@
 		})
 	case storeForgets:
 		tb.store.Compact()
+	case storeRestored:
+		tb.restoreStore(s)
 	default:
 		tb.injectServerFault(s, tb.servers.pick(s.target))
 	}
