--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -25,6 +25,8 @@
 	routeMeans map[fairway.RouteName]*routeMeans
 	// stats has the measurements of each server since the last report.
 	stats map[fairway.ServerID]*serverStats
+	// onWait, if set, is called when a request begins to wait while a server has a limit.
+	onWait func()
 }
 
 // routeMeans are moving averages over the responses on a route.
@@ -62,7 +64,11 @@
 	}
 	decided := make(chan sluice.Decision, 1)
 	a.waiting[req.ID] = decided
+	limited := a.controller.Limited()
 	a.mu.Unlock()
+	if limited && a.onWait != nil {
+		a.onWait()
+	}
 	select {
 	case decision = <-decided:
 		return decision
@@ -162,6 +168,31 @@
 	a.deliver(a.controller.Reevaluate(now))
 }
 
+// setLimit sets what is known of the limit of a server.
+func (a *admission) setLimit(instance sluice.ServerInstance, e sluice.LimitEvidence) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.SetLimit(instance, e.Limit, e.Limited())
+	a.deliver(a.controller.Reevaluate(monotonicNow()))
+}
+
+// slotRequests returns the slots of limited servers to ask for.
+func (a *admission) slotRequests() []sluice.SlotRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.controller.Limited() {
+		return nil
+	}
+	return a.controller.SlotRequests(monotonicNow())
+}
+
+// addSlots adds the slots that were given out for a request.
+func (a *admission) addSlots(r sluice.SlotRequest, slots sluice.Slots) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.deliver(a.controller.AddSlots(monotonicNow(), r, slots))
+}
+
 // restore ends the suspicion of all servers within a short time.
 func (a *admission) restore() {
 	a.mu.Lock()
@@ -255,6 +286,9 @@
 	// ReassignmentDelay is how long a key has no owner after its owner has
 	// become unresponsive.
 	ReassignmentDelay time.Duration
+	// OnWait, if set, is called when a request begins to wait while a server of its
+	// service has a limit.
+	OnWait func()
 }
 
 func newAdmissionSet(cfg admissionSetConfig) *admissionSet {
@@ -305,6 +339,7 @@
 		requestsByKey: make(map[mooring.Key]int),
 		routeMeans:    make(map[fairway.RouteName]*routeMeans),
 		stats:         make(map[fairway.ServerID]*serverStats),
+		onWait:        s.cfg.OnWait,
 	}
 	if service.Divided {
 		a.owners = s.ownersLocked(service.Name)
--- a/jetty/election.go
+++ b/jetty/election.go
@@ -30,6 +30,7 @@
 	logs          *logs
 	metrics       *metrics
 	reach         *reach
+	limits        *limits
 	address       string
 	ttl           time.Duration
 	maxHold       time.Duration
@@ -80,6 +81,12 @@
 	return e.termRunner() != nil
 }
 
+// mayWrite reports whether this host is the placer and no other one can be yet.
+func (e *election) mayWrite() bool {
+	r := e.termRunner()
+	return r != nil && r.term.mayWrite()
+}
+
 // run claims the placer's record whenever there is no placer.
 func (e *election) run(ctx context.Context) {
 	defer e.termRunners.Wait()
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -22,6 +22,7 @@
 	eventHostStopped          event = "host_stopped"
 	eventHostStopping         event = "host_stopping"
 	eventKeysMoved            event = "keys_moved"
+	eventLimitChanged         event = "server_limit"
 	eventOperationFailed      event = "operation_failed"
 	eventOrderAnswered        event = "order_answered"
 	eventPlacerChanged        event = "placer_changed"
@@ -52,6 +53,7 @@
 	eventHostStopped,
 	eventHostStopping,
 	eventKeysMoved,
+	eventLimitChanged,
 	eventOperationFailed,
 	eventOrderAnswered,
 	eventPlacerChanged,
--- a/jetty/fake_test.go
+++ b/jetty/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -163,6 +164,12 @@
 	return Headers{RequestID: "Id", TimeLeft: "Left", ExpectedInstance: "Expected", Key: "Key", Signature: "Signed", NotRun: "Not-Run"}
 }
 
+// DecodeLimit implements Protocol.
+func (fakeProtocol) DecodeLimit(header http.Header) (ServerLimit, bool) {
+	perSecond, err := strconv.ParseFloat(header.Get("Limit"), 64)
+	return ServerLimit{Named: err == nil, PerSecond: perSecond}, err == nil || header.Get("Limit") == ""
+}
+
 // Decode implements Protocol.
 func (fakeProtocol) Decode(e ledger.Entry, _ time.Time) Record {
 	if id, ok := strings.CutPrefix(e.Key, "server/"); ok {
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -102,7 +102,9 @@
 	clusterState *clusterState
 	reach        reachability
 	// relay passes requests on to peers; nil means that none are passed on.
-	relay   *relayClient
+	relay *relayClient
+	// limits records the limits that servers name; nil means that they do not count.
+	limits  *limits
 	drain   *drain
 	logs    *logs
 	metrics *metrics
@@ -334,6 +336,7 @@
 	m.Header.Set(f.headers.ExpectedInstance, string(s.ID))
 	left := max(time.Until(r.deadline), minServerTimeout)
 	m.Header.Set(f.headers.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	sentAt := monotonicNow()
 	httpResp, err := c.roundTrip(ctx, &m, f.headers.RequestID, r.id)
 	if kindOf(err) != KindCanceled {
 		f.reach.recordExchange(s.ID, err)
@@ -342,6 +345,10 @@
 		f.upstream.discard(p, c)
 		return nil, err
 	}
+	// Another server at the address may have written a 421.
+	if f.limits != nil && httpResp.StatusCode != http.StatusMisdirectedRequest {
+		f.limits.observe(s, sentAt, monotonicNow(), httpResp.Header)
+	}
 	return f.readResponse(ctx, r, s, c, p, httpResp)
 }
 
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -87,6 +87,7 @@
 	reach         *reach
 	peerConns     *peerConns
 	relayServer   *relayServer
+	limits        *limits
 
 	httpServers     []*http.Server
 	ingressListener net.Listener
@@ -113,12 +114,15 @@
 	}
 	h.reach = newReach(h.clusterState, h.upstream, h.restoreServers)
 	h.upstream.reach, h.orderUpstream.reach = h.reach, h.reach
+	h.limits = newLimits(&limits{protocol: cfg.Protocol, clusterState: h.clusterState, logs: h.logs, address: s.PeerAddress})
 	h.admissions = newAdmissionSet(admissionSetConfig{
+		OnWait:            h.limits.startWaiting,
 		Host:              s.Host,
 		Domain:            s.Domain,
 		ReassignmentDelay: min(grantHold, s.Bounds.MaxHold) + holdMargin,
 		Budget:            sluice.RetryBudgetConfig{Window: s.Bounds.BudgetWindow, Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra},
 	})
+	h.limits.admissions = h.admissions
 	h.watcher = &watcher{
 		store: cfg.Store, protocol: cfg.Protocol, clusterState: h.clusterState, admissions: h.admissions, logs: h.logs,
 		changeLog: newChangeLog(), address: s.PeerAddress, onChange: h.refresh,
@@ -133,6 +137,7 @@
 		logs:          h.logs,
 		metrics:       h.metrics,
 		reach:         h.reach,
+		limits:        h.limits,
 		address:       s.PeerAddress,
 		ttl:           max(placerLeaseTTL, s.MinLease),
 		maxHold:       s.Bounds.MaxHold,
@@ -140,15 +145,17 @@
 		wake:          make(chan struct{}, 1),
 	}
 	h.loadCollector.isPlacer = h.election.active
+	h.loadCollector.limits = h.limits
+	h.limits.mayGive = h.election.mayWrite
 	h.reporter = &reporter{
 		host: s.Host, domain: s.Domain, address: s.PeerAddress, linkMbps: s.LinkMbps,
-		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, logs: h.logs,
+		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, limits: h.limits, logs: h.logs,
 		onHostsChange: h.refresh, shuttingDown: h.shuttingDown.Load,
 	}
 	h.callers = newCallerConns()
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, clusterState: h.clusterState,
-		reach: h.reach, drain: h.drain, logs: h.logs, metrics: h.metrics,
+		reach: h.reach, limits: h.limits, drain: h.drain, logs: h.logs, metrics: h.metrics,
 		relay: &relayClient{
 			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach,
 		},
@@ -201,6 +208,7 @@
 	h.launch(ctx, h.watcher.run)
 	h.launch(ctx, h.election.run)
 	h.launch(ctx, h.reporter.run)
+	h.launch(ctx, h.limits.run)
 	h.launch(ctx, h.sweepLoop)
 	h.launch(ctx, h.reach.run)
 	h.launch(ctx, h.reloadLoop)
@@ -274,6 +282,7 @@
 	signal.RegisterLoadsServer(h.peerServer, h.loadCollector)
 	signal.RegisterFeedServer(h.peerServer, h.watcher.changeLog)
 	signal.RegisterRelayServer(h.peerServer, h.relayServer)
+	signal.RegisterLimitsServer(h.peerServer, h.limits)
 	signal.RegisterTermsServer(h.peerServer, &termsServer{election: h.election})
 	l := &serverLoop{serve: h.peerServer.Serve, listener: listener, logs: h.logs}
 	h.loops.Go(l.run)
--- /dev/null
+++ b/jetty/limits.go
@@ -0,0 +1,397 @@
+package jetty
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/mooring"
+	"hornbeamwinch.example/signal"
+	"hornbeamwinch.example/sluice"
+)
+
+const (
+	// slotInterval is the time between two checks whether slots are needed, besides
+	// those when a request begins to wait.
+	slotInterval = 50 * time.Millisecond
+	// takeSlotsTimeout bounds a call for slots. Until it has failed, the host has none.
+	takeSlotsTimeout = 200 * time.Millisecond
+	// freeMemory is how long it is remembered that a server names no limit any more.
+	freeMemory = 30 * time.Second
+	// ownSlotsShare is the part of a limit that all hosts together use while they have
+	// no placer to ask.
+	ownSlotsShare = 0.5
+	// maxLimitReports bounds the limits in a report or a reply.
+	maxLimitReports = 1000
+)
+
+// ServerLimit is what a response of a backend server says of the requests a second that
+// the server takes from all hosts together.
+type ServerLimit struct {
+	// Named is false if the server takes as many as it can.
+	Named     bool
+	PerSecond float64
+}
+
+// limitRecord is what is known of the limit of a server instance.
+type limitRecord struct {
+	service  fairway.ServiceName
+	evidence sluice.LimitEvidence
+	// applied is the admission that has the evidence.
+	applied *admission
+}
+
+// limits keeps the limits that servers name, as seen in responses to this host and told
+// by others, and has this host stay within them: it asks the placer for slots, each of
+// which allows one request. On the placer it gives them out.
+type limits struct {
+	signal.UnimplementedLimitsServer
+
+	protocol     Protocol
+	admissions   *admissionSet
+	clusterState *clusterState
+	logs         *logs
+	address      string
+	// mayGive reports whether this host is the placer and no other one can be.
+	mayGive func() bool
+	// wake receives a signal when a request begins to wait for a slot.
+	wake chan struct{}
+	// conn is the connection to the placer at connAddress, or nil.
+	conn        *grpc.ClientConn
+	connAddress string
+
+	// mu guards the fields below. It is taken before the lock of an admission.
+	mu      sync.Mutex
+	records map[sluice.ServerInstance]*limitRecord
+	// pool has the slots that this host gives out as the placer, and own those that it
+	// uses without one.
+	pool *sluice.LimitPool
+	own  *sluice.LimitPool
+}
+
+func newLimits(l *limits) *limits {
+	l.records = make(map[sluice.ServerInstance]*limitRecord)
+	l.wake = make(chan struct{}, 1)
+	return l
+}
+
+// observe records what a response says of the limit of its server.
+func (l *limits) observe(s fairway.Endpoint, sentAt, receivedAt mooring.Instant, header http.Header) {
+	limit, ok := l.protocol.DecodeLimit(header)
+	if !ok {
+		return
+	}
+	instance := sluice.ServerInstanceOf(s)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.records[instance]
+	if r == nil {
+		if !limit.Named {
+			return
+		}
+		r = &limitRecord{service: s.Service}
+	}
+	if limit.Named {
+		l.update(instance, r, r.evidence.Named(sentAt, receivedAt, sluice.Rate(limit.PerSecond)))
+	} else {
+		l.update(instance, r, r.evidence.Free(sentAt, receivedAt))
+	}
+}
+
+// update sets the evidence of a server, and its limit in the admission of its service.
+func (l *limits) update(instance sluice.ServerInstance, r *limitRecord, evidence sluice.LimitEvidence) {
+	before := r.evidence
+	r.evidence = evidence
+	l.records[instance] = r
+	if before.Limited() == evidence.Limited() && before.Limit == evidence.Limit {
+		return
+	}
+	l.logs.limitChanged(instance, r)
+	r.applied = nil
+	l.apply(instance, r)
+}
+
+// apply sets the limit of a server in the admission of its service, which may have been
+// created since.
+func (l *limits) apply(instance sluice.ServerInstance, r *limitRecord) {
+	if adm := l.admissions.all()[r.service]; adm != nil && adm != r.applied {
+		adm.setLimit(instance, r.evidence)
+		r.applied = adm
+	}
+}
+
+// merge records what another host knows.
+func (l *limits) merge(reports []*signal.ServerLimit, now mooring.Instant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, report := range reports {
+		l.mergeOne(report, now)
+	}
+}
+
+// mergeOne records what another host knows of one server. Instances that are not
+// registered are left out.
+func (l *limits) mergeOne(report *signal.ServerLimit, now mooring.Instant) (sluice.ServerInstance, bool) {
+	e, known := l.clusterState.catalog().Get(fairway.ServerID(report.GetServer()))
+	instance := sluice.ServerInstance{Server: fairway.ServerID(report.GetServer()), Incarnation: fairway.Incarnation(report.GetIncarnation())}
+	if !known || sluice.ServerInstanceOf(e) != instance || !(report.GetLimit() >= 0) {
+		return instance, false
+	}
+	evidence := sluice.LimitEvidence{
+		Limit:   sluice.Rate(report.GetLimit()),
+		NamedAt: now.Add(-time.Duration(report.GetNamedAgeMicros()) * time.Microsecond),
+	}
+	if age := report.GetFreeAgeMicros(); age > 0 {
+		evidence.FreeAt = now.Add(-time.Duration(age) * time.Microsecond)
+	}
+	r := l.records[instance]
+	if r == nil {
+		r = &limitRecord{service: e.Service}
+	}
+	l.update(instance, r, r.evidence.Merge(evidence))
+	return instance, true
+}
+
+// reports returns what this host knows, for another one.
+func (l *limits) reports(now mooring.Instant) []*signal.ServerLimit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var reports []*signal.ServerLimit
+	for instance, r := range l.records {
+		if len(reports) == maxLimitReports {
+			break
+		}
+		reports = append(reports, encodeLimit(instance, r.evidence, now))
+	}
+	return reports
+}
+
+func encodeLimit(instance sluice.ServerInstance, e sluice.LimitEvidence, now mooring.Instant) *signal.ServerLimit {
+	report := &signal.ServerLimit{
+		Server: string(instance.Server), Incarnation: int64(instance.Incarnation),
+		Limit: float64(e.Limit), NamedAgeMicros: uint64(now.Sub(e.NamedAt).Microseconds()),
+	}
+	if e.FreeAt != 0 {
+		report.FreeAgeMicros = max(uint64(now.Sub(e.FreeAt).Microseconds()), 1)
+	}
+	return report
+}
+
+// limited returns the limits of the servers of a service.
+func (l *limits) limited(service fairway.ServiceName) map[fairway.ServerID]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := make(map[fairway.ServerID]float64)
+	for instance, r := range l.records {
+		if r.service == service && r.evidence.Limited() {
+			found[instance.Server] = float64(r.evidence.Limit)
+		}
+	}
+	return found
+}
+
+// refresh drops what is known of instances that are gone or have had no limit for long,
+// and applies the rest.
+func (l *limits) refresh(now mooring.Instant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for instance, r := range l.records {
+		e, listed := l.clusterState.catalog().Get(instance.Server)
+		gone := !listed || sluice.ServerInstanceOf(e) != instance
+		if gone || !r.evidence.Limited() && now.Sub(r.evidence.FreeAt) > freeMemory {
+			delete(l.records, instance)
+			continue
+		}
+		l.apply(instance, r)
+	}
+	for _, pool := range []*sluice.LimitPool{l.pool, l.own} {
+		if pool != nil {
+			pool.Prune(func(instance sluice.ServerInstance) bool { return l.records[instance] != nil })
+		}
+	}
+}
+
+// run asks for slots until ctx is done.
+func (l *limits) run(ctx context.Context) {
+	ticker := time.NewTicker(slotInterval)
+	defer ticker.Stop()
+	defer l.closeConn()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+		case <-ticker.C:
+		}
+		if l.any() {
+			l.askForSlots(ctx)
+		}
+	}
+}
+
+// any reports whether any limit is known.
+func (l *limits) any() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records) > 0
+}
+
+// slotDemand is the slots that the admission of a service needs.
+type slotDemand struct {
+	adm     *admission
+	request sluice.SlotRequest
+}
+
+// askForSlots gets slots for the requests that wait, all with one call.
+func (l *limits) askForSlots(ctx context.Context) {
+	l.refresh(monotonicNow())
+	var demands []slotDemand
+	for _, adm := range l.admissions.all() {
+		for _, r := range adm.slotRequests() {
+			demands = append(demands, slotDemand{adm: adm, request: r})
+		}
+	}
+	if len(demands) == 0 {
+		return
+	}
+	given, err := l.takeSlots(ctx, demands)
+	if err != nil {
+		given = l.ownSlots(demands)
+	} else {
+		l.dropOwn()
+	}
+	for i, d := range demands {
+		d.adm.addSlots(d.request, given[i])
+	}
+}
+
+// takeSlots takes slots from the placer.
+func (l *limits) takeSlots(ctx context.Context, demands []slotDemand) ([]sluice.Slots, error) {
+	request := &signal.TakeSlotsRequest{}
+	now := monotonicNow()
+	l.mu.Lock()
+	for _, d := range demands {
+		e := sluice.LimitEvidence{Limit: d.request.Limit, NamedAt: now}
+		if r := l.records[d.request.Server]; r != nil {
+			e = r.evidence
+		}
+		request.Requests = append(request.Requests, &signal.SlotRequest{
+			Limit: encodeLimit(d.request.Server, e, now), Slots: uint32(d.request.Slots),
+		})
+	}
+	l.mu.Unlock()
+	reply, err := l.call(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	if len(reply.Slots) != len(demands) {
+		return nil, status.Error(codes.Internal, "reply does not match the request")
+	}
+	given := make([]sluice.Slots, len(demands))
+	for i, s := range reply.Slots {
+		given[i].Next = time.Duration(s.GetNextMicros()) * time.Microsecond
+		for _, wait := range s.GetWaitMicros() {
+			given[i].Waits = append(given[i].Waits, time.Duration(wait)*time.Microsecond)
+		}
+	}
+	return given, nil
+}
+
+// call calls the placer, which may be this host.
+func (l *limits) call(ctx context.Context, r *signal.TakeSlotsRequest) (*signal.TakeSlotsReply, error) {
+	placer := l.clusterState.currentPlacer().address
+	switch {
+	case placer == "":
+		return nil, status.Error(codes.Unavailable, "there is no placer")
+	case placer == l.address:
+		return l.TakeSlots(ctx, r)
+	}
+	if l.conn == nil || l.connAddress != placer {
+		l.closeConn()
+		conn, err := dialPeer(placer)
+		if err != nil {
+			return nil, err
+		}
+		l.conn, l.connAddress = conn, placer
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeSlotsTimeout)
+	defer cancel()
+	reply, err := signal.NewLimitsClient(l.conn).TakeSlots(ctx, r)
+	if code := status.Code(err); code == codes.DeadlineExceeded || code == codes.Unavailable {
+		l.closeConn()
+	}
+	return reply, err
+}
+
+func (l *limits) closeConn() {
+	if l.conn != nil {
+		// Close fails only if the connection is closed already.
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+}
+
+// TakeSlots implements signal.LimitsServer.
+func (l *limits) TakeSlots(_ context.Context, r *signal.TakeSlotsRequest) (*signal.TakeSlotsReply, error) {
+	if !l.mayGive() {
+		l.mu.Lock()
+		l.pool = nil
+		l.mu.Unlock()
+		return nil, status.Error(codes.FailedPrecondition, "this host is not the placer")
+	}
+	now := monotonicNow()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pool == nil {
+		l.pool = sluice.NewLimitPool()
+	}
+	reply := &signal.TakeSlotsReply{}
+	for _, request := range r.GetRequests() {
+		s := &signal.Slots{}
+		reply.Slots = append(reply.Slots, s)
+		instance, ok := l.mergeOne(request.GetLimit(), now)
+		if !ok {
+			s.NextMicros = uint64(slotInterval.Microseconds())
+			continue
+		}
+		given := l.pool.Take(now, instance, l.records[instance].evidence.Limit, int(request.GetSlots()))
+		s.NextMicros = uint64(given.Next.Microseconds())
+		for _, wait := range given.Waits {
+			s.WaitMicros = append(s.WaitMicros, uint64(wait.Microseconds()))
+		}
+	}
+	return reply, nil
+}
+
+// ownSlots returns slots of this host's part of each limit, while the placer cannot be
+// asked.
+func (l *limits) ownSlots(demands []slotDemand) []sluice.Slots {
+	now, hosts := monotonicNow(), l.clusterState.hostCount()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.own == nil {
+		l.own = sluice.NewLimitPool()
+	}
+	given := make([]sluice.Slots, len(demands))
+	for i, d := range demands {
+		given[i] = l.own.TakePart(now, d.request.Server, ownSlotsShare*d.request.Limit/sluice.Rate(hosts), d.request.Slots)
+	}
+	return given
+}
+
+func (l *limits) dropOwn() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.own = nil
+}
+
+// startWaiting is called when a request begins to wait at an admission.
+func (l *limits) startWaiting() {
+	signalOnce(l.wake)
+}
--- a/jetty/load.go
+++ b/jetty/load.go
@@ -38,6 +38,8 @@
 	signal.UnimplementedLoadsServer
 
 	isPlacer func() bool
+	// limits, if set, keeps the limits that servers name.
+	limits *limits
 
 	mu             sync.Mutex
 	requests       map[fairway.ServiceName]map[mooring.Key]int
@@ -98,6 +100,10 @@
 		reply.Crowded = append(reply.Crowded, string(id))
 	}
 	reply.Granted = encodeGranted(summary.granted)
+	if l.limits != nil {
+		l.limits.merge(r.Limits, monotonicNow())
+		reply.Limits = l.limits.reports(monotonicNow())
+	}
 	return reply, nil
 }
 
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -214,6 +214,16 @@
 		Msg(string(eventServerRegistered))
 }
 
+// limitChanged logs the limit that a server names, or that it names none any more.
+func (l *logs) limitChanged(instance sluice.ServerInstance, r *limitRecord) {
+	l.newLine(&l.system, false).
+		Str("server", string(instance.Server)).
+		Str("service", string(r.service)).
+		Bool("limited", r.evidence.Limited()).
+		Float64("limit", float64(r.evidence.Limit)).
+		Msg(string(eventLimitChanged))
+}
+
 func (l *logs) recordUnreadable(r UnreadableRecord) {
 	l.newLine(&l.system, true).Str("key", r.Key).Err(r.Err).Msg(string(eventEntryUnreadable))
 }
--- a/jetty/protocol.go
+++ b/jetty/protocol.go
@@ -69,6 +69,9 @@
 	// EncodeOrder returns the path and the JSON body of an order, which is sent
 	// by POST.
 	EncodeOrder(o mooring.Order) (path string, body []byte, err error)
+	// DecodeLimit returns the limit that a response of a backend server names. It
+	// returns false if the response says nothing that can be read about that.
+	DecodeLimit(header http.Header) (limit ServerLimit, ok bool)
 	// DecodeOrderResponse decodes the response to an order.
 	DecodeOrderResponse(status int, header http.Header) (result mooring.Result, handover string)
 }
--- a/jetty/reporter.go
+++ b/jetty/reporter.go
@@ -24,6 +24,7 @@
 	loadCollector *loadCollector
 	changeLog     *changeLog
 	reach         *reach
+	limits        *limits
 	logs          *logs
 	// onHostsChange is called when the number of hosts, or of those that reach the
 	// servers, has changed.
@@ -75,6 +76,7 @@
 		if !reply.Placer {
 			return
 		}
+		r.limits.merge(reply.Limits, monotonicNow())
 		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), feeder: reply.Feeder, granted: decodeGranted(reply.Granted)}
 		for _, id := range reply.Crowded {
 			summary.overloaded = append(summary.overloaded, fairway.ServerID(id))
@@ -147,6 +149,7 @@
 		}
 	}
 	r.addReach(report)
+	report.Limits = r.limits.reports(monotonicNow())
 	return report
 }
 
--- a/jetty/term_test.go
+++ b/jetty/term_test.go
@@ -131,7 +131,7 @@
 		store: s, clusterState: clusterState, admissions: newAdmissionSet(admissionSetConfig{}), loadCollector: newLoadCollector(), logs: logs,
 		metrics: newMetrics(), address: listener.Addr().String(), ttl: time.Second, maxHold: grantHold,
 		sender: newOrderSender(orderSenderConfig{Protocol: fakeProtocol{}, Upstream: newUpstream(orderConnections, nil), Logs: logs, Metrics: newMetrics()}),
-		reach:  newReach(clusterState, nil, nil), scanned: func() bool { return true }, wake: make(chan struct{}, 1),
+		reach:  newReach(clusterState, nil, nil), limits: newLimits(&limits{clusterState: clusterState, logs: logs}), scanned: func() bool { return true }, wake: make(chan struct{}, 1),
 	}
 	e.clusterState.activeConfig.SetIfNewer(config)
 	server := grpc.NewServer()
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -342,7 +342,9 @@
 				speeds[endpoint.ID] = 1 / slowness
 			}
 		}
-		r.step(ctx, service, mooring.LoadReported{Requests: requests[service], Interval: interval, Responsive: responsive, Speeds: speeds})
+		r.step(ctx, service, mooring.LoadReported{
+			Requests: requests[service], Interval: interval, Responsive: responsive, Speeds: speeds, Limits: r.election.limits.limited(service),
+		})
 	}
 }
 
--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -142,7 +142,7 @@
 	case OrderCompleted:
 		a.orderCompleted(e)
 	case LoadReported:
-		a.load.observe(e)
+		a.load.observe(now, e)
 		a.clearSuspicion(e)
 	case WritesAllowed:
 		a.writesBlocked = !e.Allowed
--- a/mooring/balance.go
+++ b/mooring/balance.go
@@ -75,9 +75,32 @@
 		}
 	}
 	a.targetUtilization = total / capacity
+	a.applyLimits(total)
 	return a
 }
 
+// limitRounds bounds the rounds of applyLimits. Each raises the target for the servers
+// without a limit, and with it the part of the others that their limits exceed.
+const limitRounds = 4
+
+// applyLimits lowers the capacity of servers whose limit is below their part of the load.
+func (a *allocation) applyLimits(total float64) {
+	for range limitRounds {
+		lowered, capacity := false, 0.0
+		for _, s := range a.servers {
+			if most := a.model.maxLoad(s.instance.Server); s.capacity*a.targetUtilization > most {
+				s.capacity = most / a.targetUtilization
+				lowered = true
+			}
+			capacity += s.capacity
+		}
+		if !lowered {
+			return
+		}
+		a.targetUtilization = total / capacity
+	}
+}
+
 // leastUtilized returns the server with the lowest utilization.
 func (a *allocation) leastUtilized() *serverLoad {
 	best := a.servers[0]
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -74,6 +74,8 @@
 	Responsive map[fairway.ServerID]bool
 	// Speeds are the speeds of the servers relative to the mean of the service.
 	Speeds map[fairway.ServerID]float64
+	// Limits are the requests a second that servers take, of those that name a limit.
+	Limits map[fairway.ServerID]float64
 }
 
 // WritesAllowed reports whether the store accepts writes of this placer. While
--- a/mooring/load.go
+++ b/mooring/load.go
@@ -1,6 +1,7 @@
 package mooring
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -31,8 +32,24 @@
 	// overloaded server appears slow and must not lose all its keys for that.
 	minSpeed = 0.4
 	maxSpeed = 1.8
+	// limitFraction is the part of a server's limit up to which it gets keys, since the
+	// rates are estimates.
+	limitFraction = 0.8
+	// minLimitedRate is the load, in requests a second, that a server with a lower limit
+	// is given. Without keys it would get no requests, whose responses tell that the
+	// limit has gone.
+	minLimitedRate = 0.4
+	// limitMemory is how long a limit still counts that a server names no more, so that
+	// keys do not move to and fro.
+	limitMemory = 10 * time.Second
 )
 
+// namedLimit is a server's limit, in requests a second, and until when it counts.
+type namedLimit struct {
+	rate  float64
+	until Instant
+}
+
 // loadModel estimates the request rate of each key and the capacity of the
 // servers.
 type loadModel struct {
@@ -43,17 +60,22 @@
 	rates  []float64
 	total  float64
 	speeds map[fairway.ServerID]float64
+	limits map[fairway.ServerID]namedLimit
 }
 
 func newLoadModel() *loadModel {
 	return &loadModel{
 		recent: make([]float64, keyCount), steady: make([]float64, keyCount), rates: make([]float64, keyCount),
-		speeds: make(map[fairway.ServerID]float64),
+		speeds: make(map[fairway.ServerID]float64), limits: make(map[fairway.ServerID]namedLimit),
 	}
 }
 
 // observe updates the estimates with a load report.
-func (m *loadModel) observe(e LoadReported) {
+func (m *loadModel) observe(now Instant, e LoadReported) {
+	for id, rate := range e.Limits {
+		m.limits[id] = namedLimit{rate: rate, until: now.Add(limitMemory)}
+	}
+	maps.DeleteFunc(m.limits, func(_ fairway.ServerID, l namedLimit) bool { return now >= l.until })
 	if e.Interval <= 0 {
 		return
 	}
@@ -148,6 +170,15 @@
 	return r, sum, true
 }
 
+// maxLoad returns the highest load, in requests a second, that a server is given.
+func (m *loadModel) maxLoad(id fairway.ServerID) float64 {
+	limit, ok := m.limits[id]
+	if !ok || !m.hasData() {
+		return math.Inf(1)
+	}
+	return max(limitFraction*limit.rate, minLimitedRate)
+}
+
 // capacity returns the capacity of a server relative to others.
 func (m *loadModel) capacity(e fairway.Endpoint) float64 {
 	speed, ok := m.speeds[e.ID]
--- a/sluice/choice.go
+++ b/sluice/choice.go
@@ -84,7 +84,7 @@
 func (c *Controller) pick(now mooring.Instant, r *Request) (*serverState, bool) {
 	if r.Key != nil {
 		server := c.ownerServer(now, *r.Key)
-		return server, server != nil && server.window.hasRoom(now)
+		return server, server != nil && server.hasRoom(now)
 	}
 	var best *serverState
 	bestCost := math.Inf(1)
@@ -93,7 +93,7 @@
 		if found == maxCandidates {
 			break
 		}
-		if !c.usable(server) || !server.window.hasRoom(now) || slices.Contains(r.Tried, server.endpoint.ID) {
+		if !c.usable(server) || !server.hasRoom(now) || slices.Contains(r.Tried, server.endpoint.ID) {
 			continue
 		}
 		found++
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -114,6 +114,10 @@
 	// ranked has the servers in the order of preference of this host.
 	ranked  []*serverState
 	waiting []*Request
+	// limits has the limits that server instances name, and hosts is the number of
+	// hosts that share the servers.
+	limits map[ServerInstance]Rate
+	hosts  int
 	// useUnconfirmed is set while unconfirmed servers get requests.
 	useUnconfirmed bool
 	// meanLatency is the moving average of the latency of whole responses.
@@ -124,6 +128,8 @@
 type serverState struct {
 	endpoint fairway.Endpoint
 	window   *window
+	// limit is set while the server names a limit.
+	limit *serverLimit
 	// weight is the preference of this host for the server.
 	weight uint64
 	// unconfirmed is set for servers that have not been registered since a
@@ -138,12 +144,15 @@
 
 // NewController returns a controller without servers.
 func NewController(cfg ControllerConfig) *Controller {
-	return &Controller{cfg: cfg, servers: make(map[fairway.ServerID]*serverState), meanLatency: initialLatency}
+	return &Controller{
+		cfg: cfg, servers: make(map[fairway.ServerID]*serverState), limits: make(map[ServerInstance]Rate), meanLatency: initialLatency,
+	}
 }
 
 // SetServers sets the servers that may get requests, and the number of hosts
 // that share them. A server that is no longer in endpoints is leaving.
 func (c *Controller) SetServers(now mooring.Instant, endpoints []fairway.Endpoint, hosts int) {
+	c.hosts = hosts
 	listed := make(map[fairway.ServerID]bool, len(endpoints))
 	for _, e := range endpoints {
 		listed[e.ID] = true
@@ -153,6 +162,7 @@
 			c.servers[e.ID] = server
 		}
 		server.endpoint = e
+		c.applyLimit(server)
 		server.unconfirmed = e.Unconfirmed
 		server.setLeaving(now, e.Draining)
 		server.window.setLimit(e.Slots, hosts)
@@ -362,9 +372,17 @@
 	return c.meanLatency
 }
 
+// hasRoom reports whether one more request may be sent to the server.
+func (s *serverState) hasRoom(now mooring.Instant) bool {
+	return s.window.hasRoom(now) && (s.limit == nil || s.limit.hasSlot(now))
+}
+
 // dispatch counts one more request at a server.
 func (c *Controller) dispatch(server *serverState) Decision {
 	server.window.inFlight++
+	if server.limit != nil {
+		server.limit.useSlot()
+	}
 	return Dispatch{Server: server.endpoint}
 }
 
--- a/sluice/queue.go
+++ b/sluice/queue.go
@@ -142,7 +142,7 @@
 			reason = ReasonSuspected
 			continue
 		}
-		rate += server.rate(now, c.meanLatency)
+		rate += c.rate(now, server)
 	}
 	switch {
 	case rate > 0:
@@ -168,14 +168,27 @@
 		}
 	}
 	wait := time.Duration(float64(ahead+1) / server.rate(now, c.meanLatency) * float64(time.Second))
+	if server.limit != nil {
+		wait = max(wait, server.limit.wait(now, ahead))
+	}
 	if server.window.suspected(now) {
 		return wait + max(server.window.suspectedUntil.Sub(now), 0), ReasonSuspected
 	}
 	return wait, ReasonOverload
 }
 
-// rate returns the number of requests per second from this host that the server
-// is expected to answer.
+// rate returns the number of requests per second from this host that a server is
+// expected to answer, of its limit the part of one host.
+func (c *Controller) rate(now mooring.Instant, server *serverState) float64 {
+	rate := server.rate(now, c.meanLatency)
+	if server.limit != nil {
+		rate = min(rate, float64(max(server.limit.rate, minLimitRate))/float64(max(c.hosts, 1)))
+	}
+	return rate
+}
+
+// rate returns the number of requests per second from this host that the window of a
+// server allows.
 func (s *serverState) rate(now mooring.Instant, mean time.Duration) float64 {
 	return s.window.size / max(s.window.expectedLatency(now, mean).Seconds(), time.Millisecond.Seconds())
 }
