--- a/sluice/queue.go
+++ b/sluice/queue.go
@@ -112,6 +112,7 @@
 		// The wait for an owner does not depend on the deadline of the request.
 		retryAfter = wait
 	}
+	retryAfter = max(retryAfter, c.slotWait(now, r))
 	refusal := Refuse{Reason: reason, RetryAfter: jitter(retryAfter, r.ID), Ahead: ahead}
 	if r.Key != nil {
 		if server := c.ownerServer(now, *r.Key); server != nil {
@@ -121,6 +122,19 @@
 	return refusal, true
 }
 
+// slotWait returns the time until a slot is free that nobody has, if r can only go to a
+// server with a limit.
+func (c *Controller) slotWait(now mooring.Instant, r *Request) time.Duration {
+	if r.Key == nil {
+		return 0
+	}
+	server := c.ownerServer(now, *r.Key)
+	if server == nil || server.limit == nil {
+		return 0
+	}
+	return server.limit.next.Sub(now)
+}
+
 // expectedWait estimates how long r waits for a server. The reason is the one
 // for a refusal if that is too long.
 func (c *Controller) expectedWait(now mooring.Instant, r *Request, ahead int) (time.Duration, Reason) {
