--- a/mooring/balance.go
+++ b/mooring/balance.go
@@ -211,7 +211,11 @@
 		}
 		to := alloc.leastUtilized()
 		keys, load, ok := a.pickRange(alloc, from, to)
-		if !ok || load < minMoveShare*alloc.targetUtilization*to.capacity {
+		least := minMoveShare * alloc.targetUtilization * to.capacity
+		if (!ok || load < least) && from.exceedsLimit(alloc.model) {
+			keys, load, ok = a.pickHottestKey(alloc, from, to)
+		}
+		if !ok || load < least {
 			done[from] = true
 			continue
 		}
@@ -229,6 +233,32 @@
 	return min(assignmentsPerServer*servers, largeFleetBase+largeFleetPerServer*servers)
 }
 
+// exceedsLimit reports whether a server has more load than the limit that it names.
+func (s *serverLoad) exceedsLimit(model *loadModel) bool {
+	return s.load > model.maxLoad(s.instance.Server)
+}
+
+// pickHottestKey picks the busiest key of a server that exceeds its limit. The other
+// server may exceed the target by it, as long as it is utilized less than the first, and
+// other keys are moved away from it next.
+func (a *Assigner) pickHottestKey(alloc *allocation, from, to *serverLoad) (KeyRange, float64, bool) {
+	var hottest Key
+	highest := 0.0
+	for i := range alloc.table.Assignments {
+		r := &alloc.table.Assignments[i]
+		if r.Owner != from.instance || r.Moving() || r.Handover != "" {
+			continue
+		}
+		for key := int(r.From); key <= int(r.To); key++ {
+			if rate := alloc.model.rate(Key(key)); rate > highest {
+				hottest, highest = Key(key), rate
+			}
+		}
+	}
+	ok := highest > 0 && (to.load+highest)/to.capacity < from.utilization()
+	return KeyRange{From: hottest, To: hottest}, highest, ok
+}
+
 // pickRange picks the keys to move between two servers: the largest prefix or
 // suffix of an assignment that neither takes from below the target utilization
 // nor raises to above the limit.
