--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -157,14 +157,14 @@
 	}
 }
 
-// setServers replaces the list of servers, the number of entry hosts and that of those
-// which reach the servers. The latter share the servers.
+// setServers replaces the list of servers, the number of entry hosts, 0 if it is not
+// known, and that of those which reach the servers. The latter share the servers.
 func (a *admission) setServers(servers []fairway.Endpoint, hosts, reaching int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := monotonicNow()
 	a.controller.SetServers(now, servers, reaching)
-	a.retryBudget.SetHosts(hosts)
+	a.retryBudget.SetHosts(now, hosts)
 	a.deliver(a.controller.Reevaluate(now))
 }
 
@@ -275,8 +275,9 @@
 	mu         sync.Mutex
 	admissions map[fairway.ServiceName]*admission
 	owners     map[fairway.ServiceName]*ownerTable
-	hosts      int
-	reaching   int
+	// hosts is 0 until it is known.
+	hosts    int
+	reaching int
 }
 
 type admissionSetConfig struct {
@@ -296,7 +297,6 @@
 		cfg:        cfg,
 		admissions: make(map[fairway.ServiceName]*admission),
 		owners:     make(map[fairway.ServiceName]*ownerTable),
-		hosts:      1,
 		reaching:   1,
 	}
 }
--- a/jetty/clusterstate.go
+++ b/jetty/clusterstate.go
@@ -15,8 +15,10 @@
 type clusterState struct {
 	activeConfig *fairway.ActiveConfig
 	servers      atomic.Pointer[fairway.Catalog]
-	// hosts is the number of entry hosts that share the servers.
-	hosts atomic.Int64
+	// hosts is the number of entry hosts that share the servers. It is assumed until
+	// hostsKnown is set.
+	hosts      atomic.Int64
+	hostsKnown atomic.Bool
 	// reaching is the number of those that are not cut, or 0 if it is not known.
 	reaching atomic.Int64
 
@@ -56,6 +58,22 @@
 	return int(s.hosts.Load())
 }
 
+// knownHostCount returns the number of entry hosts, or 0 if no placer has reported it.
+func (s *clusterState) knownHostCount() int {
+	if !s.hostsKnown.Load() {
+		return 0
+	}
+	return s.hostCount()
+}
+
+// setHostCounts sets the numbers that the placer has reported, and reports whether any
+// has changed.
+func (s *clusterState) setHostCounts(hosts, reaching int) bool {
+	changed := s.hosts.Swap(int64(hosts)) != int64(hosts)
+	changed = s.reaching.Swap(int64(reaching)) != int64(reaching) || changed
+	return !s.hostsKnown.Swap(true) || changed
+}
+
 // reachingCount returns the number of hosts that send requests to the servers.
 func (s *clusterState) reachingCount() int {
 	if n := s.reaching.Load(); n > 0 {
--- a/jetty/exchange_test.go
+++ b/jetty/exchange_test.go
@@ -46,6 +46,7 @@
 			Budget: sluice.RetryBudgetConfig{Window: 10 * time.Second, Extra: extra},
 		}),
 	}
+	b.f.admissions.hosts = 1
 	// The host's sweep.
 	done := make(chan struct{})
 	DeferCleanup(func() { close(done) })
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -184,7 +184,7 @@
 	reaching := h.clusterState.reachingCount()
 	h.upstream.update(catalog, h.clusterState.activeConfig.Current(), reaching)
 	h.orderUpstream.update(catalog, nil, hosts)
-	h.admissions.refresh(catalog, hosts, reaching)
+	h.admissions.refresh(catalog, h.clusterState.knownHostCount(), reaching)
 	h.election.notify()
 }
 
--- a/jetty/load.go
+++ b/jetty/load.go
@@ -30,6 +30,9 @@
 	// connections between hosts. It is also the least interval of probes that a
 	// host accepts from its peers.
 	peerKeepAlive = 2 * time.Second
+	// countingTime is how long after the beginning of its term a placer has not heard
+	// from all hosts.
+	countingTime = 2 * reportInterval
 )
 
 // loadCollector collects the reports of all hosts on the placer. It implements
@@ -46,6 +49,8 @@
 	stats          map[fairway.ServerID]serverStats
 	overload       *sluice.OverloadDetector
 	reportingHosts map[HostID]reportingHost
+	// countingUntil is until when reports of some hosts are still missing.
+	countingUntil time.Time
 	// feeders has the feeder of each failure domain.
 	feeders map[fairway.Domain]HostID
 	// granted has the ranges of each service whose grants are not recorded yet.
@@ -73,6 +78,15 @@
 	return requests, stats
 }
 
+// beginTerm begins to count the hosts, for a new term of this host. It drops the load
+// reported before.
+func (l *loadCollector) beginTerm(now time.Time) {
+	l.takeReported()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.countingUntil = now.Add(countingTime)
+}
+
 // setGranted sets the ranges of a service whose grants are not recorded yet.
 func (l *loadCollector) setGranted(service fairway.ServiceName, granted []mooring.Assignment) {
 	l.mu.Lock()
@@ -89,6 +103,7 @@
 	summary := l.add(r, time.Now())
 	reply := &signal.LoadReply{
 		Hosts: uint32(summary.hosts), Placer: l.isPlacer(), Feeder: summary.feeder, Reaching: uint32(summary.reaching),
+		Counting: summary.counting,
 	}
 	for _, p := range summary.peers {
 		reply.Peers = append(reply.Peers, string(p))
@@ -157,6 +172,8 @@
 	answering []fairway.ServerID
 	// reaching is the number of hosts that are not cut.
 	reaching int
+	// counting is set while hosts and reaching may be too low.
+	counting bool
 }
 
 // add records a report and returns the summary of all reports.
@@ -210,6 +227,7 @@
 		peers:      l.peers(id, fairway.Domain(r.Domain), now),
 		answering:  l.answeringOthers(id, r.Failing, now),
 		reaching:   l.reaching(),
+		counting:   now.Before(l.countingUntil),
 		hosts:      max(len(l.reportingHosts), 1),
 		feeder:     l.feeder(fairway.Domain(r.Domain), now),
 		overloaded: l.overload.Overloaded(instantOf(now)),
--- a/jetty/pathevidence_test.go
+++ b/jetty/pathevidence_test.go
@@ -173,6 +173,13 @@
 		Expect(l.add(report("a0", "a"), now.Add(feederTimeout+time.Millisecond)).peers).To(BeEmpty())
 	})
 
+	It("does not count the hosts before a new placer has heard from them", func() {
+		collector := newLoadCollector()
+		collector.beginTerm(now)
+		Expect(collector.add(&signal.LoadReport{Host: "a"}, now).counting).To(BeTrue())
+		Expect(collector.add(&signal.LoadReport{Host: "a"}, now.Add(countingTime)).counting).To(BeFalse())
+	})
+
 	It("names no host that is cut", func() {
 		cut := report("a1", "a", "s")
 		cut.Cut = true
--- a/jetty/reporter.go
+++ b/jetty/reporter.go
@@ -77,7 +77,7 @@
 			return
 		}
 		r.limits.merge(reply.Limits, monotonicNow())
-		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), feeder: reply.Feeder, granted: decodeGranted(reply.Granted)}
+		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), counting: reply.Counting, feeder: reply.Feeder, granted: decodeGranted(reply.Granted)}
 		for _, id := range reply.Crowded {
 			summary.overloaded = append(summary.overloaded, fairway.ServerID(id))
 		}
@@ -110,8 +110,7 @@
 			adm.reevaluate()
 		}
 	}
-	hosts, reaching := int64(summary.hosts), int64(summary.reaching)
-	if hosts != r.clusterState.hosts.Swap(hosts) || reaching != r.clusterState.reaching.Swap(reaching) {
+	if !summary.counting && r.clusterState.setHostCounts(summary.hosts, summary.reaching) {
 		r.onHostsChange()
 	}
 }
--- a/sluice/budget.go
+++ b/sluice/budget.go
@@ -28,8 +28,11 @@
 // RetryBudget limits the retries of one service over a sliding window. Each
 // send of a request after its first one is a retry.
 type RetryBudget struct {
-	cfg      RetryBudgetConfig
-	hosts    int
+	cfg RetryBudgetConfig
+	// known is the latest number of hosts, and hosts the highest one in each bucket. A
+	// new placer knows few hosts at first, and the others still use their parts.
+	known    int
+	hosts    [budgetBuckets]int
 	requests [budgetBuckets]int
 	retries  [budgetBuckets]int
 	// current is the number of the current bucket, counted from time 0.
@@ -38,12 +41,15 @@
 
 // NewRetryBudget returns an unused budget.
 func NewRetryBudget(cfg RetryBudgetConfig) *RetryBudget {
-	return &RetryBudget{cfg: cfg, hosts: 1}
+	return &RetryBudget{cfg: cfg}
 }
 
-// SetHosts sets the number of hosts that share the extra retries.
-func (b *RetryBudget) SetHosts(n int) {
-	b.hosts = max(n, 1)
+// SetHosts sets the number of hosts that share the extra retries. The highest number
+// within the window counts. Until one is known, this host has no part of them.
+func (b *RetryBudget) SetHosts(now mooring.Instant, n int) {
+	at := b.advance(now)
+	b.known = n
+	b.hosts[at] = max(b.hosts[at], n)
 }
 
 // RecordRequest counts a request.
@@ -54,12 +60,17 @@
 // Remaining returns the number of retries that are allowed now.
 func (b *RetryBudget) Remaining(now mooring.Instant) float64 {
 	b.advance(now)
-	requests, retries := 0, 0
+	requests, retries, hosts := 0, 0, 0
 	for k := range budgetBuckets {
 		requests += b.requests[k]
 		retries += b.retries[k]
+		hosts = max(hosts, b.hosts[k])
 	}
-	return usableFraction*(b.cfg.Ratio*float64(requests)+b.cfg.Extra/float64(b.hosts)) - float64(retries)
+	usable := b.cfg.Ratio * float64(requests)
+	if hosts > 0 {
+		usable += b.cfg.Extra / float64(hosts)
+	}
+	return usableFraction*usable - float64(retries)
 }
 
 // Allow reports whether a retry may be sent now, and counts it if so.
@@ -80,6 +91,7 @@
 		b.current++
 		b.requests[b.current%budgetBuckets] = 0
 		b.retries[b.current%budgetBuckets] = 0
+		b.hosts[b.current%budgetBuckets] = b.known
 	}
 	b.current = current
 	return int(current % budgetBuckets)
