--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -64,6 +64,8 @@
 	// restoredToken is its next token as the store has it.
 	restored      *Table
 	restoredToken Token
+	// reserve has the tokens that this placer may use without a write.
+	reserve tokenReserve
 	// pending is the table of the write in flight, or nil.
 	pending *Table
 	loading bool
@@ -126,6 +128,7 @@
 	case TableLoaded:
 		a.tableLoaded(e)
 	case WriteSucceeded:
+		a.reserve.set(a.pending)
 		if a.restored != nil {
 			a.restored, a.recorded = nil, a.pending
 		}
@@ -173,6 +176,9 @@
 	restored := a.recorded == nil && a.isRestored(table)
 	nextToken := table.NextToken
 	table.NextToken = max(nextToken, firstToken(a.cfg.Era))
+	if a.recorded == nil || table.NextToken != a.recorded.NextToken {
+		a.reserve.clear()
+	}
 	if restored {
 		a.restored, a.restoredToken, a.revision = table, nextToken, e.Revision
 		return
@@ -317,6 +323,7 @@
 		}
 		return
 	}
+	a.renewWithoutWrite()
 	for i := range a.recorded.Assignments {
 		a.sendDueOrder(i)
 	}
@@ -407,7 +414,7 @@
 // writeChanges emits a write of the table if anything in it has to change.
 func (a *Assigner) writeChanges() {
 	next := a.recorded.clone()
-	moves := a.removeClearedOwners(next)
+	moves := append(a.reserve.takeMoves(), a.removeClearedOwners(next)...)
 	moves = append(moves, a.renewTokens(next)...)
 	if candidates := a.candidates(); len(candidates) > 0 {
 		moves = append(moves, a.replaceOwners(next, candidates)...)
@@ -424,8 +431,14 @@
 			r.Handover = ""
 		}
 	}
+	a.write(next, moves)
+}
+
+// write emits a write of a table, which reserves tokens.
+func (a *Assigner) write(next *Table, moves []Move) {
 	a.pending = next
 	a.wroteAt = a.now
+	next.NextToken += tokenReserveSize
 	a.actions = append(a.actions, WriteTable{Table: next, Revision: a.revision, Moves: moves})
 }
 
--- a/mooring/assignmentstate.go
+++ b/mooring/assignmentstate.go
@@ -34,7 +34,14 @@
 	state := newAssignmentState()
 	for i := range former.Assignments {
 		part := &former.Assignments[i]
-		if part.Token != r.Token || part.Owner != r.Owner || !part.overlaps(r.KeyRange) {
+		if part.Owner != r.Owner || !part.overlaps(r.KeyRange) {
+			continue
+		}
+		if part.Token > r.Token {
+			// The table that has been read does not have a token of the reserve.
+			state.newTokenFor = ReasonSessionEnded
+		}
+		if part.Token != r.Token {
 			continue
 		}
 		old := a.stateOf(part)
--- a/mooring/recovery.go
+++ b/mooring/recovery.go
@@ -61,9 +61,7 @@
 		r.Token = token
 		moves = append(moves, Move{KeyRange: r.KeyRange, From: r.Owner.Server, To: r.Owner.Server, Token: token, Reason: ReasonStoreRestored})
 	}
-	a.pending = next
-	a.wroteAt = a.now
-	a.actions = append(a.actions, WriteTable{Table: next, Revision: a.revision, Moves: moves})
+	a.write(next, moves)
 }
 
 // recoveredTable returns the table of this host's own earlier term. Without that, any
--- a/mooring/simulation_test.go
+++ b/mooring/simulation_test.go
@@ -196,6 +196,8 @@
 	// storeOutUntil.
 	storeCalls    int
 	storeOutUntil mooring.Instant
+	// losesWrites is set while the store executes no write and answers none.
+	losesWrites bool
 	// The placer of the term lostPathTerm reaches no server until lostPathUntil. If
 	// lostPathRefused is set, its connections are refused. lostPathKnown is set while
 	// the placer knows.
@@ -651,7 +653,7 @@
 		sim.history = append(sim.history, recordedTable{at: sim.now, table: a.Table, revision: sim.revision})
 		return true
 	}
-	if sim.storeUnreachable(term) {
+	if sim.storeUnreachable(term) || sim.losesWrites {
 		injected = faultLost
 	}
 	switch injected {
