--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -43,8 +43,20 @@
 	unreached []fairway.ServerID
 	// peers are those to which the request has been offered.
 	peers []peerAddress
+	// disowned is set once the owner of the key has said that it does not hold it,
+	// under the token in r.
+	disowned bool
 }
 
+const (
+	// ownerChangeTimeout is how long a request waits for another owner, or another token,
+	// of its key once the known one does not hold it. A server that moves its keys
+	// rejects requests until this host has read the table.
+	ownerChangeTimeout = 100 * time.Millisecond
+	// ownerChangePoll is the time between two looks at the table.
+	ownerChangePoll = 10 * time.Millisecond
+)
+
 // maxUnsent is the number of attempts of which no byte was sent that do not count
 // as sends.
 const maxUnsent = 3
@@ -147,6 +159,9 @@
 // not possible and no attempt is pending.
 func (e *exchange) begin(ctx context.Context) result {
 	e.nextAt = time.Time{}
+	if e.disowned && !e.ownerChanged(ctx) {
+		return e.lastResult(e.retriesExhausted(e.r, reasonServerRejected))
+	}
 	if e.drain.excludes(e.r.deadline) {
 		return e.lastResult(e.stopped(e.r))
 	}
@@ -183,6 +198,22 @@
 	}
 }
 
+// ownerChanged waits until this host knows another assignment of the key than the one
+// that was rejected, and reports whether it does. A server that does not hold a key would
+// reject the request again, as would one of another service that has its address.
+func (e *exchange) ownerChanged(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, ownerChangeTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if token, _ := e.adm.owners.tokenOf(*e.r.key); token != e.r.token {
+			e.disowned = false
+			return true
+		}
+		pause(ctx, ownerChangePoll)
+	}
+	return false
+}
+
 // lastResult returns the result of a request that is not sent again, which is nil
 // while an attempt is pending.
 func (e *exchange) lastResult(res result) result {
@@ -369,6 +400,7 @@
 		res, again = e.handleFailure(ctx, e.r, a)
 	} else {
 		e.recordOutcome(e.r, e.adm, a)
+		e.disowned = e.r.key != nil && a.relay == nil && a.resp.status == http.StatusMisdirectedRequest
 		res, again = e.handleResponse(ctx, e.r, a.resp, a.server)
 	}
 	resp, answered := res.(backendResponse)
