--- a/cmd/hornbeamwinch/trace.go
+++ b/cmd/hornbeamwinch/trace.go
@@ -65,6 +65,12 @@
 	Keys string `json:"keys"`
 	From string `json:"from"`
 	To   string `json:"to"`
+
+	// Dependency is set in the line of a lost one, and the eras in that of a store that
+	// has come back from an older copy.
+	Dependency string `json:"dependency"`
+	Era        uint32 `json:"store_era"`
+	EraBefore  uint32 `json:"store_era_before"`
 }
 
 // maxLogLineBytes bounds the length of a line of a log.
@@ -112,10 +118,37 @@
 		}
 	}
 	last := lines[len(lines)-1]
-	_, err := fmt.Fprintf(w, "cause: %s\n", cause(last, lines, log))
+	text := cause(last, lines, log)
+	if last.Outcome == "not_run" || last.Outcome == "unknown" {
+		text += storeTrouble(last, log)
+	}
+	_, err := fmt.Fprintf(w, "cause: %s\n", text)
 	return err
 }
 
+// storeTroubleTime is how long before the end of a request the store may have caused
+// it: a restore makes hosts wait for keys for up to so long.
+const storeTroubleTime = 15 * time.Second
+
+// storeTrouble returns a sentence on the latest outage or restore of the store before a
+// request ended, or nothing.
+func storeTrouble(last logLine, log []logLine) string {
+	text := ""
+	for _, line := range log {
+		if line.Time.After(last.Time) || last.Time.Sub(line.Time) > storeTroubleTime {
+			continue
+		}
+		at := line.Time.UTC().Format("15:04:05.000")
+		switch {
+		case line.Message == "store_restored":
+			text = fmt.Sprintf(" %s read at %s that the store had come back from an older copy (era %d, then %d).", line.Host, at, line.EraBefore, line.Era)
+		case line.Message == "dependency_lost" && line.Dependency == "store":
+			text = fmt.Sprintf(" %s lost the store at %s.", line.Host, at)
+		}
+	}
+	return text
+}
+
 // describe returns a description of a log line of a request.
 func (l logLine) describe() string {
 	switch l.Message {
--- a/cmd/hornbeamwinch/trace_test.go
+++ b/cmd/hornbeamwinch/trace_test.go
@@ -43,6 +43,21 @@
 		Expect(text).To(ContainSubstring("owner_silent"))
 	})
 
+	It("tells a restore of the store from an outage", func() {
+		log := func(storeLine string) string {
+			lines := storeLine + `
+{"time":"2026-12-04T11:00:02Z","host":"h","request_id":"x","service":"s","key":7,"outcome":"not_run","reason":"key_without_owner","message":"request_answered"}`
+			var b bytes.Buffer
+			Expect(writeTrace(&b, "x", readLog(strings.NewReader(lines)))).To(Succeed())
+			return b.String()
+		}
+		Expect(log(`{"time":"2026-12-04T11:00:01Z","host":"h","store_era":4,"store_era_before":3,"message":"store_restored"}`)).
+			To(ContainSubstring("h read at 11:00:01.000 that the store had come back from an older copy (era 3, then 4)."))
+		Expect(log(`{"time":"2026-12-04T11:00:01Z","host":"h","dependency":"store","message":"dependency_lost"}`)).
+			To(ContainSubstring("h lost the store at 11:00:01.000."))
+		Expect(log(`{"time":"2026-12-04T10:59:01Z","host":"h","dependency":"store","message":"dependency_lost"}`)).NotTo(ContainSubstring("lost"))
+	})
+
 	It("says when a request is not in the logs", func() {
 		_, err := traceOf("0000000000000000")
 		Expect(err).To(MatchError(errNotLogged))
