--- a/jetty/restore_test.go
+++ b/jetty/restore_test.go
@@ -246,6 +246,27 @@
 		Expect(a.Draining).To(BeFalse())
 	})
 
+	It("believes a registration of the copy that the store still lists after a while", func() {
+		restore()
+		w.believeDoubtful()
+		a, _ := w.clusterState.catalog().Get("a")
+		Expect(a.Draining).To(BeTrue())
+		w.doubtfulUntil = time.Now()
+		w.believeDoubtful()
+		a, _ = w.clusterState.catalog().Get("a")
+		Expect(a.Draining).To(BeFalse())
+	})
+
+	It("does not bring a server back whose registration has expired meanwhile", func() {
+		restore()
+		w.advance([]ledger.Change{{Entry: entry("server/a", "", revision(2, 7)), Removed: true}}, revision(2, 7), true)
+		w.doubtfulUntil, w.unconfirmedUntil = time.Now(), time.Now()
+		w.believeDoubtful()
+		w.removeMissing()
+		_, known := w.clusterState.catalog().Get("a")
+		Expect(known).To(BeFalse())
+	})
+
 	It("keeps a server that the copy does not have for a while", func() {
 		restore()
 		b, known := w.clusterState.catalog().Get("b")
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -34,6 +34,10 @@
 	// reregisterTimeout is the time after an outage within which all running
 	// servers have registered again.
 	reregisterTimeout = 2200 * time.Millisecond
+	// registrationExpiry is the time within which the registration of a server is
+	// removed that has stopped writing: three intervals of 0.87 s, and the delay of a
+	// feed.
+	registrationExpiry = 4 * time.Second
 )
 
 // watcher watches the store, directly or through the feeder, and keeps the
@@ -59,6 +63,11 @@
 	// departures has the servers that are leaving or have left, which the store may
 	// have forgotten.
 	departures departures
+	// doubtful has the registrations of departed servers that may be from the copy, as
+	// the store lists them. They are believed from doubtfulUntil on: by then the
+	// registrations of servers that are gone have expired.
+	doubtful      map[fairway.ServerID]fairway.Endpoint
+	doubtfulUntil time.Time
 	// scanned reports whether the store has been read as a whole, and all changes
 	// since then. initialized is set by the first time.
 	scanned     atomic.Bool
@@ -93,6 +102,7 @@
 			retry = min(2*retry, maxWatchRetryDelay)
 		}
 		w.removeMissing()
+		w.believeDoubtful()
 	}
 }
 
@@ -222,6 +232,7 @@
 		w.logs.storeRestored(w.revision, revision)
 		w.unconfirmedUntil = time.Now().Add(reregisterTimeout)
 		w.restoredAt = revision
+		w.doubtful, w.doubtfulUntil = make(map[fairway.ServerID]fairway.Endpoint), time.Now().Add(registrationExpiry)
 		w.clusterState.setRestored(bootTimeNow())
 	}
 	changes := make([]ledger.Change, 0, len(entries))
@@ -271,8 +282,10 @@
 			}
 		case ServerRecord:
 			updated, removed = withoutServer(updated, record.ID), append(removed, record.ID)
+			delete(w.doubtful, record.ID)
 			if record.Err == nil {
-				if c.Revision <= w.restoredAt && w.departures.includes(record.Endpoint) {
+				if c.Revision <= w.restoredAt && !record.Endpoint.Draining && w.departures.includes(record.Endpoint) {
+					w.doubtful[record.ID] = record.Endpoint
 					record.Endpoint.Draining = true
 				}
 				updated, removed = append(updated, record.Endpoint), removed[:len(removed)-1]
@@ -360,6 +373,23 @@
 	}
 }
 
+// believeDoubtful takes the registrations of departed servers as they are that the store
+// still lists after a restore.
+func (w *watcher) believeDoubtful() {
+	if len(w.doubtful) == 0 || time.Now().Before(w.doubtfulUntil) || w.lost {
+		return
+	}
+	var listed []fairway.Endpoint
+	for id, e := range w.doubtful {
+		if _, known := w.clusterState.catalog().Get(id); known {
+			listed = append(listed, e)
+		}
+	}
+	clear(w.doubtful)
+	w.updateServers(listed, nil)
+	w.onChange()
+}
+
 // removeMissing removes the servers that have not registered again in time after
 // an outage.
 func (w *watcher) removeMissing() {
