--- a/jetty/load.go
+++ b/jetty/load.go
@@ -51,6 +51,9 @@
 	reportingHosts map[HostID]reportingHost
 	// countingUntil is until when reports of some hosts are still missing.
 	countingUntil time.Time
+	// leastHosts and leastReaching are the numbers that this host knew before its term.
+	leastHosts    int
+	leastReaching int
 	// feeders has the feeder of each failure domain.
 	feeders map[fairway.Domain]HostID
 	// granted has the ranges of each service whose grants are not recorded yet.
@@ -78,13 +81,13 @@
 	return requests, stats
 }
 
-// beginTerm begins to count the hosts, for a new term of this host. It drops the load
-// reported before.
-func (l *loadCollector) beginTerm(now time.Time) {
+// beginTerm begins to count the hosts, for a new term of this host, which knows some
+// numbers from before. It drops the load reported before.
+func (l *loadCollector) beginTerm(now time.Time, hosts, reaching int) {
 	l.takeReported()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.countingUntil = now.Add(countingTime)
+	l.countingUntil, l.leastHosts, l.leastReaching = now.Add(countingTime), hosts, reaching
 }
 
 // setGranted sets the ranges of a service whose grants are not recorded yet.
@@ -223,7 +226,7 @@
 			delete(l.reportingHosts, id)
 		}
 	}
-	return loadSummary{
+	summary := loadSummary{
 		peers:      l.peers(id, fairway.Domain(r.Domain), now),
 		answering:  l.answeringOthers(id, r.Failing, now),
 		reaching:   l.reaching(),
@@ -233,6 +236,10 @@
 		overloaded: l.overload.Overloaded(instantOf(now)),
 		granted:    maps.Clone(l.granted),
 	}
+	if summary.counting {
+		summary.hosts, summary.reaching = max(summary.hosts, l.leastHosts), max(summary.reaching, l.leastReaching)
+	}
+	return summary
 }
 
 // maxRelayPeers bounds the peers that a reply names, and maxOwnDomainPeers those of
--- a/jetty/pathevidence_test.go
+++ b/jetty/pathevidence_test.go
@@ -174,10 +174,14 @@
 	})
 
 	It("does not count the hosts before a new placer has heard from them", func() {
-		collector := newLoadCollector()
-		collector.beginTerm(now)
-		Expect(collector.add(&signal.LoadReport{Host: "a"}, now).counting).To(BeTrue())
-		Expect(collector.add(&signal.LoadReport{Host: "a"}, now.Add(countingTime)).counting).To(BeFalse())
+		l.beginTerm(now, 79, 78)
+		summary := l.add(&signal.LoadReport{Host: "a"}, now)
+		Expect(summary.counting).To(BeTrue())
+		Expect(summary.hosts).To(Equal(79), "a host of the build before uses it")
+		Expect(summary.reaching).To(Equal(78))
+		summary = l.add(&signal.LoadReport{Host: "a"}, now.Add(countingTime))
+		Expect(summary.counting).To(BeFalse())
+		Expect(summary.hosts).To(Equal(1))
 	})
 
 	It("names no host that is cut", func() {
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -126,7 +126,8 @@
 		close(r.done)
 		r.election.logs.placerTerm("ended", r.term.revision)
 	}()
-	r.election.loadCollector.beginTerm(time.Now())
+	state := r.election.clusterState
+	r.election.loadCollector.beginTerm(time.Now(), state.knownHostCount(), state.reachingCount())
 	r.workers.Go(func() { r.term.run(ctx) })
 	takeover := &takeover{term: r.term, ended: r.predecessorsEnded, logs: r.election.logs}
 	r.workers.Go(func() { takeover.run(ctx) })
