--- /dev/null
+++ b/jetty/slots.go
@@ -0,0 +1,202 @@
+package jetty
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"hornbeamwinch.example/signal"
+	"hornbeamwinch.example/sluice"
+)
+
+const (
+	// slotInterval is the time between two checks whether slots are needed, besides
+	// those when a request begins to wait.
+	slotInterval = 50 * time.Millisecond
+	// takeSlotsTimeout bounds a call for slots. Until it has failed, the host has none.
+	takeSlotsTimeout = 200 * time.Millisecond
+	// ownSlotsShare is the part of a limit that all hosts together use while they have
+	// no placer to ask.
+	ownSlotsShare = 0.5
+)
+
+// run asks for slots until ctx is done.
+func (l *limits) run(ctx context.Context) {
+	ticker := time.NewTicker(slotInterval)
+	defer ticker.Stop()
+	defer l.closeConn()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+		case <-ticker.C:
+		}
+		if l.any() {
+			l.askForSlots(ctx)
+		}
+	}
+}
+
+// any reports whether any limit is known.
+func (l *limits) any() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records) > 0
+}
+
+// slotDemand is the slots that the admission of a service needs.
+type slotDemand struct {
+	adm     *admission
+	request sluice.SlotRequest
+}
+
+// askForSlots gets slots for the requests that wait, all with one call.
+func (l *limits) askForSlots(ctx context.Context) {
+	l.refresh(monotonicNow())
+	var demands []slotDemand
+	for _, adm := range l.admissions.all() {
+		for _, r := range adm.slotRequests() {
+			demands = append(demands, slotDemand{adm: adm, request: r})
+		}
+	}
+	if len(demands) == 0 {
+		return
+	}
+	given, err := l.takeSlots(ctx, demands)
+	if err != nil {
+		given = l.ownSlots(demands)
+	} else {
+		l.dropOwn()
+	}
+	for i, d := range demands {
+		d.adm.addSlots(d.request, given[i])
+	}
+}
+
+// takeSlots takes slots from the placer.
+func (l *limits) takeSlots(ctx context.Context, demands []slotDemand) ([]sluice.Slots, error) {
+	request := &signal.TakeSlotsRequest{}
+	now := monotonicNow()
+	l.mu.Lock()
+	for _, d := range demands {
+		e := sluice.LimitEvidence{Limit: d.request.Limit, NamedAt: now}
+		if r := l.records[d.request.Server]; r != nil {
+			e = r.evidence
+		}
+		request.Requests = append(request.Requests, &signal.SlotRequest{
+			Limit: encodeLimit(d.request.Server, e, now), Slots: uint32(d.request.Slots),
+		})
+	}
+	l.mu.Unlock()
+	reply, err := l.call(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	if len(reply.Slots) != len(demands) {
+		return nil, status.Error(codes.Internal, "reply does not match the request")
+	}
+	given := make([]sluice.Slots, len(demands))
+	for i, s := range reply.Slots {
+		given[i].Next = time.Duration(s.GetNextMicros()) * time.Microsecond
+		for _, wait := range s.GetWaitMicros() {
+			given[i].Waits = append(given[i].Waits, time.Duration(wait)*time.Microsecond)
+		}
+	}
+	return given, nil
+}
+
+// call calls the placer, which may be this host.
+func (l *limits) call(ctx context.Context, r *signal.TakeSlotsRequest) (*signal.TakeSlotsReply, error) {
+	placer := l.clusterState.currentPlacer().address
+	switch {
+	case placer == "":
+		return nil, status.Error(codes.Unavailable, "there is no placer")
+	case placer == l.address:
+		return l.TakeSlots(ctx, r)
+	}
+	if l.conn == nil || l.connAddress != placer {
+		l.closeConn()
+		conn, err := dialPeer(placer)
+		if err != nil {
+			return nil, err
+		}
+		l.conn, l.connAddress = conn, placer
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeSlotsTimeout)
+	defer cancel()
+	reply, err := signal.NewLimitsClient(l.conn).TakeSlots(ctx, r)
+	if code := status.Code(err); code == codes.DeadlineExceeded || code == codes.Unavailable {
+		l.closeConn()
+	}
+	return reply, err
+}
+
+func (l *limits) closeConn() {
+	if l.conn != nil {
+		// Close fails only if the connection is closed already.
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+}
+
+// TakeSlots implements signal.LimitsServer.
+func (l *limits) TakeSlots(_ context.Context, r *signal.TakeSlotsRequest) (*signal.TakeSlotsReply, error) {
+	if !l.mayGive() {
+		l.mu.Lock()
+		l.pool = nil
+		l.mu.Unlock()
+		return nil, status.Error(codes.FailedPrecondition, "this host is not the placer")
+	}
+	now := monotonicNow()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pool == nil {
+		l.pool = sluice.NewSlotPool()
+	}
+	reply := &signal.TakeSlotsReply{}
+	for _, request := range r.GetRequests() {
+		s := &signal.Slots{}
+		reply.Slots = append(reply.Slots, s)
+		instance, ok := l.mergeOne(request.GetLimit(), now)
+		if !ok {
+			s.NextMicros = uint64(slotInterval.Microseconds())
+			continue
+		}
+		given := l.pool.Take(now, instance, l.records[instance].evidence.Limit, int(request.GetSlots()))
+		s.NextMicros = uint64(given.Next.Microseconds())
+		for _, wait := range given.Waits {
+			s.WaitMicros = append(s.WaitMicros, uint64(wait.Microseconds()))
+		}
+	}
+	return reply, nil
+}
+
+// ownSlots returns slots of this host's part of each limit, while the placer cannot be
+// asked.
+func (l *limits) ownSlots(demands []slotDemand) []sluice.Slots {
+	now, hosts := monotonicNow(), l.clusterState.hostCount()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.own == nil {
+		l.own = sluice.NewSlotPool()
+	}
+	given := make([]sluice.Slots, len(demands))
+	for i, d := range demands {
+		given[i] = l.own.TakePart(now, d.request.Server, ownSlotsShare*d.request.Limit/sluice.Rate(hosts), d.request.Slots)
+	}
+	return given
+}
+
+func (l *limits) dropOwn() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.own = nil
+}
+
+// startWaiting is called when a request begins to wait at an admission.
+func (l *limits) startWaiting() {
+	signalOnce(l.wake)
+}
--- a/sluice/limit_test.go
+++ b/sluice/limit_test.go
@@ -44,7 +44,7 @@
 	rng    *rand.Rand
 	hosts  []*limitHost
 	keyed  bool
-	pool   *sluice.LimitPool
+	pool   *sluice.SlotPool
 	limit  sluice.Rate
 	named  bool
 	later  map[mooring.Instant][]func()
@@ -61,14 +61,14 @@
 
 type limitHost struct {
 	controller  *sluice.Controller
-	own         *sluice.LimitPool
+	own         *sluice.SlotPool
 	frozenUntil mooring.Instant
 }
 
 func newLimitFleet(seed uint64, hosts int, keyed bool) *limitFleet {
 	f := &limitFleet{
 		now: mooring.Instant(time.Minute), rng: rand.New(rand.NewPCG(seed, 26)), keyed: keyed,
-		pool: sluice.NewLimitPool(), later: make(map[mooring.Instant][]func()),
+		pool: sluice.NewSlotPool(), later: make(map[mooring.Instant][]func()),
 	}
 	for range hosts {
 		f.join()
@@ -154,7 +154,7 @@
 			var slots sluice.Slots
 			if f.now < f.noPlacerUntil {
 				if h.own == nil {
-					h.own = sluice.NewLimitPool()
+					h.own = sluice.NewSlotPool()
 				}
 				slots = h.own.TakePart(f.now, r.Server, r.Limit/2/sluice.Rate(len(f.hosts)), r.Slots)
 			} else {
@@ -261,11 +261,11 @@
 					h.controller.SetLimit(sluice.ServerInstanceOf(limitedServer), f.limit, f.named)
 					event = "join"
 				case 3:
-					f.pool = sluice.NewLimitPool()
+					f.pool = sluice.NewSlotPool()
 					f.noPlacerUntil = f.now.Add(2 * time.Second)
 					event = "next placer"
 				case 4:
-					f.pool = sluice.NewLimitPool()
+					f.pool = sluice.NewSlotPool()
 					event = "next placer at once"
 				case 5:
 					f.name(0, false)
