--- a/ledger/revision.go
+++ b/ledger/revision.go
@@ -16,9 +16,10 @@
 	// numberBits is the size of the part of a revision that the store counts. The
 	// rest holds the era.
 	numberBits = 40
-	// MaxNumber and MaxEra are the highest values that fit in a [Revision].
+	// MaxNumber is the highest number of a [Revision].
 	MaxNumber uint64 = 1<<numberBits - 1
-	MaxEra    Era    = 1<<(64-numberBits) - 1
+	// MaxEra is the highest era of a [Revision].
+	MaxEra Era = 1<<(64-numberBits) - 1
 )
 
 // NewRevision returns the revision with a number that the store has given out in an
