--- a/jetty/limits.go
+++ b/jetty/limits.go
@@ -56,8 +56,10 @@
 	connAddress string
 
 	// mu guards the fields below. It is taken before the lock of an admission.
-	mu      sync.Mutex
-	records map[sluice.ServerInstance]*limitRecord
+	mu sync.Mutex
+	// observed numbers the responses that this host has observed.
+	observed uint64
+	records  map[sluice.ServerInstance]*limitRecord
 	// pool has the slots that this host gives out as the placer, and own those that it
 	// uses without one.
 	pool *sluice.SlotPool
@@ -66,6 +68,8 @@
 
 func newLimits(l *limits) *limits {
 	l.records = make(map[sluice.ServerInstance]*limitRecord)
+	// The numbers of a host that has restarted are other ones.
+	l.observed = uint64(time.Now().UnixNano())
 	l.wake = make(chan struct{}, 1)
 	return l
 }
@@ -87,12 +91,18 @@
 		r = &limitRecord{service: s.Service}
 	}
 	if limit.Named {
-		l.update(instance, r, r.evidence.Named(sentAt, receivedAt, sluice.Rate(limit.PerSecond)))
+		l.update(instance, r, r.evidence.Named(l.observation(), sentAt, receivedAt, sluice.Rate(limit.PerSecond)))
 	} else {
-		l.update(instance, r, r.evidence.Free(sentAt, receivedAt))
+		l.update(instance, r, r.evidence.Free(l.observation(), sentAt, receivedAt))
 	}
 }
 
+// observation returns the identity of the next response that this host observes.
+func (l *limits) observation() sluice.Observation {
+	l.observed++
+	return sluice.Observation{Host: l.address, Number: l.observed}
+}
+
 // update sets the evidence of a server, and its limit in the admission of its service.
 func (l *limits) update(instance sluice.ServerInstance, r *limitRecord, evidence sluice.LimitEvidence) {
 	before := r.evidence
@@ -135,9 +145,11 @@
 	evidence := sluice.LimitEvidence{
 		Limit:   sluice.Rate(report.GetLimit()),
 		NamedAt: now.Add(-time.Duration(report.GetNamedAgeMicros()) * time.Microsecond),
+		NamedBy: sluice.Observation{Host: report.GetNamedBy(), Number: report.GetNamedNumber()},
 	}
 	if age := report.GetFreeAgeMicros(); age > 0 {
 		evidence.FreeAt = now.Add(-time.Duration(age) * time.Microsecond)
+		evidence.FreeBy = sluice.Observation{Host: report.GetFreeBy(), Number: report.GetFreeNumber()}
 	}
 	r := l.records[instance]
 	if r == nil {
@@ -165,8 +177,10 @@
 	report := &signal.ServerLimit{
 		Server: string(instance.Server), Incarnation: int64(instance.Incarnation),
 		Limit: float64(e.Limit), NamedAgeMicros: uint64(now.Sub(e.NamedAt).Microseconds()),
+		NamedBy: e.NamedBy.Host, NamedNumber: e.NamedBy.Number,
 	}
 	if e.FreeAt != 0 {
+		report.FreeBy, report.FreeNumber = e.FreeBy.Host, e.FreeBy.Number
 		report.FreeAgeMicros = max(uint64(now.Sub(e.FreeAt).Microseconds()), 1)
 	}
 	return report
@@ -193,7 +207,7 @@
 	for instance, r := range l.records {
 		e, listed := l.clusterState.catalog().Get(instance.Server)
 		gone := !listed || sluice.ServerInstanceOf(e) != instance
-		if gone || !r.evidence.Limited() && now.Sub(r.evidence.FreeAt) > freeMemory {
+		if gone || !r.evidence.Limited() && now.Sub(r.evidence.NamedAt) > freeMemory {
 			delete(l.records, instance)
 			continue
 		}
--- a/sluice/limit_test.go
+++ b/sluice/limit_test.go
@@ -314,31 +314,44 @@
 
 var _ = Describe("The evidence of a limit", func() {
 	at := func(ms int) mooring.Instant { return mooring.Instant(time.Duration(ms) * time.Millisecond) }
-	named := sluice.LimitEvidence{}.Named(at(10), at(20), 5)
+	var observed uint64
+	by := func() sluice.Observation {
+		observed++
+		return sluice.Observation{Host: "h", Number: observed}
+	}
+	named := sluice.LimitEvidence{}.Named(by(), at(10), at(20), 5)
 
 	It("ends with a response without one whose request was sent later", func() {
 		Expect(named.Limited()).To(BeTrue())
-		Expect(named.Free(at(15), at(30)).Limited()).To(BeTrue(), "the response may be older")
-		Expect(named.Free(at(21), at(30)).Limited()).To(BeFalse())
+		Expect(named.Free(by(), at(15), at(30)).Limited()).To(BeTrue(), "the response may be older")
+		Expect(named.Free(by(), at(21), at(30)).Limited()).To(BeFalse())
 	})
 
 	It("does not return with an older response", func() {
-		free := named.Free(at(21), at(30))
-		Expect(free.Named(at(22), at(40), 5).Limited()).To(BeFalse())
-		Expect(free.Named(at(31), at(40), 5).Limited()).To(BeTrue())
+		free := named.Free(by(), at(21), at(30))
+		Expect(free.Named(by(), at(22), at(40), 5).Limited()).To(BeFalse())
+		Expect(free.Named(by(), at(31), at(40), 5).Limited()).To(BeTrue())
 	})
 
 	It("rises only with a response whose request was sent later", func() {
-		Expect(named.Named(at(15), at(30), 9).Limit).To(Equal(sluice.Rate(5)))
-		Expect(named.Named(at(21), at(30), 9).Limit).To(Equal(sluice.Rate(9)))
-		Expect(named.Named(at(15), at(30), 2).Limit).To(Equal(sluice.Rate(2)))
+		Expect(named.Named(by(), at(15), at(30), 9).Limit).To(Equal(sluice.Rate(5)))
+		Expect(named.Named(by(), at(21), at(30), 9).Limit).To(Equal(sluice.Rate(9)))
+		Expect(named.Named(by(), at(15), at(30), 2).Limit).To(Equal(sluice.Rate(2)))
 	})
 
 	It("is the newest of two hosts", func() {
-		later := sluice.LimitEvidence{Limit: 3, NamedAt: at(50)}
-		free := named.Free(at(21), at(30))
+		later := sluice.LimitEvidence{Limit: 3, NamedAt: at(50), NamedBy: by()}
+		free := named.Free(by(), at(21), at(30))
 		Expect(free.Merge(later).Limited()).To(BeTrue())
 		Expect(free.Merge(later).Limit).To(Equal(sluice.Rate(3)))
 		Expect(free.Merge(named).Limited()).To(BeFalse())
 	})
+
+	It("does not become newer by being told", func() {
+		told := named
+		told.NamedAt = at(90)
+		Expect(named.Merge(told)).To(Equal(named))
+		free := named.Free(by(), at(21), at(30))
+		Expect(free.Merge(told).Limited()).To(BeFalse())
+	})
 })
