--- a/mooring/balance.go
+++ b/mooring/balance.go
@@ -239,8 +239,8 @@
 }
 
 // pickHottestKey picks the busiest key of a server that exceeds its limit. The other
-// server may exceed the target by it, as long as it is utilized less than the first, and
-// other keys are moved away from it next.
+// server may exceed the target by it, but not a limit of its own, as long as it is
+// utilized less than the first, and other keys are moved away from it next.
 func (a *Assigner) pickHottestKey(alloc *allocation, from, to *serverLoad) (KeyRange, float64, bool) {
 	var hottest Key
 	highest := 0.0
@@ -255,7 +255,8 @@
 			}
 		}
 	}
-	ok := highest > 0 && (to.load+highest)/to.capacity < from.utilization()
+	ok := highest > 0 && to.load+highest <= alloc.model.maxLoad(to.instance.Server) &&
+		(to.load+highest)/to.capacity < from.utilization()
 	return KeyRange{From: hottest, To: hottest}, highest, ok
 }
 
--- a/mooring/limit_test.go
+++ b/mooring/limit_test.go
@@ -73,6 +73,42 @@
 		expectAllKeysHeld(sim)
 	})
 
+	It("move few keys if all of them do, since none has room", func() {
+		sim := newSimulation(21)
+		rng := rand.New(rand.NewPCG(26, 3))
+		busy := rand.NewZipf(rng, 1.1, 10, 4000)
+		sim.run(2 * time.Second)
+		limits := make(map[fairway.ServerID]float64)
+		zipf := func(l map[fairway.ServerID]float64) {
+			load := make(map[mooring.Key]int)
+			for range perSecond / 2 {
+				load[mooring.Key(16*busy.Uint64())]++
+			}
+			sim.step(sim.term, mooring.LoadReported{Requests: load, Interval: 500 * time.Millisecond, Limits: l})
+			sim.run(500 * time.Millisecond)
+		}
+		for range 20 {
+			zipf(nil)
+		}
+		for id := range sim.servers {
+			limits[id] = limit
+		}
+		moves := 0
+		before := ownersOf(sim)
+		for range 60 {
+			zipf(limits)
+			after := ownersOf(sim)
+			for key, owner := range after {
+				if before[key] != owner {
+					moves++
+				}
+			}
+			before = after
+		}
+		Expect(moves).To(BeNumerically("<=", len(sampledKeys)), "sampled keys that moved in 30 s")
+		Expect(sim.violations).To(BeEmpty())
+	})
+
 	It("keep some keys at a limit of 0, or nobody learns that it has gone", func() {
 		sim := newSimulation(5)
 		rng := rand.New(rand.NewPCG(26, 2))
