--- a/jetty/restore_test.go
+++ b/jetty/restore_test.go
@@ -200,6 +200,26 @@
 		Expect((&formerTerm{term: termOf(1, 50, -time.Second)}).continues(2)).To(BeFalse())
 		Expect((*formerTerm)(nil).continues(2)).To(BeFalse())
 	})
+
+	It("is not continued once it was given up, since another host may have been the placer", func() {
+		former := &formerTerm{term: termOf(1, 50, time.Second)}
+		former.term.store, former.term.logs = newFakeStore(), quietLogs()
+		Expect(former.term.resign(context.Background())).To(Succeed())
+		Expect(former.continues(2)).To(BeFalse())
+	})
+
+	DescribeTable("is continued after a failed renewal",
+		func(cause error, continued bool) {
+			former := &formerTerm{term: termOf(1, 50, time.Second)}
+			s := newFakeStore()
+			s.err = &ledger.Error{Op: "renew lease", Kind: ledger.KindNotFound, Err: cause}
+			former.term.store, former.term.logs = s, quietLogs()
+			former.term.run(context.Background())
+			Expect(former.continues(2)).To(Equal(continued))
+		},
+		Entry("if the store has come back from an older copy", ledger.ErrEraChanged, true),
+		Entry("not if the lease has ended in its own era", errFake, false),
+	)
 })
 
 var _ = Describe("What a host knows when the store comes back from an older copy", func() {
--- a/jetty/term.go
+++ b/jetty/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -178,6 +179,9 @@
 			t.confirm(requestedAt)
 		case ledger.IsKind(err, ledger.KindNotFound), ledger.IsKind(err, ledger.KindConflict):
 			t.writesUntil.Store(0)
+			if !errors.Is(err, ledger.ErrEraChanged) {
+				t.leaseUntil.Store(0)
+			}
 			t.logs.operationFailed("renew placer lease", err)
 			return
 		default:
@@ -206,6 +210,7 @@
 // the store cannot be reached, no other host can become the placer, and orders
 // continue.
 func (t *term) resign(ctx context.Context) error {
+	t.leaseUntil.Store(0)
 	if err := t.store.RevokeLease(ctx, t.lease); err != nil {
 		t.logs.operationFailed("revoke placer lease", err)
 		return err
--- a/ledger/revision.go
+++ b/ledger/revision.go
@@ -1,6 +1,13 @@
 package ledger
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrEraChanged is the cause of an error of a call that has a meaning in one era only,
+// while the store is in a later one.
+var ErrEraChanged = errors.New("the store has come back from an older copy")
 
 // Era counts how often a store has come back from an older copy of its content. What
 // was written after the copy is lost then, and the revisions and leases of those writes
