--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -363,9 +363,9 @@
 }
 
 // unreleased returns a former owner that may still hold keys of an assignment, one that
-// can be sent an order if there is any. What was proved of the others stays proved: a grant of other keys
-// to one of them must not interrupt the grants of the next owner, which may have
-// begun.
+// can be sent an order if there is any. What was proved of the others stays proved: a
+// grant of other keys to one of them must not interrupt the grants of the next owner,
+// which may have begun.
 func (a *Assigner) unreleased(r *Assignment) (ServerInstance, bool) {
 	state := a.stateOf(r)
 	var blocked ServerInstance
@@ -414,7 +414,7 @@
 // writeChanges emits a write of the table if anything in it has to change.
 func (a *Assigner) writeChanges() {
 	next := a.recorded.clone()
-	moves := append(a.reserve.takeMoves(), a.removeClearedOwners(next)...)
+	moves := a.removeClearedOwners(next)
 	moves = append(moves, a.renewTokens(next)...)
 	if candidates := a.candidates(); len(candidates) > 0 {
 		moves = append(moves, a.replaceOwners(next, candidates)...)
@@ -425,6 +425,7 @@
 	if len(moves) == 0 {
 		return
 	}
+	moves = append(a.reserve.takeMoves(), moves...)
 	for i := range next.Assignments {
 		r := &next.Assignments[i]
 		if !r.Moving() && r.Handover != "" && a.isConfirmed(r) {
--- a/mooring/reserve_test.go
+++ b/mooring/reserve_test.go
@@ -25,6 +25,19 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	It("costs no write", func() {
+		sim := newSimulation(5)
+		sim.run(2 * time.Second)
+		written := sim.revision
+		owner := sim.servers["s1"]
+		owner.dropsResponses = true
+		sim.run(timing.RenewInterval + 100*time.Millisecond)
+		owner.dropsResponses = false
+		sim.run(2 * timing.Hold)
+		expectAllKeysHeld(sim)
+		Expect(sim.revision).To(Equal(written))
+	})
+
 	It("is given again under a token that no later placer gives out", func() {
 		sim := newSimulation(5)
 		sim.run(2 * time.Second)
