--- a/jetty/restore_test.go
+++ b/jetty/restore_test.go
@@ -268,11 +268,11 @@
 
 	It("believes a registration of the copy that the store still lists after a while", func() {
 		restore()
-		w.believeDoubtful()
+		w.acceptCopied()
 		a, _ := w.clusterState.catalog().Get("a")
 		Expect(a.Draining).To(BeTrue())
-		w.doubtfulUntil = time.Now()
-		w.believeDoubtful()
+		w.copiedUntil = time.Now()
+		w.acceptCopied()
 		a, _ = w.clusterState.catalog().Get("a")
 		Expect(a.Draining).To(BeFalse())
 	})
@@ -280,8 +280,8 @@
 	It("does not bring a server back whose registration has expired meanwhile", func() {
 		restore()
 		w.advance([]ledger.Change{{Entry: entry("server/a", "", revision(2, 7)), Removed: true}}, revision(2, 7), true)
-		w.doubtfulUntil, w.unconfirmedUntil = time.Now(), time.Now()
-		w.believeDoubtful()
+		w.copiedUntil, w.unconfirmedUntil = time.Now(), time.Now()
+		w.acceptCopied()
 		w.removeMissing()
 		_, known := w.clusterState.catalog().Get("a")
 		Expect(known).To(BeFalse())
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -63,11 +63,11 @@
 	// departures has the servers that are leaving or have left, which the store may
 	// have forgotten.
 	departures departures
-	// doubtful has the registrations of departed servers that may be from the copy, as
-	// the store lists them. They are believed from doubtfulUntil on: by then the
-	// registrations of servers that are gone have expired.
-	doubtful      map[fairway.ServerID]fairway.Endpoint
-	doubtfulUntil time.Time
+	// copied has the registrations of departed servers that may be from the copy, as
+	// the store lists them. They count from copiedUntil on: by then the registrations of
+	// servers that are gone have expired.
+	copied      map[fairway.ServerID]fairway.Endpoint
+	copiedUntil time.Time
 	// scanned reports whether the store has been read as a whole, and all changes
 	// since then. initialized is set by the first time.
 	scanned     atomic.Bool
@@ -102,7 +102,7 @@
 			retry = min(2*retry, maxWatchRetryDelay)
 		}
 		w.removeMissing()
-		w.believeDoubtful()
+		w.acceptCopied()
 	}
 }
 
@@ -232,7 +232,7 @@
 		w.logs.storeRestored(w.revision, revision)
 		w.unconfirmedUntil = time.Now().Add(reregisterTimeout)
 		w.restoredAt = revision
-		w.doubtful, w.doubtfulUntil = make(map[fairway.ServerID]fairway.Endpoint), time.Now().Add(registrationExpiry)
+		w.copied, w.copiedUntil = make(map[fairway.ServerID]fairway.Endpoint), time.Now().Add(registrationExpiry)
 		w.clusterState.setRestored(bootTimeNow())
 	}
 	changes := make([]ledger.Change, 0, len(entries))
@@ -282,10 +282,10 @@
 			}
 		case ServerRecord:
 			updated, removed = withoutServer(updated, record.ID), append(removed, record.ID)
-			delete(w.doubtful, record.ID)
+			delete(w.copied, record.ID)
 			if record.Err == nil {
 				if c.Revision <= w.restoredAt && !record.Endpoint.Draining && w.departures.includes(record.Endpoint) {
-					w.doubtful[record.ID] = record.Endpoint
+					w.copied[record.ID] = record.Endpoint
 					record.Endpoint.Draining = true
 				}
 				updated, removed = append(updated, record.Endpoint), removed[:len(removed)-1]
@@ -373,19 +373,19 @@
 	}
 }
 
-// believeDoubtful takes the registrations of departed servers as they are that the store
-// still lists after a restore.
-func (w *watcher) believeDoubtful() {
-	if len(w.doubtful) == 0 || time.Now().Before(w.doubtfulUntil) || w.lost {
+// acceptCopied applies the registrations of departed servers that the store still lists
+// when they would have expired.
+func (w *watcher) acceptCopied() {
+	if len(w.copied) == 0 || time.Now().Before(w.copiedUntil) || w.lost {
 		return
 	}
 	var listed []fairway.Endpoint
-	for id, e := range w.doubtful {
+	for id, e := range w.copied {
 		if _, known := w.clusterState.catalog().Get(id); known {
 			listed = append(listed, e)
 		}
 	}
-	clear(w.doubtful)
+	clear(w.copied)
 	w.updateServers(listed, nil)
 	w.onChange()
 }
