--- a/jetty/limits.go
+++ b/jetty/limits.go
@@ -209,6 +209,9 @@
 		gone := !listed || sluice.ServerInstanceOf(e) != instance
 		if gone || !r.evidence.Limited() && now.Sub(r.evidence.NamedAt) > freeMemory {
 			delete(l.records, instance)
+			if r.applied != nil {
+				r.applied.setLimit(instance, sluice.LimitEvidence{})
+			}
 			continue
 		}
 		l.apply(instance, r)
--- a/jetty/limits_test.go
+++ b/jetty/limits_test.go
@@ -71,6 +71,15 @@
 		Expect(placer.records[sluice.ServerInstanceOf(server)].evidence).To(Equal(before))
 	})
 
+	It("leaves nothing at the admission of its service when its instance is gone", func() {
+		adm := a.admissions.get(&fairway.Service{Name: "readings"}, a.clusterState.catalog())
+		a.refresh(now)
+		Expect(adm.controller.Limited()).To(BeTrue())
+		a.clusterState.servers.Store(fairway.NewCatalog(nil))
+		a.refresh(now)
+		Expect(adm.controller.Limited()).To(BeFalse())
+	})
+
 	It("is forgotten with its instance", func() {
 		next := server
 		next.Incarnation++
