--- a/jetty/events.go
+++ b/jetty/events.go
@@ -27,6 +27,7 @@
 	eventOrderAnswered        event = "order_answered"
 	eventPlacerChanged        event = "placer_changed"
 	eventPlacerTerm           event = "placer_term"
+	eventRecalled             event = "recalled"
 	eventRequestAnswered      event = "request_answered"
 	eventRequestRefused       event = "request_refused"
 	eventRequestRelayed       event = "request_relayed"
@@ -58,6 +59,7 @@
 	eventOrderAnswered,
 	eventPlacerChanged,
 	eventPlacerTerm,
+	eventRecalled,
 	eventRequestAnswered,
 	eventRequestRefused,
 	eventRequestRelayed,
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -125,7 +125,7 @@
 	h.limits.admissions = h.admissions
 	h.watcher = &watcher{
 		store: cfg.Store, protocol: cfg.Protocol, clusterState: h.clusterState, admissions: h.admissions, logs: h.logs,
-		changeLog: newChangeLog(), address: s.PeerAddress, onChange: h.refresh,
+		changeLog: newChangeLog(), memory: &memory{}, address: s.PeerAddress, onChange: h.refresh,
 	}
 	h.orderSender = newOrderSender(orderSenderConfig{Protocol: cfg.Protocol, Upstream: h.orderUpstream, Logs: h.logs, Metrics: h.metrics})
 	h.election = &election{
@@ -281,6 +281,7 @@
 	}))
 	signal.RegisterLoadsServer(h.peerServer, h.loadCollector)
 	signal.RegisterFeedServer(h.peerServer, h.watcher.changeLog)
+	signal.RegisterMemoryServer(h.peerServer, h.watcher.memory)
 	signal.RegisterRelayServer(h.peerServer, h.relayServer)
 	signal.RegisterLimitsServer(h.peerServer, h.limits)
 	signal.RegisterTermsServer(h.peerServer, &termsServer{election: h.election})
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -14,6 +14,7 @@
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
 	"hornbeamwinch.example/mooring"
+	"hornbeamwinch.example/signal"
 	"hornbeamwinch.example/sluice"
 )
 
@@ -187,6 +188,17 @@
 		Msg(string(eventStoreRestored))
 }
 
+// recalled logs what another host has told this one, which has just started, of what the
+// store may have forgotten.
+func (l *logs) recalled(peer string, reply *signal.RecallReply, err error) {
+	l.newLine(&l.system, err != nil).
+		Str("peer", peer).
+		Bool("configuration", reply.GetConfig() != nil).
+		Int("departures", len(reply.GetDepartures())).
+		Err(err).
+		Msg(string(eventRecalled))
+}
+
 // withRevision adds a revision as the store counts it, and its era if the store states
 // one.
 func withRevision(e *log.Entry, revision ledger.Revision) *log.Entry {
--- a/jetty/restore_test.go
+++ b/jetty/restore_test.go
@@ -243,7 +243,7 @@
 	BeforeEach(func() {
 		w = &watcher{
 			protocol: fakeProtocol{}, clusterState: newClusterState(fairway.NewActiveConfig()), admissions: newAdmissionSet(admissionSetConfig{}),
-			logs: quietLogs(), changeLog: newChangeLog(), onChange: func() {}, missing: make(map[fairway.ServerID]bool),
+			logs: quietLogs(), changeLog: newChangeLog(), memory: &memory{}, onChange: func() {}, missing: make(map[fairway.ServerID]bool),
 		}
 		w.applySnapshot([]ledger.Entry{
 			entry("server/a", "", revision(1, 5)), entry("server/b", "", revision(1, 6)), entry("config", "123", revision(1, 7)),
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -60,9 +60,8 @@
 	// restoredAt is the revision at which the store was first read after it had come
 	// back from an older copy, or zero. Records up to that one may be from the copy.
 	restoredAt ledger.Revision
-	// departures has the servers that are leaving or have left, which the store may
-	// have forgotten.
-	departures departures
+	// memory has what the store may have forgotten.
+	memory *memory
 	// copied has the registrations of departed servers that may be from the copy, as
 	// the store lists them. They count from copiedUntil on: by then the registrations of
 	// servers that are gone have expired.
@@ -218,6 +217,9 @@
 	if err != nil {
 		return err
 	}
+	if !w.initialized.Load() {
+		w.recall(ctx, entries, revision)
+	}
 	w.applySnapshot(entries, revision, true)
 	w.scanned.Store(true)
 	w.initialized.Store(true)
@@ -277,14 +279,12 @@
 		record := w.decode(c, readAt)
 		switch record := record.(type) {
 		case ConfigRecord:
-			if w.clusterState.activeConfig.SetIfNewer(record.Config) {
-				w.logs.configApplied(record.Config)
-			}
+			w.setConfig(record.Config, c.Entry)
 		case ServerRecord:
 			updated, removed = withoutServer(updated, record.ID), append(removed, record.ID)
 			delete(w.copied, record.ID)
 			if record.Err == nil {
-				if c.Revision <= w.restoredAt && !record.Endpoint.Draining && w.departures.includes(record.Endpoint) {
+				if c.Revision <= w.restoredAt && !record.Endpoint.Draining && w.memory.hasLeft(record.Endpoint) {
 					w.copied[record.ID] = record.Endpoint
 					record.Endpoint.Draining = true
 				}
@@ -301,6 +301,15 @@
 	}
 }
 
+// setConfig puts a configuration in force unless the present one is as new. The entry is
+// the one that it was decoded from.
+func (w *watcher) setConfig(c *fairway.Config, e ledger.Entry) {
+	if w.clusterState.activeConfig.SetIfNewer(c) {
+		w.memory.setConfig(e)
+		w.logs.configApplied(c)
+	}
+}
+
 func (w *watcher) decode(c ledger.Change, readAt time.Time) Record {
 	if c.Removed {
 		return w.protocol.DecodeRemoval(c.Key)
@@ -350,11 +359,11 @@
 func (w *watcher) updateServers(updated []fairway.Endpoint, removed []fairway.ServerID) {
 	for _, e := range updated {
 		delete(w.missing, e.ID)
-		w.departures.registered(time.Now(), e)
+		w.memory.registered(time.Now(), e)
 	}
 	for _, id := range removed {
 		if e, known := w.clusterState.catalog().Get(id); known {
-			w.departures.removed(time.Now(), e)
+			w.memory.removed(time.Now(), e)
 		}
 	}
 	var removedNow []fairway.ServerID
--- a/jetty/watcher_test.go
+++ b/jetty/watcher_test.go
@@ -35,7 +35,7 @@
 		changes = 0
 		w = &watcher{
 			store: s, protocol: fakeProtocol{}, clusterState: newClusterState(fairway.NewActiveConfig()), admissions: newAdmissionSet(admissionSetConfig{}),
-			logs: quietLogs(), changeLog: newChangeLog(), onChange: func() { changes++ }, missing: make(map[fairway.ServerID]bool),
+			logs: quietLogs(), changeLog: newChangeLog(), memory: &memory{}, onChange: func() { changes++ }, missing: make(map[fairway.ServerID]bool),
 		}
 		s.set("server/a", "x")
 		s.set("server/b", "x")
