--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -262,6 +262,9 @@
 			Str("from", string(m.From)).
 			Str("to", string(m.To)).
 			Uint64("fence", uint64(m.Token)).
+			Uint32("fence_era", uint32(m.Token.Era())).
+			Uint64("former_fence", uint64(m.FormerToken)).
+			Uint32("former_fence_era", uint32(m.FormerToken.Era())).
 			Str("reason", string(m.Reason))
 		if m.Proof != "" {
 			e = e.Str("proof", string(m.Proof))
--- a/jetty/logs_test.go
+++ b/jetty/logs_test.go
@@ -64,6 +64,15 @@
 		Expect(strings.Count(b.String(), "proof")).To(Equal(1))
 	})
 
+	It("names the token that a range had before, and the eras of both", func() {
+		var b bytes.Buffer
+		l := newLogs(&b, &Settings{Host: "h"})
+		const secondEra = mooring.Token(2) << 40
+		l.keysMoved("gauges", []mooring.Move{{Token: secondEra + 7, FormerToken: 7}}, 7)
+		l.close()
+		Expect(b.String()).To(ContainSubstring(`"fence":2199023255559,"fence_era":2,"former_fence":7,"former_fence_era":0`))
+	})
+
 	It("limits the lines of each second and counts the dropped ones", func() {
 		limiter := lineLimiter{limit: 3}
 		now := time.Unix(100, 0)
--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -439,10 +439,31 @@
 func (a *Assigner) write(next *Table, moves []Move) {
 	a.pending = next
 	a.wroteAt = a.now
+	for i := range moves {
+		if m := &moves[i]; m.FormerToken == 0 {
+			m.FormerToken = a.formerToken(m.KeyRange)
+		}
+	}
 	next.NextToken += tokenReserveSize
 	a.actions = append(a.actions, WriteTable{Table: next, Revision: a.revision, Moves: moves})
 }
 
+// formerToken returns the highest token that a key of a range has in the table from which
+// the next one is made.
+func (a *Assigner) formerToken(keys KeyRange) Token {
+	table := a.recorded
+	if table == nil {
+		table = a.restored
+	}
+	var highest Token
+	for i := range table.Assignments {
+		if r := &table.Assignments[i]; r.overlaps(keys) {
+			highest = max(highest, r.Token)
+		}
+	}
+	return highest
+}
+
 // renewTokens issues a new token for the assignments that need one.
 func (a *Assigner) renewTokens(next *Table) []Move {
 	var moves []Move
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -250,7 +250,9 @@
 	From     fairway.ServerID
 	To       fairway.ServerID
 	Token    Token
-	Reason   Reason
+	// FormerToken is the highest one that a key of the range had before.
+	FormerToken Token
+	Reason      Reason
 	// Proof is set for ReasonFormerOwnerCleared.
 	Proof Proof
 }
--- a/mooring/recovery.go
+++ b/mooring/recovery.go
@@ -18,7 +18,8 @@
 	return Token(era) << eraShift
 }
 
-func (t Token) era() Era {
+// Era returns the era of the store in which the token was allocated.
+func (t Token) Era() Era {
 	return Era(t >> eraShift)
 }
 
@@ -40,7 +41,7 @@
 // isRestored reports whether a loaded table is older than grants that the store has
 // forgotten.
 func (a *Assigner) isRestored(t *Table) bool {
-	written := t.NextToken.era()
+	written := t.NextToken.Era()
 	return written < a.cfg.Era && (written > 0 || a.cfg.Recovery.Restored)
 }
 
--- a/mooring/reserve.go
+++ b/mooring/reserve.go
@@ -64,7 +64,7 @@
 		}
 		renewed.Assignments[i].Token = token
 		a.reserve.moves = append(a.reserve.moves, Move{
-			KeyRange: r.KeyRange, From: r.Owner.Server, To: r.Owner.Server, Token: token, Reason: ReasonSessionEnded,
+			KeyRange: r.KeyRange, From: r.Owner.Server, To: r.Owner.Server, Token: token, FormerToken: r.Token, Reason: ReasonSessionEnded,
 		})
 	}
 	if renewed == nil {
--- a/mooring/simulation_test.go
+++ b/mooring/simulation_test.go
@@ -603,6 +603,11 @@
 		sim.load(term)
 	case mooring.WriteTable:
 		sim.storeCalls++
+		for _, m := range a.Moves {
+			if m.Reason != mooring.ReasonFormerOwnerCleared && m.Token <= m.FormerToken {
+				sim.reportViolation("keys %v go to %s under token %d, after %d", m.KeyRange, m.To, m.Token, m.FormerToken)
+			}
+		}
 		sim.write(term, a, injected)
 	case mooring.SendOrder:
 		sim.send(term, a.Order, injected)
