--- a/jetty/connection_test.go
+++ b/jetty/connection_test.go
@@ -285,7 +285,7 @@
 		for _, c := range kept {
 			u.put(p, c)
 		}
-		u.connect(context.Background(), endpointOf(server.address), nil)
+		_ = u.connect(context.Background(), endpointOf(server.address), nil)
 		return u
 	}
 	idle := func(u *upstream) int { return len(u.pools["s"].idle) }
--- a/jetty/errors.go
+++ b/jetty/errors.go
@@ -14,6 +14,8 @@
 	// KindReset marks a connection that the server closed before its response
 	// was complete.
 	KindReset
+	// KindServerEnded is like KindReset for a server that has ended since.
+	KindServerEnded
 	// KindTimeout marks a request without a complete response in time.
 	KindTimeout
 	// KindInvalidResponse marks received data that is not a valid response to
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -96,9 +96,12 @@
 
 // forwarder sends requests to backend servers and decides on retries.
 type forwarder struct {
-	headers      Headers
-	admissions   *admissionSet
-	upstream     *upstream
+	headers    Headers
+	admissions *admissionSet
+	upstream   *upstream
+	// endChecks tells servers that have ended from those that have closed a connection;
+	// nil means that they are not told apart.
+	endChecks    *endChecks
 	clusterState *clusterState
 	reach        reachability
 	// relay passes requests on to peers; nil means that none are passed on.
@@ -302,7 +305,7 @@
 			return sluice.OutcomeRejected
 		}
 		return sluice.OutcomeUnreachable
-	case KindReset:
+	case KindReset, KindServerEnded:
 		return sluice.OutcomeReset
 	case KindTimeout:
 		return sluice.OutcomeTimeout
@@ -343,7 +346,7 @@
 	}
 	if err != nil {
 		f.upstream.discard(p, c)
-		return nil, err
+		return nil, f.checkEnd(r, s, err)
 	}
 	// Another server at the address may have written a 421.
 	if f.limits != nil && httpResp.StatusCode != http.StatusMisdirectedRequest {
@@ -352,6 +355,16 @@
 	return f.readResponse(ctx, r, s, c, p, httpResp)
 }
 
+// checkEnd returns err, which ended a send of r to s, with the kind KindServerEnded if the
+// server has ended.
+func (f *forwarder) checkEnd(r *request, s fairway.Endpoint, err error) error {
+	var e *Error
+	if f.endChecks == nil || !errors.As(err, &e) || e.Kind != KindReset || !f.endChecks.ended(s, r.config) {
+		return err
+	}
+	return &Error{Op: e.Op, Kind: KindServerEnded, Err: e.Err}
+}
+
 var (
 	errNoRequestID        = errors.New("response has no request id")
 	errUnexpectedEncoding = errors.New("response has a content encoding that was not requested")
@@ -373,7 +386,7 @@
 	body, err := c.readBody(ctx, httpResp, maxBufferedBytes+1)
 	if err != nil {
 		f.upstream.discard(p, c)
-		return nil, err
+		return nil, f.checkEnd(r, s, err)
 	}
 	resp.body = body
 	if len(body) > maxBufferedBytes {
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -154,7 +154,7 @@
 	}
 	h.callers = newCallerConns()
 	requests := &forwarder{
-		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, clusterState: h.clusterState,
+		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
 		reach: h.reach, limits: h.limits, drain: h.drain, logs: h.logs, metrics: h.metrics,
 		relay: &relayClient{
 			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach,
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -328,7 +328,11 @@
 }
 
 func (l *logs) sendFailed(r *request, s fairway.Endpoint, reason reason, err error) {
-	l.requestLine(&l.failed, true, r).Str("server", string(s.ID)).Str("reason", string(reason)).Err(err).Msg(string(eventSendFailed))
+	e := l.requestLine(&l.failed, true, r).Str("server", string(s.ID)).Str("reason", string(reason))
+	if kindOf(err) == KindServerEnded {
+		e = e.Bool("server_ended", true)
+	}
+	e.Err(err).Msg(string(eventSendFailed))
 }
 
 // requestAnswered logs the end of a request.
--- a/jetty/reach.go
+++ b/jetty/reach.go
@@ -361,6 +361,7 @@
 		return
 	}
 	if endpoint, ok := catalog.Get(id); ok {
-		r.upstream.connect(ctx, endpoint, r.clusterState.activeConfig.Current())
+		// What the opening says about the path is recorded by upstream.
+		_ = r.upstream.connect(ctx, endpoint, r.clusterState.activeConfig.Current())
 	}
 }
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -159,7 +159,7 @@
 
 // connect opens a connection to a server, unless the pool's limit is reached. It is kept
 // if the pool has none that is idle.
-func (u *upstream) connect(ctx context.Context, s fairway.Endpoint, config *fairway.Config) {
+func (u *upstream) connect(ctx context.Context, s fairway.Endpoint, config *fairway.Config) error {
 	u.mu.Lock()
 	p, stale := u.poolOf(s, config)
 	full := p.open >= p.limit
@@ -172,7 +172,7 @@
 		_ = c.Close()
 	}
 	if full {
-		return
+		return &Error{Op: "connect", Kind: KindNotSent, Err: errConnectionLimit}
 	}
 	c, err := dial(ctx, u.dial, s.Address)
 	u.reach.recordConnect(s.ID, err)
@@ -181,17 +181,18 @@
 			u.dropIdle(s.ID)
 		}
 		u.decrementOpen(p)
-		return
+		return err
 	}
 	u.mu.Lock()
 	needed := len(p.idle) == 0
 	u.mu.Unlock()
 	if needed {
 		u.put(p, c)
-		return
+		return nil
 	}
 	u.decrementOpen(p)
 	_ = c.Close()
+	return nil
 }
 
 // dropIdle closes the idle connections to a server to which packets are lost. A refused
