--- a/jetty/events.go
+++ b/jetty/events.go
@@ -31,6 +31,7 @@
 	eventRequestAnswered      event = "request_answered"
 	eventRequestRefused       event = "request_refused"
 	eventRequestRelayed       event = "request_relayed"
+	eventRequestSuspected     event = "request_suspected"
 	eventSendFailed           event = "send_failed"
 	eventServerRemoved        event = "server_gone"
 	eventServerRegistered     event = "server_sighted"
@@ -63,6 +64,7 @@
 	eventRequestAnswered,
 	eventRequestRefused,
 	eventRequestRelayed,
+	eventRequestSuspected,
 	eventSendFailed,
 	eventServerRemoved,
 	eventServerRegistered,
@@ -109,6 +111,8 @@
 	reasonServerFailed    reason = "server_failed"
 	reasonHostStopping    reason = "host_stopping"
 	reasonUnsigned        reason = "unsigned_answer"
+	reasonCrashesServers  reason = "crashes_servers"
+	reasonCrashSuspected  reason = "crash_suspected"
 	// reasonStatus is a prefix, followed by the HTTP status of the server's
 	// response.
 	reasonStatus reason = "status_"
@@ -116,7 +120,7 @@
 
 var reasons = []reason{
 	reasonNoConfiguration, reasonNoRoute, reasonNoKey, reasonHeaderTooLarge, reasonBodyTooLarge, reasonServerRejected,
-	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonHostStopping, reasonUnsigned, reasonStatus,
+	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonHostStopping, reasonUnsigned, reasonCrashesServers, reasonCrashSuspected, reasonStatus,
 	reason(sluice.ReasonOverload), reason(sluice.ReasonTooLate), reason(sluice.ReasonNoServer),
 	reason(sluice.ReasonSuspected), reason(sluice.ReasonNoOwner),
 }
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -76,6 +76,8 @@
 	relay *relayCall
 	// retry is set if the attempt has taken a retry from the budget.
 	retry bool
+	// trial is set for an attempt of a request that may crash servers.
+	trial *sluice.Trial
 
 	ctx  context.Context
 	resp *backendResponse
@@ -97,6 +99,9 @@
 	}
 	a.took = time.Since(a.began)
 	a.setDone()
+	if a.trial != nil {
+		defer e.crashes.endTrial(*a.trial, kindOf(a.err) == KindServerEnded)
+	}
 	select {
 	case e.ended <- a:
 	case <-e.over:
@@ -165,6 +170,13 @@
 	if e.drain.excludes(e.r.deadline) {
 		return e.lastResult(e.stopped(e.r))
 	}
+	switch e.suspicion() {
+	case sluice.SuspicionCertain:
+		return e.refuseCertain()
+	case sluice.SuspicionPossible:
+		return e.beginTrial(ctx)
+	default:
+	}
 	if e.reach.cut() && e.startRelay(ctx, "") {
 		return nil
 	}
@@ -174,12 +186,15 @@
 	start := time.Now()
 	decision := e.acquire(ctx)
 	e.metrics.requestQueued(e.r.service.Name, time.Since(start))
-	if e.r.key != nil {
-		e.r.token, e.r.tableRevision = e.adm.owners.tokenOf(*e.r.key)
-	}
+	e.updateToken()
 	switch decision := decision.(type) {
 	case sluice.Dispatch:
-		return e.dispatch(ctx, decision.Server)
+		if e.crashes.suspicion(e.r, decision.Server.Version) != sluice.SuspicionNone {
+			// A server has ended under the same request meanwhile.
+			e.adm.finish(sluice.ServerInstanceOf(decision.Server), sluice.OutcomeCanceled, 0, 0)
+			return e.beginTrial(ctx)
+		}
+		return e.dispatch(ctx, decision.Server, nil)
 	case sluice.Refuse:
 		if e.mayReachMore(decision) && e.startRelay(ctx, e.requiredServer(decision)) {
 			return nil
@@ -198,6 +213,13 @@
 	}
 }
 
+// updateToken records the token under which the key of the request is owned.
+func (e *exchange) updateToken() {
+	if e.r.key != nil {
+		e.r.token, e.r.tableRevision = e.adm.owners.tokenOf(*e.r.key)
+	}
+}
+
 // ownerChanged waits until this host knows another assignment of the key than the one
 // that was rejected, and reports whether it does. A server that does not hold a key would
 // reject the request again, as would one of another service that has its address.
@@ -239,10 +261,15 @@
 	return e.adm.acquire(ctx, e.req)
 }
 
-// dispatch starts an attempt at a server. It returns a result if the request may
-// not be sent and no attempt is pending.
-func (e *exchange) dispatch(ctx context.Context, s fairway.Endpoint) result {
-	notSent := func() { e.adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0) }
+// dispatch starts an attempt at a server, which may be a trial. It returns a result if the
+// request may not be sent and no attempt is pending.
+func (e *exchange) dispatch(ctx context.Context, s fairway.Endpoint, trial *sluice.Trial) result {
+	notSent := func() {
+		e.adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0)
+		if trial != nil {
+			e.crashes.endTrial(*trial, false)
+		}
+	}
 	switch {
 	case ctx.Err() != nil:
 		notSent()
@@ -257,7 +284,7 @@
 	}
 	e.metrics.requestSent(e.r.service.Name, e.r.sends > 0)
 	e.req.Tried = append(e.req.Tried, s.ID)
-	e.start(&attempt{exchange: e, server: s, ctx: ctx})
+	e.start(&attempt{exchange: e, server: s, ctx: ctx, trial: trial})
 	return nil
 }
 
@@ -310,7 +337,7 @@
 	}
 	e.peers = append(e.peers, peers...)
 	e.start(&attempt{exchange: e, ctx: ctx, relay: &relayCall{
-		relayClient: e.relay, r: e.r, offer: e.relay.relayOffer(e.r, e.req, e.sentTo()), peers: peers, caller: e.caller,
+		relayClient: e.relay, r: e.r, mayGo: func() bool { return e.suspicion() == sluice.SuspicionNone }, offer: e.relay.relayOffer(e.r, e.req, e.sentTo()), peers: peers, caller: e.caller,
 	}})
 	return true
 }
@@ -320,7 +347,7 @@
 	a.began, a.retry = time.Now(), e.r.sends > 0
 	a.done, a.setDone = context.WithCancel(context.Background())
 	e.r.sends++
-	if timeout := e.responseTimeout(e.r, e.adm); timeout > 0 {
+	if timeout := e.responseTimeout(e.r, e.adm); timeout > 0 && a.trial == nil {
 		a.overdueAt = a.began.Add(timeout)
 	}
 	e.pending = append(e.pending, a)
@@ -396,6 +423,9 @@
 	var res result
 	var again bool
 	e.recordEnd(a)
+	if kindOf(a.err) == KindServerEnded {
+		e.recordCrash(a)
+	}
 	if a.err != nil {
 		res, again = e.handleFailure(ctx, e.r, a)
 	} else {
@@ -404,6 +434,9 @@
 		res, again = e.handleResponse(ctx, e.r, a.resp, a.server)
 	}
 	resp, answered := res.(backendResponse)
+	if answered && resp.remaining == nil {
+		e.crashes.answered(e.r)
+	}
 	switch {
 	case answered && (resp.status < http.StatusInternalServerError || len(e.pending) == 0):
 		return res
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"hornbeamwinch.example/fairway"
@@ -48,6 +49,17 @@
 	tableRevision mooring.StoreRevision
 	// mayHaveRun is set once a server may have begun to execute the request.
 	mayHaveRun bool
+	// callerHost is the address of the caller, without its port.
+	callerHost string
+	// digest identifies the request if it comes again. It is set by ensureDigest.
+	digest     sluice.RequestDigest
+	digestOnce sync.Once
+}
+
+// ensureDigest returns the digest of the request, which it computes once.
+func (r *request) ensureDigest() sluice.RequestDigest {
+	r.digestOnce.Do(func() { r.digest = digestOf(r) })
+	return r.digest
 }
 
 // repeatable reports whether the request may be executed more than once.
@@ -106,6 +118,8 @@
 	reach        reachability
 	// relay passes requests on to peers; nil means that none are passed on.
 	relay *relayClient
+	// crashes has the requests that may crash servers; nil means that none are suspected.
+	crashes *crashes
 	// limits records the limits that servers name; nil means that they do not count.
 	limits  *limits
 	drain   *drain
@@ -305,8 +319,10 @@
 			return sluice.OutcomeRejected
 		}
 		return sluice.OutcomeUnreachable
-	case KindReset, KindServerEnded:
+	case KindReset:
 		return sluice.OutcomeReset
+	case KindServerEnded:
+		return sluice.OutcomeUnreachable
 	case KindTimeout:
 		return sluice.OutcomeTimeout
 	default:
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -88,6 +88,7 @@
 	peerConns     *peerConns
 	relayServer   *relayServer
 	limits        *limits
+	crashes       *crashes
 
 	httpServers     []*http.Server
 	ingressListener net.Listener
@@ -115,6 +116,9 @@
 	h.reach = newReach(h.clusterState, h.upstream, h.restoreServers)
 	h.upstream.reach, h.orderUpstream.reach = h.reach, h.reach
 	h.limits = newLimits(&limits{protocol: cfg.Protocol, clusterState: h.clusterState, logs: h.logs, address: s.PeerAddress})
+	h.crashes = newCrashes(&crashes{
+		clusterState: h.clusterState, conns: h.peerConns, logs: h.logs, metrics: h.metrics, address: s.PeerAddress,
+	})
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		OnWait:            h.limits.startWaiting,
 		Host:              s.Host,
@@ -146,16 +150,18 @@
 	}
 	h.loadCollector.isPlacer = h.election.active
 	h.loadCollector.limits = h.limits
-	h.limits.mayGive = h.election.mayWrite
+	h.limits.mayGive, h.crashes.mayGive = h.election.mayWrite, h.election.mayWrite
+	h.loadCollector.crashes = h.crashes
 	h.reporter = &reporter{
 		host: s.Host, domain: s.Domain, address: s.PeerAddress, linkMbps: s.LinkMbps,
-		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, limits: h.limits, logs: h.logs,
-		onHostsChange: h.refresh, shuttingDown: h.shuttingDown.Load,
+		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, limits: h.limits, crashes: h.crashes, logs: h.logs,
+		onHostsChange: h.refresh, shuttingDown: h.shuttingDown.Load, wake: make(chan struct{}, 1),
 	}
+	h.crashes.onChange = h.reporter.notify
 	h.callers = newCallerConns()
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
-		reach: h.reach, limits: h.limits, drain: h.drain, logs: h.logs, metrics: h.metrics,
+		reach: h.reach, limits: h.limits, crashes: h.crashes, drain: h.drain, logs: h.logs, metrics: h.metrics,
 		relay: &relayClient{
 			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach,
 		},
@@ -284,6 +290,7 @@
 	signal.RegisterMemoryServer(h.peerServer, h.watcher.memory)
 	signal.RegisterRelayServer(h.peerServer, h.relayServer)
 	signal.RegisterLimitsServer(h.peerServer, h.limits)
+	signal.RegisterTrialsServer(h.peerServer, h.crashes)
 	signal.RegisterTermsServer(h.peerServer, &termsServer{election: h.election})
 	l := &serverLoop{serve: h.peerServer.Serve, listener: listener, logs: h.logs}
 	h.loops.Go(l.run)
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -75,6 +76,9 @@
 // forwarded, it returns the result for the caller as well.
 func (in *ingress) parseRequest(w http.ResponseWriter, hr *http.Request, arrived time.Time) (*request, result) {
 	r := &request{id: hr.Header.Get(in.headers.RequestID), arrived: arrived, config: in.activeConfig.Current()}
+	if host, _, err := net.SplitHostPort(hr.RemoteAddr); err == nil {
+		r.callerHost = host
+	}
 	if r.config == nil {
 		return r, refusal{reason: reasonNoConfiguration, retryAfter: startupRetryAfter}
 	}
--- a/jetty/load.go
+++ b/jetty/load.go
@@ -43,6 +43,8 @@
 	isPlacer func() bool
 	// limits, if set, keeps the limits that servers name.
 	limits *limits
+	// crashes, if set, has the requests that may crash servers.
+	crashes *crashes
 
 	mu             sync.Mutex
 	requests       map[fairway.ServiceName]map[mooring.Key]int
@@ -122,6 +124,9 @@
 		l.limits.merge(r.Limits, monotonicNow())
 		reply.Limits = l.limits.reports(monotonicNow())
 	}
+	if l.crashes != nil {
+		l.crashes.reply(r, reply)
+	}
 	return reply, nil
 }
 
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -335,6 +335,30 @@
 	e.Err(err).Msg(string(eventSendFailed))
 }
 
+// suspectedRequest is a request that was at a server when it ended.
+type suspectedRequest struct {
+	digest sluice.RequestDigest
+	// crashes is the number of servers that have ended under it.
+	crashes int
+	// alone reports whether no other suspected request was at the server.
+	alone bool
+	// certain reports whether it is not sent any more.
+	certain bool
+}
+
+// requestSuspected logs that a server has ended while a request was there.
+func (l *logs) requestSuspected(r *request, s fairway.Endpoint, suspected suspectedRequest) {
+	l.requestLine(&l.system, true, r).
+		Str("server", string(s.ID)).
+		Str("server_version", string(s.Version)).
+		Hex("fingerprint", suspected.digest.Content[:]).
+		Hex("caller_fingerprint", suspected.digest.ByCaller[:]).
+		Int("crashes", suspected.crashes).
+		Bool("alone", suspected.alone).
+		Bool("certain", suspected.certain).
+		Msg(string(eventRequestSuspected))
+}
+
 // requestAnswered logs the end of a request.
 func (l *logs) requestAnswered(r *request, res result, elapsed time.Duration) {
 	limiter, warn := &l.failed, true
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -47,6 +47,8 @@
 	metricLinesLeftOut      metricName = "log_lines_left_out_total"
 	metricPlacer            metricName = "placer"
 	metricEntryHosts        metricName = "entry_hosts"
+	metricServerEnds        metricName = "server_ends_total"
+	metricSuspectedRequests metricName = "suspected_requests"
 )
 
 // metricNames has every metric. A test compares it with the operations page.
@@ -54,7 +56,7 @@
 	metricRequests, metricRequestSeconds, metricQueueSeconds, metricSends, metricRelays, metricRequestsInFlight, metricRequestsAllowed,
 	metricRequestsWaiting, metricRetryBudgetLeft, metricKeyMoves, metricKeyRanges, metricTableRevision, metricOrders,
 	metricStoreCalls, metricStoreCallSeconds, metricStoreAge, metricConfigVersion, metricServersListed,
-	metricConnectionsOpen, metricConnectionsOpened, metricLinesLeftOut, metricPlacer, metricEntryHosts,
+	metricConnectionsOpen, metricConnectionsOpened, metricLinesLeftOut, metricPlacer, metricEntryHosts, metricServerEnds, metricSuspectedRequests,
 }
 
 // metrics keeps its values in a tally scope. It caches the scopes with tags,
@@ -157,6 +159,11 @@
 	m.withTags(metricTags{first: string(service), second: kind}, "service", "kind").Counter(string(metricSends)).Inc(1)
 }
 
+// requestSuspected counts a server that has ended while a request was there.
+func (m *metrics) requestSuspected(service fairway.ServiceName) {
+	m.withTags(metricTags{first: string(service)}, "service").Counter(string(metricServerEnds)).Inc(1)
+}
+
 // requestRelayed counts the offer of a request to a peer.
 func (m *metrics) requestRelayed(o relayedOffer) {
 	result := "accepted"
@@ -195,6 +202,7 @@
 	}
 	m.gauge(metricPlacer, placer)
 	m.gauge(metricEntryHosts, float64(h.clusterState.knownHostCount()))
+	m.gauge(metricSuspectedRequests, float64(h.crashes.size.Load()))
 	for service, adm := range h.admissions.all() {
 		usage := adm.usage()
 		m.serviceGauge(metricRequestsInFlight, service, float64(usage.InFlight))
--- a/jetty/relayclient.go
+++ b/jetty/relayclient.go
@@ -35,6 +35,7 @@
 	errRelayNotAccepted = errors.New("no peer has accepted the request")
 	errRelayCut         = errors.New("the peer's response has no end")
 	errRelayMessage     = errors.New("unexpected message of the peer")
+	errCrashSuspected   = errors.New("a server has ended under the same request meanwhile")
 )
 
 // relayClient passes requests on to peers.
@@ -61,6 +62,10 @@
 	refused *sluice.Refuse
 	// server is the one to which the peer sends the request.
 	server fairway.ServerID
+	// ended is the server if it has ended with the request.
+	ended fairway.Endpoint
+	// mayGo reports whether an accepted request may still be sent.
+	mayGo func() bool
 }
 
 // relayedOffer is what became of the offer to a peer: it was accepted unless there is a
@@ -222,8 +227,11 @@
 // exchange has an accepted request sent and reads its response.
 func (c *relayCall) exchange(ctx context.Context, hop *relayHop) (*backendResponse, error) {
 	left := time.Until(c.r.deadline)
-	if left <= 0 || ctx.Err() != nil {
+	switch {
+	case left <= 0 || ctx.Err() != nil:
 		return nil, &Error{Op: "relay", Kind: KindNotSent, Err: context.DeadlineExceeded}
+	case !c.mayGo():
+		return nil, &Error{Op: "relay", Kind: KindNotSent, Err: errCrashSuspected}
 	}
 	// A failure to send shows in what is received.
 	_ = hop.stream.Send(&signal.RelayMessage{Part: &signal.RelayMessage_Go{Go: &signal.RelayGo{LeftMicros: uint64(left.Microseconds())}}})
@@ -267,6 +275,12 @@
 		c.server = fairway.ServerID(f.GetServer())
 	}
 	kind := KindReset
+	if f.GetServerEnded() {
+		kind = KindServerEnded
+		c.ended = fairway.Endpoint{
+			ID: c.server, Incarnation: fairway.Incarnation(f.GetIncarnation()), Version: fairway.SoftwareVersion(f.GetVersion()),
+		}
+	}
 	switch f.GetKind() {
 	case signal.RelayFailureKind_RELAY_FAILURE_KIND_NOT_SENT:
 		kind = KindNotSent
--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -291,6 +291,7 @@
 	}
 	return q.stream.Send(&signal.RelayReply{Part: &signal.RelayReply_Failed{Failed: &signal.RelayFailure{
 		Kind: kind, Error: err.Error(), Server: string(s.ID),
+		ServerEnded: kindOf(err) == KindServerEnded, Incarnation: int64(s.Incarnation), Version: string(s.Version),
 	}}})
 }
 
--- a/jetty/reporter.go
+++ b/jetty/reporter.go
@@ -25,11 +25,14 @@
 	changeLog     *changeLog
 	reach         *reach
 	limits        *limits
+	crashes       *crashes
 	logs          *logs
 	// onHostsChange is called when the number of hosts, or of those that reach the
 	// servers, has changed.
 	onHostsChange func()
 	shuttingDown  func() bool
+	// wake receives a signal when a report is due at once.
+	wake chan struct{}
 
 	// conn is the connection to the placer at connAddress, or nil.
 	conn        *grpc.ClientConn
@@ -40,24 +43,45 @@
 	sentAt time.Time
 }
 
-// run reports every reportInterval until ctx is done.
+const (
+	// hurriedInterval is the time between two reports while servers have ended under
+	// requests a moment ago, and minReportInterval the shortest one.
+	hurriedInterval   = 100 * time.Millisecond
+	minReportInterval = 20 * time.Millisecond
+)
+
+// run reports every reportInterval until ctx is done, and more often while hosts have to
+// learn which requests crash servers.
 func (r *reporter) run(ctx context.Context) {
 	r.sentAt = time.Now()
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(reportInterval)
+	defer timer.Stop()
 	defer r.closeConn()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			r.report(ctx)
+		case <-r.wake:
+			pause(ctx, minReportInterval-time.Since(r.sentAt))
+		case <-timer.C:
+		}
+		r.report(ctx)
+		if r.crashes.hurried() {
+			timer.Reset(hurriedInterval)
+		} else {
+			timer.Reset(reportInterval)
 		}
 	}
 }
 
+// notify makes a report due at once.
+func (r *reporter) notify() {
+	signalOnce(r.wake)
+}
+
 func (r *reporter) report(ctx context.Context) {
 	report := r.collect()
+	told := r.crashes.report(report)
 	placer := r.clusterState.currentPlacer().address
 	if placer == "" {
 		return
@@ -77,6 +101,7 @@
 			return
 		}
 		r.limits.merge(reply.Limits, monotonicNow())
+		r.crashes.reported(told, reply)
 		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), counting: reply.Counting, feeder: reply.Feeder, granted: decodeGranted(reply.Granted)}
 		for _, id := range reply.Crowded {
 			summary.overloaded = append(summary.overloaded, fairway.ServerID(id))
