--- a/cmd/hornbeamwinch/main.go
+++ b/cmd/hornbeamwinch/main.go
@@ -9,6 +9,7 @@
 //	hornbeamwinch explain tank_readings tank-71
 //	hornbeamwinch domain abandon mvd_c --by "Ana Silva" --reason "hall burnt"
 //	hornbeamwinch drain mvd_a_tank_readings_1 --by "Ana Silva"
+//	hornbeamwinch crashing-requests list --admin 10.1.0.15:7621
 //	hornbeamwinch trace 9c41d07be2a35f68 host-1.log host-2.log
 //
 // Exit codes: 0 success; 1 failure; 2 usage error; 3 refused because the rules
@@ -48,13 +49,14 @@
 // options are the global flags and the commands.
 type options struct {
 	globalOptions
-	Rules   rulesCommands  `command:"rules" description:"check, apply and read the rules file"`
-	Status  statusCommand  `command:"status" description:"show the state of entry hosts and backend servers"`
-	Explain explainCommand `command:"explain" description:"show which failure domain and server own a key, and why"`
-	Domain  domainCommands `command:"domain" description:"commands for a whole failure domain"`
-	Drain   drainCommand   `command:"drain" description:"move all work off a backend server"`
-	Trace   traceCommand   `command:"trace" description:"show from logs how a request was handled and why it ended so"`
-	Undrain undrainCommand `command:"undrain" description:"end the drain of a backend server"`
+	Rules    rulesCommands            `command:"rules" description:"check, apply and read the rules file"`
+	Status   statusCommand            `command:"status" description:"show the state of entry hosts and backend servers"`
+	Explain  explainCommand           `command:"explain" description:"show which failure domain and server own a key, and why"`
+	Domain   domainCommands           `command:"domain" description:"commands for a whole failure domain"`
+	Drain    drainCommand             `command:"drain" description:"move all work off a backend server"`
+	Trace    traceCommand             `command:"trace" description:"show from logs how a request was handled and why it ended so"`
+	Crashing crashingRequestsCommands `command:"crashing-requests" description:"see and clear the requests that crash backend servers"`
+	Undrain  undrainCommand           `command:"undrain" description:"end the drain of a backend server"`
 }
 
 type rulesCommands struct {
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -29,6 +29,7 @@
 	eventPlacerTerm           event = "placer_term"
 	eventRecalled             event = "recalled"
 	eventRequestAnswered      event = "request_answered"
+	eventRequestCleared       event = "request_cleared"
 	eventRequestRefused       event = "request_refused"
 	eventRequestRelayed       event = "request_relayed"
 	eventRequestSuspected     event = "request_suspected"
@@ -62,6 +63,7 @@
 	eventPlacerTerm,
 	eventRecalled,
 	eventRequestAnswered,
+	eventRequestCleared,
 	eventRequestRefused,
 	eventRequestRelayed,
 	eventRequestSuspected,
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -359,6 +359,11 @@
 		Msg(string(eventRequestSuspected))
 }
 
+// requestCleared logs that an operator has cleared a request.
+func (l *logs) requestCleared(f sluice.Fingerprint) {
+	l.newLine(&l.system, false).Hex("fingerprint", f[:]).Msg(string(eventRequestCleared))
+}
+
 // requestAnswered logs the end of a request.
 func (l *logs) requestAnswered(r *request, res result, elapsed time.Duration) {
 	limiter, warn := &l.failed, true
--- a/sluice/crash.go
+++ b/sluice/crash.go
@@ -63,6 +63,11 @@
 	Crashes    []Crash
 }
 
+// IsCertain reports whether the request is not sent to servers of some version any more.
+func (r *CrashRecord) IsCertain() bool {
+	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return r.rejectedOn(c.Version) })
+}
+
 // suspicion returns how certain it is that the request crashes servers of a version.
 func (r *CrashRecord) suspicion(version fairway.SoftwareVersion) Suspicion {
 	switch {
@@ -72,8 +77,7 @@
 		return SuspicionCertain
 	}
 	// A version that mends the fault answers the request, which clears it.
-	crashed := func(c Crash) bool { return c.Version == version }
-	if slices.ContainsFunc(r.Crashes, crashed) && slices.ContainsFunc(r.Crashes, func(c Crash) bool { return r.rejectedOn(c.Version) }) {
+	if r.IsCertain() && slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Version == version }) {
 		return SuspicionCertain
 	}
 	return SuspicionPossible
--- a/sluice/crash_test.go
+++ b/sluice/crash_test.go
@@ -64,6 +64,17 @@
 		expectSuspicion(d, "v1", sluice.SuspicionPossible)
 	})
 
+	It("is cleared by an operator for all callers, named by any fingerprint", func() {
+		for n := range byte(3) {
+			t.Add(0, digest(1, n), "readings", crash(int64(n), "v1", true))
+		}
+		Expect(t.ClearAll(0, digest(1, 2).ByCaller)).To(BeTrue())
+		expectSuspicion(digest(1, 2), "v1", sluice.SuspicionNone)
+		Expect(t.ClearAll(0, digest(1, 1).ByCaller)).To(BeTrue())
+		expectSuspicion(digest(1, 1), "v1", sluice.SuspicionNone)
+		Expect(t.ClearAll(0, digest(2, 1).Content)).To(BeFalse())
+	})
+
 	It("is tried once on another version, and is certain there after one more", func() {
 		add(crash(1, "v1", true), crash(2, "v1", true), crash(3, "v1", true))
 		expectSuspicion(d, "v2", sluice.SuspicionPossible)
--- a/sluice/crashtable.go
+++ b/sluice/crashtable.go
@@ -83,21 +83,46 @@
 	t.prune(now)
 }
 
-// Clear records that a request has been answered, or that an operator has cleared it. It
-// reports whether the table had crashes of it.
+// Clear records that a request has been answered. It reports whether the table had crashes
+// of it.
 func (t *CrashTable) Clear(now mooring.Instant, d RequestDigest) bool {
 	cleared := false
 	for _, f := range []Fingerprint{d.Content, d.ByCaller} {
-		if r := t.records[f]; r != nil && len(r.Crashes) > 0 {
-			r.Generation++
-			r.Crashes = nil
-			t.touch(now, r)
-			cleared = true
+		cleared = t.clear(now, t.records[f]) || cleared
+	}
+	return cleared
+}
+
+// ClearAll records that an operator has cleared the requests with a fingerprint, of whatever
+// caller. It reports whether the table had crashes of one.
+func (t *CrashTable) ClearAll(now mooring.Instant, f Fingerprint) bool {
+	named := t.records[f]
+	if named == nil {
+		return false
+	}
+	related := slices.Clone(named.Crashes)
+	cleared := false
+	for _, r := range t.records {
+		sameEnd := func(c Crash) bool {
+			return slices.ContainsFunc(related, func(other Crash) bool { return other.Instance == c.Instance && other.Caller == c.Caller })
+		}
+		if r.Target == named.Target && slices.ContainsFunc(r.Crashes, sameEnd) {
+			cleared = t.clear(now, r) || cleared
 		}
 	}
 	return cleared
 }
 
+func (t *CrashTable) clear(now mooring.Instant, r *tableRecord) bool {
+	if r == nil || len(r.Crashes) == 0 {
+		return false
+	}
+	r.Generation++
+	r.Crashes = nil
+	t.touch(now, r)
+	return true
+}
+
 // Merge records what another host knows.
 func (t *CrashTable) Merge(now mooring.Instant, told []CrashRecord) {
 	for _, r := range told {
@@ -122,14 +147,33 @@
 	}
 	slices.SortFunc(changed, func(a, b *tableRecord) int { return cmp.Compare(a.change, b.change) })
 	changed = changed[:min(len(changed), n)]
-	records := make([]CrashRecord, 0, len(changed))
-	for _, r := range changed {
-		record := r.CrashRecord
-		record.Crashes = slices.Clone(r.Crashes)
-		records = append(records, record)
-		change = r.change
+	if n := len(changed); n > 0 {
+		change = changed[n-1].change
 	}
-	return records, change
+	return copyRecords(changed), change
+}
+
+func copyRecords(records []*tableRecord) []CrashRecord {
+	copies := make([]CrashRecord, 0, len(records))
+	for _, r := range records {
+		c := r.CrashRecord
+		c.Crashes = slices.Clone(r.Crashes)
+		copies = append(copies, c)
+	}
+	return copies
+}
+
+// Certain returns up to n records of requests that are not sent any more, the latest
+// first.
+func (t *CrashTable) Certain(n int) []CrashRecord {
+	var certain []*tableRecord
+	for _, r := range t.records {
+		if r.IsCertain() {
+			certain = append(certain, r)
+		}
+	}
+	slices.SortFunc(certain, func(a, b *tableRecord) int { return cmp.Compare(b.change, a.change) })
+	return copyRecords(certain[:min(len(certain), n)])
 }
 
 // Changes returns the number of the last change.
@@ -162,7 +206,7 @@
 // ones of too many.
 func (t *CrashTable) prune(now mooring.Instant) {
 	for _, r := range t.records {
-		if !r.isCertain() && now.Sub(r.changedAt) > suspectMemory {
+		if !r.IsCertain() && now.Sub(r.changedAt) > suspectMemory {
 			t.forget(r)
 		}
 	}
@@ -184,14 +228,9 @@
 	}
 }
 
-// isCertain reports whether the request is rejected on any version.
-func (r *tableRecord) isCertain() bool {
-	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return r.rejectedOn(c.Version) })
-}
-
 // weakerThan reports whether r is forgotten before other.
 func (r *tableRecord) weakerThan(other *tableRecord) bool {
-	if a, b := r.isCertain(), other.isCertain(); a != b {
+	if a, b := r.IsCertain(), other.IsCertain(); a != b {
 		return b
 	}
 	if len(r.Crashes) != len(other.Crashes) {
