--- a/jetty/crashes.go
+++ b/jetty/crashes.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/status"
 
 	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/ledger"
 	"hornbeamwinch.example/mooring"
 	"hornbeamwinch.example/signal"
 	"hornbeamwinch.example/sluice"
@@ -57,6 +58,8 @@
 
 	mu    sync.Mutex
 	table *sluice.CrashTable
+	// stored is the record in the store.
+	stored ledger.Entry
 	// lastChange is the change of the table at changedAt.
 	lastChange uint64
 	// pool has the trials that this host gives out as the placer, and own those that it
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -129,7 +129,7 @@
 	h.limits.admissions = h.admissions
 	h.watcher = &watcher{
 		store: cfg.Store, protocol: cfg.Protocol, clusterState: h.clusterState, admissions: h.admissions, logs: h.logs,
-		changeLog: newChangeLog(), memory: &memory{}, address: s.PeerAddress, onChange: h.refresh,
+		changeLog: newChangeLog(), memory: &memory{}, crashes: h.crashes, address: s.PeerAddress, onChange: h.refresh,
 	}
 	h.orderSender = newOrderSender(orderSenderConfig{Protocol: cfg.Protocol, Upstream: h.orderUpstream, Logs: h.logs, Metrics: h.metrics})
 	h.election = &election{
@@ -142,6 +142,7 @@
 		metrics:       h.metrics,
 		reach:         h.reach,
 		limits:        h.limits,
+		crashes:       h.crashes,
 		address:       s.PeerAddress,
 		ttl:           max(placerLeaseTTL, s.MinLease),
 		maxHold:       s.Bounds.MaxHold,
--- a/jetty/recall_test.go
+++ b/jetty/recall_test.go
@@ -33,21 +33,6 @@
 		}
 	})
 
-	// startPeer starts a host that serves what register registers, and returns its address.
-	startPeer := func(register func(*grpc.Server)) string {
-		GinkgoHelper()
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		s := grpc.NewServer()
-		if register != nil {
-			register(s)
-		}
-		loop := &serverLoop{serve: s.Serve, listener: l, logs: quietLogs()}
-		go loop.run()
-		DeferCleanup(s.Stop)
-		return l.Addr().String()
-	}
-
 	// storeWith is a store whose copy names a placer.
 	storeWith := func(placer string) []ledger.Entry {
 		return []ledger.Entry{
@@ -63,7 +48,7 @@
 		left, ok := fakeProtocol{}.Decode(entry("server/a", "", revision(1, 6)), time.Now()).(ServerRecord)
 		Expect(ok).To(BeTrue())
 		peer.removed(time.Now(), left.Endpoint)
-		entries := storeWith(startPeer(func(s *grpc.Server) { signal.RegisterMemoryServer(s, peer) }))
+		entries := storeWith(startPeerServer(func(s *grpc.Server) { signal.RegisterMemoryServer(s, peer) }))
 		w.recall(context.Background(), entries, revision(2, 7))
 		w.applySnapshot(entries, revision(2, 7), true)
 		Expect(version()).To(Equal(4))
@@ -73,7 +58,7 @@
 	})
 
 	It("goes on with the copy if the placer is of an earlier build, or is gone", func() {
-		for _, placer := range []string{startPeer(nil), "127.0.0.1:1", "own", ""} {
+		for _, placer := range []string{startPeerServer(func(*grpc.Server) {}), "127.0.0.1:1", "own", ""} {
 			entries := storeWith(placer)
 			w.recall(context.Background(), entries, revision(2, 7))
 			w.applySnapshot(entries, revision(2, 7), true)
@@ -83,12 +68,26 @@
 
 	It("asks no host if the store states no era", func() {
 		asked := false
-		peer := startPeer(func(s *grpc.Server) { signal.RegisterMemoryServer(s, askedMemory{asked: &asked}) })
+		peer := startPeerServer(func(s *grpc.Server) { signal.RegisterMemoryServer(s, askedMemory{asked: &asked}) })
 		w.recall(context.Background(), storeWith(peer), revision(0, 7))
 		Expect(asked).To(BeFalse())
 	})
 })
 
+// startPeerServer starts a host that serves what register registers, and returns its
+// address.
+func startPeerServer(register func(*grpc.Server)) string {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := grpc.NewServer()
+	register(s)
+	loop := &serverLoop{serve: s.Serve, listener: l, logs: quietLogs()}
+	go loop.run()
+	DeferCleanup(s.Stop)
+	return l.Addr().String()
+}
+
 // askedMemory records that it was asked.
 type askedMemory struct {
 	signal.UnimplementedMemoryServer
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -131,6 +131,10 @@
 	r.workers.Go(func() { r.term.run(ctx) })
 	takeover := &takeover{term: r.term, ended: r.predecessorsEnded, logs: r.election.logs}
 	r.workers.Go(func() { takeover.run(ctx) })
+	if r.election.crashes != nil {
+		store := &crashStore{crashes: r.election.crashes, term: r.term, logs: r.election.logs}
+		r.workers.Go(func() { store.run(ctx) })
+	}
 	for range actionWorkers {
 		w := &actionWorker{termRunner: r}
 		r.workers.Go(func() { w.run(ctx) })
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -62,6 +62,8 @@
 	restoredAt ledger.Revision
 	// memory has what the store may have forgotten.
 	memory *memory
+	// crashes, if set, has the requests that may crash servers.
+	crashes *crashes
 	// copied has the registrations of departed servers that may be from the copy, as
 	// the store lists them. They count from copiedUntil on: by then the registrations of
 	// servers that are gone have expired.
@@ -246,6 +248,9 @@
 	if !listed[placerKey] {
 		changes = append(changes, ledger.Change{Entry: ledger.Entry{Key: placerKey, Revision: revision}, Removed: true})
 	}
+	if !listed[crashesKey] {
+		changes = append(changes, ledger.Change{Entry: ledger.Entry{Key: crashesKey, Revision: revision}, Removed: true})
+	}
 	w.apply(changes)
 	registered := make(map[fairway.ServerID]bool)
 	for _, e := range entries {
@@ -337,6 +342,12 @@
 		}
 		return
 	}
+	if c.Key == crashesKey && w.crashes != nil {
+		if err := w.crashes.applyStored(c); err != nil {
+			w.logs.recordUnreadable(UnreadableRecord{Key: c.Key, Err: err})
+		}
+		return
+	}
 	name, ok := strings.CutPrefix(c.Key, tablePrefix)
 	if !ok || c.Removed {
 		return
