--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -122,11 +122,18 @@
 // sendWithin sends one request and checks that a response with status 200 is
 // complete and belongs to this request.
 func (c *caller) sendWithin(timeLeft time.Duration, h *host, method, path string, key int) response {
+	return c.sendBody(timeLeft, h, method, path, key, func(id string) string {
+		if method == http.MethodPost {
+			return "amount of " + id
+		}
+		return ""
+	})
+}
+
+// sendBody is sendWithin for a request whose body may depend on its id.
+func (c *caller) sendBody(timeLeft time.Duration, h *host, method, path string, key int, bodyOf func(id string) string) response {
 	resp := response{id: fmt.Sprintf("q%d-%d", os.Getpid(), nextRequest.Add(1))}
-	body := ""
-	if method == http.MethodPost {
-		body = "amount of " + resp.id
-	}
+	body := bodyOf(resp.id)
 	req, err := http.NewRequest(method, "http://"+h.callerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return resp
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -9,7 +9,8 @@
 // Hosts are stopped, paused, killed and reloaded by signals. The schedule of
 // faults depends on the seed alone, but their timing relative to the requests
 // differs from run to run. Every third seed has planned faults only, with requests
-// that take long.
+// that take long. Every fourth seed has one or two requests that crash servers and
+// come again all the time.
 //
 // # Usage
 //
@@ -17,6 +18,7 @@
 //	soak --daemon bin/hornbeamwinchd --seeds 50
 //	soak --daemon bin/hornbeamwinchd --seeds 50 --planned
 //	soak --daemon bin/hornbeamwinchd --seeds 50 --restores
+//	soak --daemon bin/hornbeamwinchd --seeds 50 --crashing-requests
 //
 // It prints the timeline and each violation, and exits with 1 if there was one.
 // With --log-dir, the logs of the hosts are kept.
@@ -42,6 +44,7 @@
 	Callers   int           `long:"callers" default:"8" description:"number of callers"`
 	Planned   bool          `long:"planned" description:"inject planned faults only for each seed, not only for every third one"`
 	Restores  bool          `long:"restores" description:"have the store come back from older copies in each seed"`
+	Crashing  bool          `long:"crashing-requests" description:"send requests that crash servers in each seed, not only in every fourth one"`
 	LogDir    string        `long:"log-dir" description:"directory in which logs are kept; if not given, they are removed"`
 	Verbose   bool          `long:"verbose" description:"also print the timeline of seeds without a violation"`
 }
@@ -93,7 +96,7 @@
 	case o.Planned:
 		m = mixPlanned
 	}
-	tb, err := newTestbed(testbedConfig{Daemon: o.Daemon, Hosts: o.Processes, Callers: o.Callers, Dir: dir, Seed: seed, Mix: m})
+	tb, err := newTestbed(testbedConfig{Daemon: o.Daemon, Hosts: o.Processes, Callers: o.Callers, Dir: dir, Seed: seed, Mix: m, Crashing: crashingOf(seed, o.Crashing)})
 	if err != nil {
 		return 0, err
 	}
--- a/cmd/soak/server.go
+++ b/cmd/soak/server.go
@@ -22,11 +22,14 @@
 
 // servers has all backend servers of a run, including those that have stopped.
 type servers struct {
-	store *platformtest.Store
+	testbed *testbed
+	store   *platformtest.Store
 
 	mu  sync.Mutex
 	all []*server
 	n   int
+	// closed is whether no more servers may come back.
+	closed bool
 }
 
 // start starts a server under a new id.
@@ -46,6 +49,7 @@
 			}
 			return proxy.address()
 		},
+		Crash: s.crashConfig(func() *faultProxy { return proxy }),
 	})
 	if err != nil {
 		return err
@@ -57,7 +61,8 @@
 	return nil
 }
 
-// pick returns one of the servers that are running and not draining.
+// pick returns one of the servers that are running and not draining, or nil if all have
+// crashed.
 func (s *servers) pick(target int) *server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,6 +72,9 @@
 			candidates = append(candidates, srv)
 		}
 	}
+	if len(candidates) == 0 {
+		return nil
+	}
 	return candidates[target%len(candidates)]
 }
 
@@ -84,6 +92,10 @@
 func (s *servers) restart(srv *server, registerAfter time.Duration) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !srv.running {
+		// It was killed meanwhile, or has crashed and comes back by itself.
+		return nil
+	}
 	next, err := srv.process.Restart(registerAfter)
 	srv.running = false
 	if err != nil {
@@ -142,6 +154,9 @@
 
 // close kills all servers.
 func (s *servers) close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	for _, srv := range s.list() {
 		srv.process.Kill()
 		srv.proxy.close()
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -78,6 +78,10 @@
 	2,
 }
 
+// crashSeeds are the seeds of the schedules beside requests that crash servers which the
+// tests run.
+var crashSeeds = []uint64{8}
+
 var _ = Describe("Hosts under faults", Ordered, func() {
 	var daemon string
 	BeforeAll(func() {
@@ -88,12 +92,12 @@
 		DeferCleanup(gexec.CleanupBuildArtifacts)
 	})
 
-	violateNothing := func(seed uint64, m mix) {
+	violateNothing := func(seed uint64, m mix, crashing int) {
 		GinkgoHelper()
 		dir, err := os.MkdirTemp("", "soak")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(os.RemoveAll, dir)
-		tb, err := newTestbed(testbedConfig{Daemon: daemon, Hosts: 4, Callers: 4, Dir: dir, Seed: seed, Mix: m})
+		tb, err := newTestbed(testbedConfig{Daemon: daemon, Hosts: 4, Callers: 4, Dir: dir, Seed: seed, Mix: m, Crashing: crashing})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(tb.close)
 		Expect(tb.startTraffic()).To(Succeed())
@@ -106,9 +110,12 @@
 		if mixOf(seed) == mixPlanned {
 			text += " under planned work"
 		}
-		It(text, func() { violateNothing(seed, mixOf(seed)) })
+		It(text, func() { violateNothing(seed, mixOf(seed), 0) })
 	}
 	for _, seed := range restoreSeeds {
-		It("violate no guarantee while the store comes back from older copies", func() { violateNothing(seed, mixRestores) })
+		It("violate no guarantee while the store comes back from older copies", func() { violateNothing(seed, mixRestores, 0) })
+	}
+	for _, seed := range crashSeeds {
+		It("violate no guarantee beside requests that crash servers", func() { violateNothing(seed, mixOf(seed), crashingOf(seed, true)) })
 	}
 })
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -26,6 +26,8 @@
 	Seed    uint64
 	// Mix is that of the schedule. With planned faults only, the requests are long.
 	Mix mix
+	// Crashing is the number of requests that crash servers.
+	Crashing int
 }
 
 const (
@@ -66,6 +68,7 @@
 	hosts       []*host
 	op          *operator
 	copies      *storeCopies
+	crashers    []*crasher
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -80,6 +83,8 @@
 	// disturbances has the intervals in which a fault may delay the time at which
 	// the hosts detect that a server drains.
 	disturbances []interval
+	// hostFaults has the intervals of the faults of each host and its links.
+	hostFaults map[*host][]interval
 }
 
 // interval is the time from one instant to another.
@@ -92,9 +97,10 @@
 }
 
 func newTestbed(cfg testbedConfig) (*testbed, error) {
-	tb := &testbed{cfg: cfg, checker: newChecker(), store: platformtest.NewStore()}
+	tb := &testbed{cfg: cfg, checker: newChecker(), store: platformtest.NewStore(), hostFaults: make(map[*host][]interval)}
 	tb.storeServer = httptest.NewServer(tb.store)
-	tb.servers = &servers{store: tb.store}
+	tb.servers = &servers{testbed: tb, store: tb.store}
+	tb.crashers = newCrashers(tb)
 	tb.copies = &storeCopies{store: tb.store}
 	tb.longRequests.Store(cfg.Mix == mixPlanned)
 	tb.op = &operator{testbed: tb, caller: newCaller(tb, -1), version: 1}
@@ -222,8 +228,16 @@
 	}
 }
 
-// runSchedule injects the faults of a schedule and waits until they have ended.
+// runSchedule injects the faults of a schedule and waits until they have ended. Requests
+// that crash servers are sent meanwhile.
 func (tb *testbed) runSchedule(steps []step) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var crashes sync.WaitGroup
+	defer crashes.Wait()
+	defer cancel()
+	for _, c := range tb.crashers {
+		crashes.Go(func() { c.run(ctx) })
+	}
 	start := time.Now()
 	for _, s := range steps {
 		time.Sleep(time.Until(start.Add(s.at)))
@@ -237,6 +251,7 @@
 			if !isPlanned(s.fault) {
 				tb.recordUnplanned(interval{from: from, to: time.Now()})
 			}
+			tb.recordHostFault(s, interval{from: from, to: time.Now()})
 		})
 	}
 	tb.faults.Wait()
@@ -254,6 +269,14 @@
 	tb.unplanned = append(tb.unplanned, iv)
 }
 
+func (tb *testbed) recordHostFault(s step, iv interval) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for _, h := range tb.disturbedHosts(s) {
+		tb.hostFaults[h] = append(tb.hostFaults[h], iv)
+	}
+}
+
 // undisturbed reports whether no disturbance overlaps an interval.
 func (tb *testbed) undisturbed(iv interval) bool {
 	tb.mu.Lock()
@@ -314,7 +337,9 @@
 	case storeRestored:
 		tb.restoreStore(s)
 	default:
-		tb.injectServerFault(s, tb.servers.pick(s.target))
+		if srv := tb.servers.pick(s.target); srv != nil {
+			tb.injectServerFault(s, srv)
+		}
 	}
 }
 
@@ -470,5 +495,6 @@
 		}
 	}
 	tb.checkLosses(executions)
+	tb.checkCrashes()
 	tb.checkExits()
 }
