--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -307,8 +307,9 @@
 func (r *termRunner) recovery(service fairway.ServiceName) mooring.Recovery {
 	restoredAt, restored := r.election.clusterState.restored()
 	recovery := mooring.Recovery{
-		Restored:       restored || r.term.fence.restored,
-		ServersKnownAt: r.term.began,
+		Restored: restored || r.term.fence.restored,
+		// A host that has started since the restore does not know when it was.
+		ServersKnownAt: r.term.began.Add(reregisterTimeout),
 	}
 	if known := r.election.admissions.ownersOf(service).current.Load(); known != nil {
 		recovery.KnownTable = known.table
