--- a/jetty/erafence.go
+++ b/jetty/erafence.go
@@ -19,11 +19,15 @@
 	// record is the zero value if the store states no era.
 	record ledger.Expectation
 	// created reports whether this claim has recorded the era, and restored whether
-	// there was a record of an earlier one.
+	// there was a record of an earlier one, before this claim or when the era was
+	// recorded.
 	created  bool
 	restored bool
 }
 
+// followsEra is the value of the record of an era before which there was another one.
+const followsEra = "follows_another"
+
 // raiseEraFence returns the fence of the present era, which it records if needed, and
 // removes those of earlier ones.
 func raiseEraFence(ctx context.Context, store ledger.TxnStore) (eraFence, error) {
@@ -34,27 +38,34 @@
 	key := eraPrefix + strconv.FormatUint(uint64(revision.Era()), 10)
 	fence := eraFence{record: ledger.Expectation{Key: key}}
 	var remove ledger.Txn
+	var former bool
 	for _, e := range entries {
 		switch {
 		case e.Key == key:
 			fence.record.Revision = e.Revision
+			fence.restored = fence.restored || string(e.Value) == followsEra
 		case strings.HasPrefix(e.Key, eraPrefix):
 			fence.restored = true
+			former = true
 			remove.Expect = append(remove.Expect, ledger.Expectation{Key: e.Key, Revision: e.Revision})
 			remove.Remove = append(remove.Remove, e.Key)
 		}
 	}
 	if fence.record.Revision == 0 {
+		var value []byte
+		if former {
+			value = []byte(followsEra)
+		}
 		fence.record.Revision, err = store.Commit(ctx, ledger.Txn{
 			Expect: []ledger.Expectation{fence.record},
-			Put:    []ledger.Write{{Key: key}},
+			Put:    []ledger.Write{{Key: key, Value: value}},
 		})
 		if err != nil {
 			return eraFence{}, err
 		}
 		fence.created = true
 	}
-	if fence.restored {
+	if former {
 		remove.Expect = append(remove.Expect, fence.record)
 		if _, err := store.Commit(ctx, remove); err != nil {
 			return eraFence{}, err
--- a/jetty/restore_test.go
+++ b/jetty/restore_test.go
@@ -91,6 +91,18 @@
 var _ = Describe("The fence of an era", func() {
 	ctx := context.Background()
 
+	It("tells each host that raises it that the store has come back", func() {
+		s := newEraStore()
+		_, err := raiseEraFence(ctx, s)
+		Expect(err).NotTo(HaveOccurred())
+		s.restore(s.number)
+		for range 2 {
+			fence, err := raiseEraFence(ctx, s)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(fence.restored).To(BeTrue())
+		}
+	})
+
 	It("stops a write of an earlier era whose revision has been given out again", func() {
 		s := newEraStore()
 		fence, err := raiseEraFence(ctx, s)
@@ -294,6 +306,13 @@
 		Expect(b.Unconfirmed).To(BeTrue())
 	})
 
+	It("does not include when the store came back, if it has started since", func() {
+		e, _ := newTestElection(newFakeStore())
+		began := bootTimeNow()
+		r := &termRunner{election: e, term: &term{revision: revision(2, 9), began: began, fence: eraFence{restored: true}}}
+		Expect(r.recovery("readings").ServersKnownAt).To(Equal(began.Add(reregisterTimeout)))
+	})
+
 	It("is not replaced by an older configuration or table", func() {
 		restore()
 		Expect(w.clusterState.activeConfig.Current().Version).To(Equal(fairway.Version(3)))
