--- a/jetty/departures.go
+++ b/jetty/departures.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/ledger"
 )
 
 // departureMemory is how long a departure is remembered. The copy from which the store
@@ -21,34 +22,43 @@
 type departure struct {
 	incarnation fairway.Incarnation
 	at          time.Time
+	// era is the store's era in which it was learned.
+	era ledger.Era
 }
 
 // registered records a registration that is applied.
-func (d *departures) registered(now time.Time, e fairway.Endpoint) {
+func (d *departures) registered(now time.Time, e fairway.Endpoint, era ledger.Era) {
 	if e.Draining {
-		d.record(now, e)
+		d.record(now, e.ID, departure{incarnation: e.Incarnation, at: now, era: era})
 	} else if !e.Unconfirmed {
 		delete(d.byServer, e.ID)
 	}
 }
 
 // removed records the removal of a registration.
-func (d *departures) removed(now time.Time, e fairway.Endpoint) {
+func (d *departures) removed(now time.Time, e fairway.Endpoint, era ledger.Era) {
 	if !e.Unconfirmed {
-		d.record(now, e)
+		d.record(now, e.ID, departure{incarnation: e.Incarnation, at: now, era: era})
 	}
 }
 
-func (d *departures) record(now time.Time, e fairway.Endpoint) {
+// record records a departure, unless one of a later instance is known.
+func (d *departures) record(now time.Time, id fairway.ServerID, next departure) {
 	if d.byServer == nil {
 		d.byServer = make(map[fairway.ServerID]departure)
 	}
-	maps.DeleteFunc(d.byServer, func(_ fairway.ServerID, past departure) bool { return now.Sub(past.at) > departureMemory })
-	d.byServer[e.ID] = departure{incarnation: e.Incarnation, at: now}
+	maps.DeleteFunc(d.byServer, func(_ fairway.ServerID, past departure) bool { return past.forgotten(now) })
+	if past, known := d.byServer[id]; !known || past.incarnation <= next.incarnation {
+		d.byServer[id] = next
+	}
 }
 
 // includes reports whether an instance has begun to leave.
-func (d *departures) includes(e fairway.Endpoint) bool {
+func (d *departures) includes(now time.Time, e fairway.Endpoint) bool {
 	past, departed := d.byServer[e.ID]
-	return departed && past.incarnation == e.Incarnation
+	return departed && past.incarnation == e.Incarnation && !past.forgotten(now)
+}
+
+func (d departure) forgotten(now time.Time) bool {
+	return now.Sub(d.at) > departureMemory
 }
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -156,7 +156,7 @@
 	h.reporter = &reporter{
 		host: s.Host, domain: s.Domain, address: s.PeerAddress, linkMbps: s.LinkMbps,
 		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, limits: h.limits, crashes: h.crashes, logs: h.logs,
-		onHostsChange: h.refresh, shuttingDown: h.shuttingDown.Load, wake: make(chan struct{}, 1),
+		onPeers: h.watcher.recallOnce, onHostsChange: h.refresh, shuttingDown: h.shuttingDown.Load, wake: make(chan struct{}, 1),
 	}
 	h.crashes.onChange = h.reporter.notify
 	h.callers = newCallerConns()
--- a/jetty/memory.go
+++ b/jetty/memory.go
@@ -29,34 +29,42 @@
 }
 
 // registered records a registration that is applied.
-func (m *memory) registered(now time.Time, e fairway.Endpoint) {
+func (m *memory) registered(now time.Time, e fairway.Endpoint, era ledger.Era) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.departures.registered(now, e)
+	m.departures.registered(now, e, era)
 }
 
 // removed records the removal of a registration.
-func (m *memory) removed(now time.Time, e fairway.Endpoint) {
+func (m *memory) removed(now time.Time, e fairway.Endpoint, era ledger.Era) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.departures.removed(now, e)
+	m.departures.removed(now, e, era)
 }
 
 // hasLeft reports whether an instance has begun to leave.
 func (m *memory) hasLeft(e fairway.Endpoint) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.departures.includes(e)
+	return m.departures.includes(time.Now(), e)
 }
 
-// addDepartures records departures that another host remembers.
-func (m *memory) addDepartures(now time.Time, told []*signal.Departure) {
+// addDepartures records the departures that another host has learned before an era, and
+// returns how many. What the store lists in the era itself is newer than the others.
+func (m *memory) addDepartures(now time.Time, told []*signal.Departure, before ledger.Era) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, d := range told {
-		at := now.Add(-time.Duration(min(d.GetAgeMillis(), uint64(departureMemory.Milliseconds()))) * time.Millisecond)
-		m.departures.record(at, fairway.Endpoint{ID: fairway.ServerID(d.GetServer()), Incarnation: fairway.Incarnation(d.GetIncarnation())})
+	added := 0
+	for _, t := range told {
+		age := time.Duration(min(t.GetAgeMillis(), uint64(2*departureMemory.Milliseconds()))) * time.Millisecond
+		d := departure{incarnation: fairway.Incarnation(t.GetIncarnation()), at: now.Add(-age), era: ledger.Era(t.GetEra())}
+		if d.era >= before || d.forgotten(now) {
+			continue
+		}
+		m.departures.record(now, fairway.ServerID(t.GetServer()), d)
+		added++
 	}
+	return added
 }
 
 // Recall implements signal.MemoryServer.
@@ -69,8 +77,11 @@
 	}
 	now := time.Now()
 	for id, d := range m.departures.byServer {
+		if d.forgotten(now) {
+			continue
+		}
 		reply.Departures = append(reply.Departures, &signal.Departure{
-			Server: string(id), Incarnation: int64(d.incarnation), AgeMillis: uint64(max(now.Sub(d.at), 0).Milliseconds()),
+			Server: string(id), Incarnation: int64(d.incarnation), AgeMillis: uint64(max(now.Sub(d.at), 0).Milliseconds()), Era: uint32(d.era),
 		})
 	}
 	return reply, nil
--- a/jetty/recall.go
+++ b/jetty/recall.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 	"time"
 
 	"hornbeamwinch.example/fairway"
@@ -12,34 +13,70 @@
 )
 
 const (
-	// recallTimeout bounds the question to one host, and maxRecallPeers how many are
-	// asked. A host that starts serves nothing before that.
+	// recallTimeout bounds the question to other hosts, which are asked at a time, and
+	// maxRecallPeers how many there are. A host that starts serves nothing before that.
 	recallTimeout  = 150 * time.Millisecond
 	maxRecallPeers = 3
 )
 
-// recall asks other hosts what the store may have forgotten. A host that has just started
-// cannot tell a store that has come back from an older copy from one that has lost nothing.
-// A store that states no era does not come back from copies.
+// recall asks other hosts what the store may have forgotten, and has the departures count
+// that they tell. A host that has just started cannot tell a store that has come back from
+// an older copy from one that has lost nothing. A store that states no era does not come
+// back from copies.
 func (w *watcher) recall(ctx context.Context, entries []ledger.Entry, revision ledger.Revision) {
 	if revision.Era() == 0 {
 		return
 	}
-	w.restoredAt = revision
-	w.copied, w.copiedUntil = make(map[fairway.ServerID]fairway.Endpoint), time.Now().Add(registrationExpiry)
-	for _, peer := range w.recallPeers(entries) {
-		reply, err := callRecall(ctx, peer)
-		if err != nil {
-			w.logs.recalled(peer, nil, err)
-			continue
+	w.recallBefore.Store(uint32(revision.Era()))
+	if w.recallFrom(ctx, w.recallPeers(entries)) > 0 {
+		w.restoredAt = revision
+		w.copied, w.copiedUntil = make(map[fairway.ServerID]fairway.Endpoint), time.Now().Add(registrationExpiry)
+	}
+}
+
+// recallOnce asks the peers that the placer names, if no host has answered before: the
+// store names none if this host was the placer before its restart, or the placer is gone.
+// Departures that they tell count once the store is read as a whole again.
+func (w *watcher) recallOnce(ctx context.Context, peers []peerAddress) {
+	if w.recallBefore.Load() == 0 || w.recalled.Load() || len(peers) == 0 {
+		return
+	}
+	var asked []string
+	for _, p := range peers[:min(len(peers), maxRecallPeers)] {
+		asked = append(asked, string(p))
+	}
+	w.recallFrom(ctx, asked)
+	w.onChange()
+}
+
+// recallFrom asks hosts, puts the newest configuration in force that they tell, and
+// returns the number of departures that it has recorded.
+func (w *watcher) recallFrom(ctx context.Context, peers []string) int {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	calls := make([]*recallCall, 0, len(peers))
+	var asked sync.WaitGroup
+	for _, peer := range peers {
+		call := &recallCall{peer: peer}
+		calls = append(calls, call)
+		asked.Go(func() { call.run(ctx) })
+	}
+	asked.Wait()
+	departures := 0
+	for _, call := range calls {
+		err := call.err
+		if err == nil {
+			w.recalled.Store(true)
+			departures += w.memory.addDepartures(time.Now(), call.reply.GetDepartures(), ledger.Era(w.recallBefore.Load()))
+			err = w.applyRecalled(call.reply.GetConfig())
 		}
-		w.memory.addDepartures(time.Now(), reply.GetDepartures())
-		w.logs.recalled(peer, reply, w.recallConfig(reply.GetConfig()))
+		w.logs.recalled(call.peer, call.reply, err)
 	}
+	return departures
 }
 
-// recallConfig puts the configuration of another host in force, if there is one.
-func (w *watcher) recallConfig(told *signal.StoreChange) error {
+// applyRecalled puts the configuration of another host in force, if it is newer.
+func (w *watcher) applyRecalled(told *signal.StoreChange) error {
 	if told == nil {
 		return nil
 	}
@@ -64,10 +101,10 @@
 			peers = append([]string{string(e.Value)}, peers...)
 		case placerListKey:
 			var list placerList
-			// A list that cannot be read names no host.
-			if err := json.Unmarshal(e.Value, &list); err == nil {
-				peers = append(peers, list.Addresses...)
+			if err := json.Unmarshal(e.Value, &list); err != nil {
+				w.logs.recordUnreadable(UnreadableRecord{Key: e.Key, Err: err})
 			}
+			peers = append(peers, list.Addresses...)
 		}
 	}
 	var asked []string
@@ -79,14 +116,21 @@
 	return asked
 }
 
-func callRecall(ctx context.Context, peer string) (*signal.RecallReply, error) {
-	conn, err := dialPeer(peer)
+// recallCall is the question to one host.
+type recallCall struct {
+	peer  string
+	reply *signal.RecallReply
+	err   error
+}
+
+// run sets the reply or the error.
+func (c *recallCall) run(ctx context.Context) {
+	conn, err := dialPeer(c.peer)
 	if err != nil {
-		return nil, err
+		c.err = err
+		return
 	}
 	// Close fails only if the connection is closed already.
 	defer func() { _ = conn.Close() }()
-	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
-	defer cancel()
-	return signal.NewMemoryClient(conn).Recall(ctx, &signal.RecallRequest{})
+	c.reply, c.err = signal.NewMemoryClient(conn).Recall(ctx, &signal.RecallRequest{})
 }
--- a/jetty/recall_test.go
+++ b/jetty/recall_test.go
@@ -47,7 +47,7 @@
 		peer.setConfig(entry("config", "1234", revision(1, 9)))
 		left, ok := fakeProtocol{}.Decode(entry("server/a", "", revision(1, 6)), time.Now()).(ServerRecord)
 		Expect(ok).To(BeTrue())
-		peer.removed(time.Now(), left.Endpoint)
+		peer.removed(time.Now(), left.Endpoint, 1)
 		entries := storeWith(startPeerServer(func(s *grpc.Server) { signal.RegisterMemoryServer(s, peer) }))
 		w.recall(context.Background(), entries, revision(2, 7))
 		w.applySnapshot(entries, revision(2, 7), true)
@@ -66,6 +66,74 @@
 		}
 	})
 
+	// told returns what a peer tells of departures.
+	told := func(m *memory) []*signal.Departure {
+		GinkgoHelper()
+		reply, err := m.Recall(context.Background(), &signal.RecallRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		return reply.GetDepartures()
+	}
+	instance := func(incarnation fairway.Incarnation) fairway.Endpoint {
+		return fairway.Endpoint{ID: "a", Incarnation: incarnation}
+	}
+
+	It("believes the store about a server whose departure a peer has learned in the same era", func() {
+		peer := &memory{}
+		left, ok := fakeProtocol{}.Decode(entry("server/a", "", revision(2, 3)), time.Now()).(ServerRecord)
+		Expect(ok).To(BeTrue())
+		peer.removed(time.Now(), left.Endpoint, 2)
+		entries := storeWith(startPeerServer(func(s *grpc.Server) { signal.RegisterMemoryServer(s, peer) }))
+		w.recall(context.Background(), entries, revision(2, 7))
+		w.applySnapshot(entries, revision(2, 7), true)
+		e, listed := w.clusterState.catalog().Get("a")
+		Expect(listed).To(BeTrue())
+		Expect(e.Draining).To(BeFalse())
+	})
+
+	It("keeps the later departure if a peer tells an earlier one of the same id", func() {
+		first, second := &memory{}, &memory{}
+		now := time.Now()
+		first.removed(now.Add(-time.Second), instance(2000), 1)
+		second.removed(now.Add(-40*time.Second), instance(1000), 1)
+		w.memory.addDepartures(now, told(first), 2)
+		w.memory.addDepartures(now, told(second), 2)
+		Expect(w.memory.hasLeft(instance(2000))).To(BeTrue())
+	})
+
+	It("neither tells nor believes a departure of long ago", func() {
+		peer := &memory{}
+		peer.removed(time.Now().Add(-time.Hour), instance(1000), 1)
+		Expect(told(peer)).To(BeEmpty())
+		w.memory.addDepartures(time.Now(), []*signal.Departure{{Server: "a", Incarnation: 1000, AgeMillis: 3_600_000, Era: 1}}, 2)
+		Expect(w.memory.hasLeft(instance(1000))).To(BeFalse())
+	})
+
+	It("waits for hosts that do not answer all at a time", func() {
+		var silent []string
+		for range maxRecallPeers {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(l.Close)
+			silent = append(silent, l.Addr().String())
+		}
+		began := time.Now()
+		w.recallFrom(context.Background(), silent)
+		Expect(time.Since(began)).To(BeNumerically("<", 2*recallTimeout))
+	})
+
+	It("asks the peers that the placer names if it was the placer itself", func() {
+		peer := &memory{}
+		peer.setConfig(entry("config", "1234", revision(1, 9)))
+		entries := storeWith("own")
+		w.recall(context.Background(), entries, revision(2, 7))
+		w.applySnapshot(entries, revision(2, 7), true)
+		Expect(version()).To(Equal(3))
+		w.recallOnce(context.Background(), []peerAddress{
+			peerAddress(startPeerServer(func(s *grpc.Server) { signal.RegisterMemoryServer(s, peer) })),
+		})
+		Expect(version()).To(Equal(4))
+	})
+
 	It("asks no host if the store states no era", func() {
 		asked := false
 		peer := startPeerServer(func(s *grpc.Server) { signal.RegisterMemoryServer(s, askedMemory{asked: &asked}) })
--- a/jetty/reporter.go
+++ b/jetty/reporter.go
@@ -27,6 +27,8 @@
 	limits        *limits
 	crashes       *crashes
 	logs          *logs
+	// onPeers is called with the peers that the placer names.
+	onPeers func(ctx context.Context, peers []peerAddress)
 	// onHostsChange is called when the number of hosts, or of those that reach the
 	// servers, has changed.
 	onHostsChange func()
@@ -114,6 +116,7 @@
 		}
 	}
 	r.apply(summary)
+	r.onPeers(ctx, summary.peers)
 }
 
 // apply applies the summary that the placer returned.
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -58,8 +58,15 @@
 	// revision is the one up to which changes have been applied.
 	revision ledger.Revision
 	// restoredAt is the revision at which the store was first read after it had come
-	// back from an older copy, or zero. Records up to that one may be from the copy.
+	// back from an older copy, or zero. Records up to that one may be from the copy. A
+	// host that starts sets it if others know of departures of an earlier era.
 	restoredAt ledger.Revision
+	// era is that of the changes that are being applied.
+	era ledger.Era
+	// recallBefore is the era at the start of this host, if the store states one, and
+	// recalled is set once another host has told what it remembers from before.
+	recallBefore atomic.Uint32
+	recalled     atomic.Bool
 	// memory has what the store may have forgotten.
 	memory *memory
 	// crashes, if set, has the requests that may crash servers.
@@ -197,6 +204,7 @@
 // whether they come from the store itself and not from a feeder.
 func (w *watcher) advance(changes []ledger.Change, revision ledger.Revision, direct bool) {
 	w.checkOutage()
+	w.era = revision.Era()
 	w.apply(changes)
 	w.changeLog.add(changes, revision, direct)
 	w.revision = revision
@@ -232,6 +240,7 @@
 // a registration are removed.
 func (w *watcher) applySnapshot(entries []ledger.Entry, revision ledger.Revision, direct bool) {
 	w.checkOutage()
+	w.era = revision.Era()
 	if w.revision != 0 && revision.Era() > w.revision.Era() {
 		w.logs.storeRestored(w.revision, revision)
 		w.unconfirmedUntil = time.Now().Add(reregisterTimeout)
@@ -370,11 +379,11 @@
 func (w *watcher) updateServers(updated []fairway.Endpoint, removed []fairway.ServerID) {
 	for _, e := range updated {
 		delete(w.missing, e.ID)
-		w.memory.registered(time.Now(), e)
+		w.memory.registered(time.Now(), e, w.era)
 	}
 	for _, id := range removed {
 		if e, known := w.clusterState.catalog().Get(id); known {
-			w.memory.removed(time.Now(), e)
+			w.memory.removed(time.Now(), e, w.era)
 		}
 	}
 	var removedNow []fairway.ServerID
