--- a/jetty/crashadmin.go
+++ b/jetty/crashadmin.go
@@ -31,15 +31,15 @@
 // requests returns what is known, for operators.
 func (c *crashes) requests() []CrashingRequest {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	records, _ := c.table.ChangedSince(0, c.table.Len())
-	c.mu.Unlock()
 	known := []CrashingRequest{}
 	for _, r := range records {
 		if len(r.Crashes) == 0 {
 			continue
 		}
 		request := CrashingRequest{
-			Fingerprint: hex.EncodeToString(r.Fingerprint[:]), AnyCaller: r.AnyCaller, Service: r.Service, Rejected: r.IsCertain(),
+			Fingerprint: hex.EncodeToString(r.Fingerprint[:]), AnyCaller: r.AnyCaller, Service: r.Service, Rejected: c.table.IsCertain(r),
 		}
 		for _, crash := range r.Crashes {
 			request.Crashes = append(request.Crashes, CrashedServer{Server: crash.Instance.Server, Version: crash.Version, Alone: crash.Alone})
--- a/jetty/crashcodec.go
+++ b/jetty/crashcodec.go
@@ -10,7 +10,7 @@
 	var encoded []*signal.CrashRecord
 	for _, r := range records {
 		e := &signal.CrashRecord{
-			Fingerprint: r.Fingerprint[:], AnyCaller: r.AnyCaller, Target: r.Target, Service: string(r.Service), Generation: r.Generation,
+			Fingerprint: r.Fingerprint[:], Content: r.Content[:], AnyCaller: r.AnyCaller, Target: r.Target, Service: string(r.Service), Generation: r.Generation,
 		}
 		for _, c := range r.Crashes {
 			e.Crashes = append(e.Crashes, &signal.Crash{
@@ -30,7 +30,7 @@
 		r := sluice.CrashRecord{
 			AnyCaller: e.GetAnyCaller(), Target: e.GetTarget(), Service: fairway.ServiceName(e.GetService()), Generation: e.GetGeneration(),
 		}
-		if !decodeFingerprint(e.GetFingerprint(), &r.Fingerprint) {
+		if !decodeFingerprint(e.GetFingerprint(), &r.Fingerprint) || !decodeFingerprint(e.GetContent(), &r.Content) {
 			continue
 		}
 		for _, c := range e.GetCrashes() {
--- a/jetty/crashes.go
+++ b/jetty/crashes.go
@@ -108,7 +108,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Suspicion(d, version)
+	return c.table.Suspicion(monotonicNow(), d, version)
 }
 
 // serverEnded records that a server has ended while a request was there.
@@ -121,7 +121,7 @@
 	c.mu.Lock()
 	c.table.Add(monotonicNow(), d, r.service.Name, crash)
 	c.update()
-	n, suspicion := c.table.Crashes(d), c.table.Suspicion(d, s.Version)
+	n, suspicion := c.table.Crashes(d), c.table.Suspicion(monotonicNow(), d, s.Version)
 	c.mu.Unlock()
 	c.logs.requestSuspected(r, s, suspectedRequest{digest: d, crashes: n, alone: alone, certain: suspicion == sluice.SuspicionCertain})
 	c.metrics.requestSuspected(r.service.Name)
--- a/jetty/crashes_test.go
+++ b/jetty/crashes_test.go
@@ -47,8 +47,11 @@
 	}
 }
 
+// suspicionOf returns what a host knows of the request once that has settled.
 func suspicionOf(c *crashes) sluice.Suspicion {
-	return c.suspicion(crashingRequest("2"), "v1")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Suspicion(monotonicNow().Add(time.Second), digestOf(crashingRequest("2")), "v1")
 }
 
 // report has a host report to a placer once.
--- a/jetty/crashstore.go
+++ b/jetty/crashstore.go
@@ -31,6 +31,7 @@
 
 type storedRequest struct {
 	Fingerprint []byte              `json:"fingerprint"`
+	Content     []byte              `json:"content"`
 	AnyCaller   bool                `json:"any_caller,omitempty"`
 	Target      uint64              `json:"target"`
 	Service     fairway.ServiceName `json:"service"`
@@ -50,7 +51,7 @@
 func encodeStored(records []sluice.CrashRecord) ([]byte, error) {
 	stored := storedCrashes{Requests: []storedRequest{}}
 	for _, r := range records {
-		s := storedRequest{Fingerprint: r.Fingerprint[:], AnyCaller: r.AnyCaller, Target: r.Target, Service: r.Service, Generation: r.Generation}
+		s := storedRequest{Fingerprint: r.Fingerprint[:], Content: r.Content[:], AnyCaller: r.AnyCaller, Target: r.Target, Service: r.Service, Generation: r.Generation}
 		for _, c := range r.Crashes {
 			s.Crashes = append(s.Crashes, storedCrash{
 				Server: c.Instance.Server, Incarnation: c.Instance.Incarnation, Version: c.Version, Alone: c.Alone, Caller: c.Caller[:],
@@ -74,7 +75,7 @@
 	var records []sluice.CrashRecord
 	for _, s := range stored.Requests {
 		r := sluice.CrashRecord{AnyCaller: s.AnyCaller, Target: s.Target, Service: s.Service, Generation: s.Generation}
-		if !decodeFingerprint(s.Fingerprint, &r.Fingerprint) {
+		if !decodeFingerprint(s.Fingerprint, &r.Fingerprint) || !decodeFingerprint(s.Content, &r.Content) {
 			continue
 		}
 		for _, c := range s.Crashes {
--- a/sluice/crash.go
+++ b/sluice/crash.go
@@ -30,7 +30,8 @@
 
 const (
 	// rejectingCrashes is the number of servers that have to end under a request before it
-	// is taken to be the cause. One of them must have ended under no other suspect.
+	// is taken to be the cause. One of them must have ended in a trial, and under no other
+	// request that has ended several.
 	rejectingCrashes = 3
 	// maxCrashes bounds the crashes that are kept of a request.
 	maxCrashes = 16
@@ -53,7 +54,9 @@
 // records of one request can be merged in any order.
 type CrashRecord struct {
 	Fingerprint Fingerprint
-	// AnyCaller is set if the fingerprint is that of the content alone.
+	// Content is the fingerprint of the content. AnyCaller is set if it is that of the
+	// record, which is then about the requests of all callers.
+	Content   Fingerprint
 	AnyCaller bool
 	Target    uint64
 	Service   fairway.ServiceName
@@ -63,40 +66,6 @@
 	Crashes    []Crash
 }
 
-// IsCertain reports whether the request is not sent to servers of some version any more.
-func (r *CrashRecord) IsCertain() bool {
-	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return r.rejectedOn(c.Version) })
-}
-
-// suspicion returns how certain it is that the request crashes servers of a version.
-func (r *CrashRecord) suspicion(version fairway.SoftwareVersion) Suspicion {
-	switch {
-	case len(r.Crashes) == 0:
-		return SuspicionNone
-	case r.rejectedOn(version):
-		return SuspicionCertain
-	}
-	// A version that mends the fault answers the request, which clears it.
-	if r.IsCertain() && slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Version == version }) {
-		return SuspicionCertain
-	}
-	return SuspicionPossible
-}
-
-// rejectedOn reports whether the crashes of servers of one version are enough.
-func (r *CrashRecord) rejectedOn(version fairway.SoftwareVersion) bool {
-	instances, callers, alone := make(map[ServerInstance]bool), make(map[Fingerprint]bool), false
-	for _, c := range r.Crashes {
-		if c.Version == version {
-			instances[c.Instance] = true
-			callers[c.Caller] = true
-			alone = alone || c.Alone
-		}
-	}
-	// What one caller sends must not have the requests of others rejected.
-	return len(instances) >= rejectingCrashes && alone && (!r.AnyCaller || len(callers) > 1)
-}
-
 // ended returns the number of server instances that have ended.
 func (r *CrashRecord) ended() int {
 	instances := make(map[ServerInstance]bool)
@@ -106,6 +75,11 @@
 	return len(instances)
 }
 
+// includes reports whether a server instance has ended under the request.
+func (r *CrashRecord) includes(instance ServerInstance) bool {
+	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Instance == instance })
+}
+
 // add adds a crash, and reports whether that changes the record. A server instance may end
 // under requests of several callers.
 func (r *CrashRecord) add(crash Crash) bool {
--- a/sluice/crash_fleet_test.go
+++ b/sluice/crash_fleet_test.go
@@ -101,7 +101,7 @@
 // send decides on a request and sends it.
 func (f *crashFleet) send(r fleetRequest) {
 	table, up := f.hosts[r.host], f.upServers()
-	suspicion := table.Suspicion(r.digest, "v1")
+	suspicion := table.Suspicion(f.now, r.digest, "v1")
 	switch {
 	case suspicion == sluice.SuspicionCertain:
 		if r.crasher == 0 {
@@ -229,13 +229,13 @@
 	nextKill := f.now.Add(4 * time.Second)
 	for f.now < mooring.Instant(fleetPlay) {
 		innocents := len(f.servers)
-		for range f.rng.IntN(innocents/3 + 1) {
+		for range f.rng.IntN(innocents/3 + 2) {
 			n++
 			d := sluice.RequestDigest{Target: n}
 			for i := range 8 {
 				d.Content[i+1], d.ByCaller[i+1] = byte(n>>(8*i)), byte(n>>(8*i))
 			}
-			d.ByCaller[0] = 1
+			d.ByCaller[0] = 255
 			f.innocent++
 			f.send(fleetRequest{digest: d, host: f.rng.IntN(len(f.hosts)), deadline: f.now.Add(500 * time.Millisecond)})
 		}
--- a/sluice/crash_test.go
+++ b/sluice/crash_test.go
@@ -12,9 +12,12 @@
 	"hornbeamwinch.example/sluice"
 )
 
+// settled is when what was told at 0 counts.
+const settled = mooring.Instant(time.Second)
+
 // digest returns the digest of a request with a content, from a caller.
 func digest(content, caller byte) sluice.RequestDigest {
-	return sluice.RequestDigest{Content: sluice.Fingerprint{content}, ByCaller: sluice.Fingerprint{content, caller}, Target: uint64(content)}
+	return sluice.RequestDigest{Content: sluice.Fingerprint{content}, ByCaller: sluice.Fingerprint{content, caller, 1}, Target: uint64(content)}
 }
 
 // crash returns the end of the server instance n.
@@ -33,7 +36,7 @@
 	}
 	expectSuspicion := func(d sluice.RequestDigest, version fairway.SoftwareVersion, s sluice.Suspicion) {
 		GinkgoHelper()
-		Expect(t.Suspicion(d, version)).To(Equal(s))
+		Expect(t.Suspicion(settled, d, version)).To(Equal(s))
 	}
 
 	It("is suspected from the first one on", func() {
@@ -51,6 +54,24 @@
 		expectSuspicion(d, "v1", sluice.SuspicionCertain)
 	})
 
+	It("is not certain before all hosts have told which requests were at the server", func() {
+		add(crash(1, "v1", true), crash(2, "v1", true), crash(3, "v1", true))
+		Expect(t.Suspicion(mooring.Instant(100*time.Millisecond), d, "v1")).To(Equal(sluice.SuspicionPossible))
+		expectSuspicion(d, "v1", sluice.SuspicionCertain)
+	})
+
+	It("is not certain if another one has ended several servers as well, and was there", func() {
+		add(crash(1, "v1", true), crash(2, "v1", true), crash(3, "v1", true))
+		other := digest(2, 1)
+		for n := range int64(3) {
+			t.Add(0, other, "readings", crash(n+1, "v1", false))
+		}
+		expectSuspicion(d, "v1", sluice.SuspicionPossible)
+		t.Add(0, other, "readings", crash(4, "v1", true))
+		expectSuspicion(d, "v1", sluice.SuspicionPossible)
+		expectSuspicion(other, "v1", sluice.SuspicionCertain)
+	})
+
 	It("counts each server instance once", func() {
 		add(crash(1, "v1", true), crash(1, "v1", true), crash(1, "v1", false), crash(2, "v1", true))
 		expectSuspicion(d, "v1", sluice.SuspicionPossible)
@@ -141,8 +162,8 @@
 				for content := range byte(3) {
 					for caller := range byte(2) {
 						d := digest(content, caller)
-						Expect(t.Suspicion(d, "v1")).To(Equal(tables[0].Suspicion(d, "v1")))
 						Expect(t.Crashes(d)).To(Equal(tables[0].Crashes(d)))
+						Expect(t.Suspicion(settled, d, "v1")).To(Equal(tables[0].Suspicion(settled, d, "v1")))
 					}
 				}
 			}
@@ -178,7 +199,7 @@
 			t.Add(mooring.Instant(n), d, "readings", crash(1, "v1", false))
 		}
 		Expect(t.Len()).To(BeNumerically("<=", 2000))
-		Expect(t.Suspicion(digest(1, 1), "v1")).To(Equal(sluice.SuspicionCertain))
+		Expect(t.Suspicion(settled, digest(1, 1), "v1")).To(Equal(sluice.SuspicionCertain))
 	})
 })
 
--- a/sluice/crashtable.go
+++ b/sluice/crashtable.go
@@ -16,6 +16,9 @@
 	// suspectMemory is how long a request is suspected without another crash. Certain ones
 	// are remembered.
 	suspectMemory = 10 * time.Minute
+	// settleTime is how long after the last crash a request is not certain yet: until all
+	// hosts have told which requests were at the server.
+	settleTime = 600 * time.Millisecond
 )
 
 // CrashTable has the requests under which servers have ended. It is not safe for
@@ -24,6 +27,9 @@
 	records map[Fingerprint]*tableRecord
 	// targets counts the records of each target.
 	targets map[uint64]int
+	// contents has the contents under which each server instance has ended, also those that
+	// have been cleared since.
+	contents map[ServerInstance][]Fingerprint
 	// changes numbers the changes of the table.
 	changes uint64
 }
@@ -37,7 +43,9 @@
 
 // NewCrashTable returns an empty table.
 func NewCrashTable() *CrashTable {
-	return &CrashTable{records: make(map[Fingerprint]*tableRecord), targets: make(map[uint64]int)}
+	return &CrashTable{
+		records: make(map[Fingerprint]*tableRecord), targets: make(map[uint64]int), contents: make(map[ServerInstance][]Fingerprint),
+	}
 }
 
 // MayKnow reports whether the table may have a request with a target. Only for those a
@@ -47,16 +55,66 @@
 }
 
 // Suspicion returns how certain it is that a request crashes servers of a version.
-func (t *CrashTable) Suspicion(d RequestDigest, version fairway.SoftwareVersion) Suspicion {
+func (t *CrashTable) Suspicion(now mooring.Instant, d RequestDigest, version fairway.SoftwareVersion) Suspicion {
 	highest := SuspicionNone
 	for _, f := range []Fingerprint{d.Content, d.ByCaller} {
 		if r := t.records[f]; r != nil {
-			highest = max(highest, r.suspicion(version))
+			suspicion := t.suspicion(&r.CrashRecord, version)
+			if now.Sub(r.changedAt) < settleTime {
+				suspicion = min(suspicion, SuspicionPossible)
+			}
+			highest = max(highest, suspicion)
 		}
 	}
 	return highest
 }
 
+// suspicion returns how certain it is that a request crashes servers of a version.
+func (t *CrashTable) suspicion(r *CrashRecord, version fairway.SoftwareVersion) Suspicion {
+	switch {
+	case len(r.Crashes) == 0:
+		return SuspicionNone
+	case t.rejectedOn(r, version):
+		return SuspicionCertain
+	}
+	// A version that mends the fault answers the request, which clears it.
+	if t.isCertain(r) && slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Version == version }) {
+		return SuspicionCertain
+	}
+	return SuspicionPossible
+}
+
+// isCertain reports whether the request is not sent to servers of some version any more.
+func (t *CrashTable) isCertain(r *CrashRecord) bool {
+	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return t.rejectedOn(r, c.Version) })
+}
+
+// rejectedOn reports whether the crashes of servers of one version are enough.
+func (t *CrashTable) rejectedOn(r *CrashRecord, version fairway.SoftwareVersion) bool {
+	instances, callers, proved := make(map[ServerInstance]bool), make(map[Fingerprint]bool), false
+	for _, c := range r.Crashes {
+		if c.Version == version {
+			instances[c.Instance] = true
+			callers[c.Caller] = true
+			proved = proved || c.Alone && t.onlyRepeated(r, c.Instance)
+		}
+	}
+	// What one caller sends must not have the requests of others rejected.
+	return len(instances) >= rejectingCrashes && proved && (!r.AnyCaller || len(callers) > 1)
+}
+
+// onlyRepeated reports whether no other request has ended several servers, of those that
+// were at a server instance when it ended. Hosts that have not heard of a suspect yet send it
+// beside a trial.
+func (t *CrashTable) onlyRepeated(r *CrashRecord, instance ServerInstance) bool {
+	for _, content := range t.contents[instance] {
+		if other := t.records[content]; content != r.Content && other != nil && other.ended() > 1 && other.includes(instance) {
+			return false
+		}
+	}
+	return true
+}
+
 // Crashes returns the number of servers that have ended under a request.
 func (t *CrashTable) Crashes(d RequestDigest) int {
 	highest := 0
@@ -72,8 +130,8 @@
 func (t *CrashTable) Add(now mooring.Instant, d RequestDigest, service fairway.ServiceName, c Crash) {
 	c.Caller = d.ByCaller
 	for _, r := range []CrashRecord{
-		{Fingerprint: d.Content, AnyCaller: true, Target: d.Target, Service: service},
-		{Fingerprint: d.ByCaller, Target: d.Target, Service: service},
+		{Fingerprint: d.Content, Content: d.Content, AnyCaller: true, Target: d.Target, Service: service},
+		{Fingerprint: d.ByCaller, Content: d.Content, Target: d.Target, Service: service},
 	} {
 		known := t.record(r)
 		if known.add(c) {
@@ -126,7 +184,7 @@
 // Merge records what another host knows.
 func (t *CrashTable) Merge(now mooring.Instant, told []CrashRecord) {
 	for _, r := range told {
-		known := t.record(CrashRecord{Fingerprint: r.Fingerprint, AnyCaller: r.AnyCaller, Target: r.Target, Service: r.Service})
+		known := t.record(CrashRecord{Fingerprint: r.Fingerprint, Content: r.Content, AnyCaller: r.AnyCaller, Target: r.Target, Service: r.Service})
 		if known.merge(r) {
 			t.touch(now, known)
 		}
@@ -163,12 +221,18 @@
 	return copies
 }
 
+// IsCertain reports whether the request of a record is not sent to servers of some version
+// any more.
+func (t *CrashTable) IsCertain(r CrashRecord) bool {
+	return t.isCertain(&r)
+}
+
 // Certain returns up to n records of requests that are not sent any more, the latest
 // first.
 func (t *CrashTable) Certain(n int) []CrashRecord {
 	var certain []*tableRecord
 	for _, r := range t.records {
-		if r.IsCertain() {
+		if t.isCertain(&r.CrashRecord) {
 			certain = append(certain, r)
 		}
 	}
@@ -198,6 +262,11 @@
 }
 
 func (t *CrashTable) touch(now mooring.Instant, r *tableRecord) {
+	for _, c := range r.Crashes {
+		if contents := t.contents[c.Instance]; !slices.Contains(contents, r.Content) {
+			t.contents[c.Instance] = append(contents, r.Content)
+		}
+	}
 	t.changes++
 	r.change, r.changedAt = t.changes, now
 }
@@ -206,14 +275,14 @@
 // ones of too many.
 func (t *CrashTable) prune(now mooring.Instant) {
 	for _, r := range t.records {
-		if !r.IsCertain() && now.Sub(r.changedAt) > suspectMemory {
+		if now.Sub(r.changedAt) > suspectMemory && !t.isCertain(&r.CrashRecord) {
 			t.forget(r)
 		}
 	}
 	for len(t.records) > maxCrashRecords {
 		var least *tableRecord
 		for _, r := range t.records {
-			if least == nil || r.weakerThan(least) {
+			if least == nil || t.weaker(r, least) {
 				least = r
 			}
 		}
@@ -226,15 +295,21 @@
 	if t.targets[r.Target]--; t.targets[r.Target] == 0 {
 		delete(t.targets, r.Target)
 	}
+	for _, c := range r.Crashes {
+		remaining := slices.DeleteFunc(t.contents[c.Instance], func(content Fingerprint) bool { return t.records[content] == nil })
+		if t.contents[c.Instance] = remaining; len(remaining) == 0 {
+			delete(t.contents, c.Instance)
+		}
+	}
 }
 
-// weakerThan reports whether r is forgotten before other.
-func (r *tableRecord) weakerThan(other *tableRecord) bool {
-	if a, b := r.IsCertain(), other.IsCertain(); a != b {
-		return b
+// weaker reports whether a is forgotten before b.
+func (t *CrashTable) weaker(a, b *tableRecord) bool {
+	if certainA, certainB := t.isCertain(&a.CrashRecord), t.isCertain(&b.CrashRecord); certainA != certainB {
+		return certainB
 	}
-	if len(r.Crashes) != len(other.Crashes) {
-		return len(r.Crashes) < len(other.Crashes)
+	if len(a.Crashes) != len(b.Crashes) {
+		return len(a.Crashes) < len(b.Crashes)
 	}
-	return r.changedAt < other.changedAt
+	return a.changedAt < b.changedAt
 }
