--- a/berth/berth_test.go
+++ b/berth/berth_test.go
@@ -25,7 +25,7 @@
 	number := rapid.Uint64Range(1, 1<<40)
 	table := &berth.Table{
 		Domain: "d", Epoch: berth.Epoch(number.Draw(t, "epoch")), Version: berth.Version(number.Draw(t, "version")),
-		PlacerHost: "h0", Nonce: number.Draw(t, "nonce"), Sequence: berth.Sequence(number.Draw(t, "sequence")),
+		PlacerHost: "h0", PlacerAddress: "h0:1", Nonce: number.Draw(t, "nonce"), Sequence: berth.Sequence(number.Draw(t, "sequence")),
 		Rules: berth.RulesState{Closing: 3, Closed: 2, Opened: 1},
 	}
 	for i := range rapid.IntRange(1, 9).Draw(t, "hosts") {
--- a/berth/codec.go
+++ b/berth/codec.go
@@ -18,16 +18,17 @@
 // EncodeTable returns the stored form of t.
 func EncodeTable(t *Table) ([]byte, error) {
 	record := &signal.TableRecord{
-		Domain:       string(t.Domain),
-		Epoch:        uint64(t.Epoch),
-		Version:      uint64(t.Version),
-		Holder:       string(t.PlacerHost),
-		Nonce:        t.Nonce,
-		Sequence:     uint64(t.Sequence),
-		RulesClosing: uint64(t.Rules.Closing),
-		RulesClosed:  uint64(t.Rules.Closed),
-		RulesOpened:  uint64(t.Rules.Opened),
-		Hosts:        EncodeHosts(t.Hosts),
+		Domain:        string(t.Domain),
+		Epoch:         uint64(t.Epoch),
+		Version:       uint64(t.Version),
+		Holder:        string(t.PlacerHost),
+		HolderAddress: t.PlacerAddress,
+		Nonce:         t.Nonce,
+		Sequence:      uint64(t.Sequence),
+		RulesClosing:  uint64(t.Rules.Closing),
+		RulesClosed:   uint64(t.Rules.Closed),
+		RulesOpened:   uint64(t.Rules.Opened),
+		Hosts:         EncodeHosts(t.Hosts),
 	}
 	index := make(map[ServerID]uint32, len(t.Servers))
 	for i, s := range t.Servers {
@@ -55,12 +56,13 @@
 		return nil, newError("decode table", KindInvalid, err)
 	}
 	t := &Table{
-		Domain:     DomainID(record.GetDomain()),
-		Epoch:      Epoch(record.GetEpoch()),
-		Version:    Version(record.GetVersion()),
-		PlacerHost: HostID(record.GetHolder()),
-		Nonce:      record.GetNonce(),
-		Sequence:   Sequence(record.GetSequence()),
+		Domain:        DomainID(record.GetDomain()),
+		Epoch:         Epoch(record.GetEpoch()),
+		Version:       Version(record.GetVersion()),
+		PlacerHost:    HostID(record.GetHolder()),
+		PlacerAddress: record.GetHolderAddress(),
+		Nonce:         record.GetNonce(),
+		Sequence:      Sequence(record.GetSequence()),
 		Rules: RulesState{
 			Closing: RulesRevision(record.GetRulesClosing()),
 			Closed:  RulesRevision(record.GetRulesClosed()),
--- a/berth/placer.go
+++ b/berth/placer.go
@@ -253,6 +253,7 @@
 	next.Epoch++
 	next.Sequence = 0
 	next.PlacerHost = p.cfg.Host
+	next.PlacerAddress = p.cfg.Address
 	p.write(next)
 	p.emit(Decision{At: now, Version: next.Version, Reason: ReasonEpochClaimed})
 }
--- a/berth/table.go
+++ b/berth/table.go
@@ -173,6 +173,8 @@
 	Version Version
 	// PlacerHost is the entry host whose placer claimed Epoch.
 	PlacerHost HostID
+	// PlacerAddress is the address of PlacerHost. See [Table.PlacerAt].
+	PlacerAddress string
 	// Nonce identifies the write that recorded the table.
 	Nonce uint64
 	// Sequence is the sequence number of the last token issued under Epoch.
@@ -217,6 +219,19 @@
 	return nil
 }
 
+// PlacerAt returns the address at which the placer takes reports, or an empty
+// string if the table does not tell. The placer's host need not be among Hosts: it
+// joins only after a majority of them has reported that it follows the table.
+func (t *Table) PlacerAt() string {
+	if t.PlacerAddress != "" {
+		return t.PlacerAddress
+	}
+	if host := t.Host(t.PlacerHost); host != nil {
+		return host.Address
+	}
+	return ""
+}
+
 // Server returns the backend server with the given id, or nil.
 func (t *Table) Server(id ServerID) *Server {
 	for i := range t.Servers {
--- a/cmd/trials/ownership_test.go
+++ b/cmd/trials/ownership_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"hornbeamwinch.example/berth"
 	"hornbeamwinch.example/charter"
 	"hornbeamwinch.example/drydock"
 	"hornbeamwinch.example/harbor"
@@ -61,6 +62,41 @@
 	})
 })
 
+var _ = Describe("A placer whose host is not in the table yet", func() {
+	It("is followed by a listed host that was the placer before", func() {
+		d := deploySmall(deploymentConfig{hostsPerDomain: 2, platformProxies: true})
+		before, other := d.fleet.Hosts[0], d.fleet.Hosts[1]
+		status, err := drydock.FetchStatus(context.Background(), before.Host.AdminAddress)
+		Expect(err).NotTo(HaveOccurred())
+		if status.PlacerHost == other.Host.ID {
+			before, other = other, before
+		}
+		d.kill(string(other.Host.ID))
+		Eventually(func() ([]harbor.HostStatus, error) {
+			status, err := drydock.FetchStatus(context.Background(), before.Host.AdminAddress)
+			return status.Hosts, err
+		}, startTimeout).Should(HaveLen(1))
+
+		toStore := d.proxies["platform-"+string(before.Host.ID)]
+		toStore.Stop()
+		d.startHost(other)
+		for _, settings := range []*charter.Settings{other, before} {
+			Eventually(func() (bool, error) {
+				status, err := drydock.FetchStatus(context.Background(), settings.Host.AdminAddress)
+				return status.Placer, err
+			}, startTimeout).Should(Equal(settings == other))
+		}
+		Expect(toStore.Start()).To(Succeed())
+		Eventually(func() ([]harbor.HostStatus, error) {
+			status, err := drydock.FetchStatus(context.Background(), before.Host.AdminAddress)
+			return status.Hosts, err
+		}, startTimeout).Should(And(HaveLen(2), HaveEach(HaveField("State", berth.HostActive.String()))))
+		for _, settings := range d.fleet.Hosts {
+			Expect(servedBy(settings.Host.CallerAddress, "key-3")).NotTo(BeEmpty())
+		}
+	})
+})
+
 // callerAddressesExcept returns the caller addresses of all entry hosts but one.
 func (d *deployment) callerAddressesExcept(id string) []string {
 	var addresses []string
--- a/harbor/table_sync.go
+++ b/harbor/table_sync.go
@@ -93,11 +93,11 @@
 	if table == nil || table.PlacerHost == s.d.settings.Host.ID {
 		return false
 	}
-	placerHost := table.Host(table.PlacerHost)
-	if placerHost == nil {
+	address := table.PlacerAt()
+	if address == "" {
 		return false
 	}
-	reply, err := s.follow(ctx, placerHost.Address)
+	reply, err := s.follow(ctx, address)
 	if err != nil || !reply.GetConfirmed() {
 		return false
 	}
--- a/roster/host_test.go
+++ b/roster/host_test.go
@@ -143,7 +143,7 @@
 func (h *modelHost) confirmTable() {
 	sim := h.sim
 	if table := h.gate.View().Table; table != nil && table.PlacerHost != h.id {
-		if placer := sim.host(table.PlacerHost); placer != nil && h.queryPeer(placer) {
+		if placer := sim.host(berth.HostID(table.PlacerAt())); placer != nil && h.queryPeer(placer) {
 			h.placerSeenAt = sim.now
 			return
 		}
--- a/roster/matrix_test.go
+++ b/roster/matrix_test.go
@@ -143,6 +143,32 @@
 				recoverAll(sim)
 				Expect(checkRecovered(sim)).To(Succeed())
 			})
+			It("is taken over by a placer whose host is not in the table yet", func() {
+				sim := newSimulation(checksGrants)
+				sim.run(2500 * time.Millisecond)
+				alone := sim.host(sim.leaseHolder)
+				for _, h := range sim.hosts {
+					if h != alone {
+						h.kill()
+					}
+				}
+				sim.run(2 * time.Second)
+				Expect(sim.table.Hosts).To(HaveLen(1))
+				alone.pausedUntil = sim.now.Add(2 * placerLease)
+				for _, h := range sim.hosts {
+					if h != alone {
+						h.start()
+						break
+					}
+				}
+				sim.run(2 * placerLease)
+				Expect(sim.leaseHolder).NotTo(Equal(alone.id))
+				Expect(sim.table.Host(sim.leaseHolder)).To(BeNil())
+				sim.run(faultTime)
+				Expect(sim.table.Host(sim.leaseHolder)).NotTo(BeNil())
+				recoverAll(sim)
+				Expect(checkRecovered(sim)).To(Succeed())
+			})
 			It("is single with pairs of faults", func() {
 				steps := countSteps(checksGrants)
 				rapid.Check(GinkgoTB(), func(t *rapid.T) {
