--- a/quay/abandon_test.go
+++ b/quay/abandon_test.go
@@ -37,10 +37,6 @@
 	return nil, &quay.Error{Op: "forward", Kind: quay.KindNotRun}
 }
 
-type discardDecisions struct{}
-
-func (discardDecisions) LogDecision(quay.Decision) {}
-
 // discardSink accepts any response.
 type discardSink struct{}
 
@@ -61,6 +57,15 @@
 	ahead  atomic.Int64
 	// received counts the requests that the server has read.
 	received atomic.Int32
+	// decided, if set, is called with each decision.
+	decided func(quay.Decision)
+}
+
+// LogDecision implements quay.DecisionLog.
+func (f *routerFixture) LogDecision(d quay.Decision) {
+	if f.decided != nil {
+		f.decided(d)
+	}
 }
 
 func newRouterFixture(answer exchange) *routerFixture {
@@ -77,7 +82,7 @@
 	f.gate.SetRules(roster.Rules{Newest: file, NewestRevision: 1, Opened: file, OpenedRevision: 1})
 	f.router = quay.NewRouter(quay.RouterConfig{
 		Host: "h1", Domain: "d1", Gate: f.gate, Forwarder: noPeers{}, Directory: noPeers{},
-		Metrics: tally.NoopScope, Decisions: discardDecisions{}, Home: file.Home,
+		Metrics: tally.NoopScope, Decisions: f, Home: file.Home,
 		Services: []quay.ServiceConfig{{
 			ID: readings, Divided: true, Repeat: quay.RepeatSafe, QueueLimit: 4, Timeout: requestTimeout,
 			ResponseHeaderTimeout: 50 * time.Millisecond, ProgressTimeout: 50 * time.Millisecond,
--- a/quay/routedrequest.go
+++ b/quay/routedrequest.go
@@ -120,8 +120,10 @@
 	}
 	r.log(Decision{Step: "refuse", Reason: Reason(refusal.Kind.String())})
 	switch refusal.Kind {
-	case roster.KindNotMember, roster.KindLeaseExpired, roster.KindNoTable:
+	case roster.KindNotMember, roster.KindNoTable:
 		return r.forwardInDomain(Reason(refusal.Kind.String()))
+	case roster.KindLeaseExpired:
+		return r.forwardOrAwaitLease(changed)
 	case roster.KindMoving:
 		return r.waitForMove(changed, Reason(refusal.Kind.String()))
 	case roster.KindMisdirected:
@@ -131,9 +133,22 @@
 	}
 }
 
-// waitForMove waits for the next change of the table or of the rules, which may
-// end the move of the key, for at most the rest of [maxMoveWait]. An attempt that
-// ends with such a change does not count towards [maxAttempts].
+// forwardOrAwaitLease forwards the request to another entry host of this domain. If
+// none is left and a server may have run the request, it waits for the next lease: the
+// request has been sent under one that has ended since, as on a host that was
+// suspended, and the next round usually confirms the table.
+func (r *routedRequest) forwardOrAwaitLease(changed <-chan struct{}) attemptResult {
+	reason := Reason(roster.KindLeaseExpired.String())
+	_, another := r.untriedHost(r.router.cfg.Domain)
+	if r.mayHaveRun && (!another || r.request.Hops >= maxHops) {
+		return r.waitForMove(changed, reason)
+	}
+	return r.forwardInDomain(reason)
+}
+
+// waitForMove waits for the next change of the table, of the rules or of the lease,
+// which may end the move of the key, for at most the rest of [maxMoveWait]. An
+// attempt that ends with such a change does not count towards [maxAttempts].
 func (r *routedRequest) waitForMove(changed <-chan struct{}, reason Reason) attemptResult {
 	remaining := maxMoveWait - r.waited
 	if remaining <= 0 {
--- a/roster/gate.go
+++ b/roster/gate.go
@@ -105,7 +105,8 @@
 }
 
 // Changed returns a channel that is closed at the next change of the table or
-// of the rules, or when the gate starts to shut down.
+// of the rules, when a lease begins after the host had none, or when the gate starts
+// to shut down.
 func (g *Gate) Changed() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -118,8 +119,12 @@
 func (g *Gate) Step(event Event) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before := g.tracker.Table()
-	g.tracker.Step(g.cfg.Now(), event)
+	now := g.cfg.Now()
+	before, hadLease := g.tracker.Table(), g.tracker.Confirmed(now)
+	g.tracker.Step(now, event)
+	if !hadLease && g.tracker.Confirmed(now) {
+		g.notifyChange()
+	}
 	if g.tracker.Table() == before {
 		return
 	}
--- a/roster/gate_test.go
+++ b/roster/gate_test.go
@@ -227,3 +227,19 @@
 		f.expectDrained()
 	})
 })
+
+var _ = Describe("The gate of a host without a lease", func() {
+	It("tells when the next one begins", func() {
+		f := newGateFixture(true)
+		f.now = f.now.Add(routeLease)
+		Expect(f.gate.View().Confirmed).To(BeFalse())
+		changed := f.gate.Changed()
+		confirmed := roster.StoreChecked{Revision: f.gate.View().Revision, Unchanged: true, RequestedAt: f.now}
+		f.gate.Step(confirmed)
+		Expect(changed).To(BeClosed())
+
+		changed = f.gate.Changed()
+		f.gate.Step(confirmed)
+		Expect(changed).NotTo(BeClosed(), "it has one already")
+	})
+})
