--- a/quay/attempt.go
+++ b/quay/attempt.go
@@ -15,10 +15,12 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	start   time.Time
-	// rejected is set if the server certified that it did not run the request, and
-	// abandoned if it may still run it.
-	rejected  bool
-	abandoned bool
+	// rejected is set if the server certified that it did not run the request,
+	// notGranted if that was for want of a current grant, and abandoned if it may
+	// still run it.
+	rejected   bool
+	notGranted bool
+	abandoned  bool
 	// slotTaken is set if another attempt has taken over the slot.
 	slotTaken bool
 
@@ -50,6 +52,12 @@
 	return a.err == nil && !certifiesNotRun(a.resp.Response)
 }
 
+// recordRejection records whether the server has rejected the request.
+func (a *attempt) recordRejection() {
+	a.rejected = certifiesNotRun(a.resp.Response)
+	a.notGranted = a.rejected && lacksGrant(rejectionReason(a.resp.Response))
+}
+
 // end releases the slot and the permit.
 func (a *attempt) end() {
 	if !a.abandoned {
@@ -61,6 +69,8 @@
 	case a.slotTaken:
 	case a.abandoned:
 		a.backend.limiter.ReleaseAbandoned(time.Since(a.start))
+	case a.notGranted:
+		a.backend.limiter.Return()
 	default:
 		a.backend.limiter.Release(time.Since(a.start), a.rejected)
 	}
@@ -195,7 +205,7 @@
 	if a.err != nil {
 		a.abandoned = kindOf(a.err) != KindNotRun
 	} else {
-		a.rejected = certifiesNotRun(a.resp.Response)
+		a.recordRejection()
 		a.abandoned = !a.rejected
 		a.resp.release(false)
 	}
--- a/quay/dispatch.go
+++ b/quay/dispatch.go
@@ -55,7 +55,7 @@
 		a.abandoned = kindOf(a.err) != KindNotRun
 		return r.handleSendError(a.ctx, a.permit, a.err)
 	}
-	a.rejected = certifiesNotRun(a.resp.Response)
+	a.recordRejection()
 	if a.rejected {
 		return r.handleRejection(a.permit, a.resp)
 	}
@@ -179,14 +179,19 @@
 	return resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(HeaderNotRun) == "true"
 }
 
+// rejectionReason returns the reason of a rejection.
+func rejectionReason(resp *http.Response) Reason {
+	if text := resp.Header.Get(HeaderReason); text != "" {
+		return Reason("server_" + text)
+	}
+	return ReasonServerRejected
+}
+
 // handleRejection decides whether to retry a request that the server rejected.
 func (r *routedRequest) handleRejection(permit *roster.Permit, resp *response) attemptResult {
 	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, copyBufferBytes))
 	resp.release(err == nil)
-	reason := ReasonServerRejected
-	if text := resp.Header.Get(HeaderReason); text != "" {
-		reason = Reason("server_" + text)
-	}
+	reason := rejectionReason(resp.Response)
 	r.log(Decision{Step: "server_refused", Server: permit.Server.ID, Reason: reason})
 	if r.service.Divided {
 		return r.handleOwnerRejection(reason)
@@ -206,11 +211,16 @@
 	reasonServerStaleToken Reason = "server_stale_token"
 )
 
+// lacksGrant reports whether reason says that the server has no current grant.
+func lacksGrant(reason Reason) bool {
+	return reason == reasonServerNoGrant || reason == reasonServerStaleToken
+}
+
 // handleOwnerRejection waits and retries if the owner may be about to receive the
 // grant for a shard that has just been placed. Any other rejection by the owner
 // is final, because no other server may run the request.
 func (r *routedRequest) handleOwnerRejection(reason Reason) attemptResult {
-	if reason != reasonServerNoGrant && reason != reasonServerStaleToken {
+	if !lacksGrant(reason) {
 		return final(r.failureOutcome(reason, retryAfterOverload))
 	}
 	const grantWait = 25 * time.Millisecond
--- a/quay/limiter.go
+++ b/quay/limiter.go
@@ -181,6 +181,14 @@
 	l.grantSlots()
 }
 
+// Return returns the slot of a request that says nothing about the server's load.
+func (l *Limiter) Return() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight--
+	l.grantSlots()
+}
+
 // ReleaseAbandoned returns the slot of a request that was abandoned after it had
 // been sent, after a delay. The server may run the request until it detects that
 // the connection is closed; if the slot were free at once, the server would
