--- a/cmd/trials/fleet_test.go
+++ b/cmd/trials/fleet_test.go
@@ -49,8 +49,9 @@
 // deployment consists of a platform, entry hosts and backend servers, each of
 // them a process, on the loopback interface.
 type deployment struct {
-	fleet     *drydock.Fleet
-	platform  string
+	fleet    *drydock.Fleet
+	platform string
+	// dir has the logs of the processes. It stays if the test fails.
 	dir       string
 	processes map[string]*process
 	proxies   map[string]*toxiproxy.Proxy
@@ -77,9 +78,11 @@
 
 func deploy(cfg deploymentConfig) *deployment {
 	GinkgoHelper()
+	dir, err := os.MkdirTemp("", "hornbeamwinch-trial-")
+	Expect(err).NotTo(HaveOccurred())
 	d := &deployment{
 		platform:  freeAddress(),
-		dir:       GinkgoT().TempDir(),
+		dir:       dir,
 		processes: make(map[string]*process),
 		proxies:   make(map[string]*toxiproxy.Proxy),
 	}
@@ -204,7 +207,9 @@
 	}
 	if CurrentSpecReport().Failed() {
 		AddReportEntry("logs", d.dir)
+		return
 	}
+	Expect(os.RemoveAll(d.dir)).To(Succeed())
 }
 
 func (d *deployment) applyRules(text string) harbor.RulesRecord {
--- a/cmd/trials/ownership_test.go
+++ b/cmd/trials/ownership_test.go
@@ -15,6 +15,7 @@
 	"hornbeamwinch.example/charter"
 	"hornbeamwinch.example/drydock"
 	"hornbeamwinch.example/harbor"
+	"hornbeamwinch.example/quay"
 )
 
 // servedBy requests key from an entry host and returns the backend server that
@@ -34,7 +35,7 @@
 		return "", err
 	}
 	if resp.StatusCode != http.StatusOK || body.Key != key {
-		return "", fmt.Errorf("status %d, body %+v", resp.StatusCode, body)
+		return "", fmt.Errorf("status %d, reason %q, body %+v", resp.StatusCode, resp.Header.Get(quay.HeaderReason), body)
 	}
 	return body.Server, nil
 }
