--- a/cmd/hornbeamwinch/trace.go
+++ b/cmd/hornbeamwinch/trace.go
@@ -205,6 +205,8 @@
 		return fmt.Sprintf("the queue for %s was too long for its deadline.", last.Service)
 	case "servers_suspected":
 		return fmt.Sprintf("the servers of %s that could run it did not respond to connection attempts.", last.Service)
+	case "servers_closed":
+		return fmt.Sprintf("the servers of %s that could run it wanted no requests from this host for a time.", last.Service)
 	case "turned_away":
 		return fmt.Sprintf("every server that it was sent to rejected it, %d in all.", last.Sends)
 	default:
--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -176,6 +176,14 @@
 	a.deliver(a.controller.Reevaluate(monotonicNow()))
 }
 
+// setNotice sets what is known of a server besides its registration.
+func (a *admission) setNotice(instance sluice.ServerInstance, n sluice.Notice) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.SetNotice(instance, n)
+	a.deliver(a.controller.Reevaluate(monotonicNow()))
+}
+
 // slotRequests returns the slots of limited servers to ask for.
 func (a *admission) slotRequests() []sluice.SlotRequest {
 	a.mu.Lock()
--- a/jetty/election.go
+++ b/jetty/election.go
@@ -31,6 +31,7 @@
 	metrics       *metrics
 	reach         *reach
 	limits        *limits
+	notices       *notices
 	address       string
 	ttl           time.Duration
 	maxHold       time.Duration
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -32,6 +32,8 @@
 	eventRequestRefused       event = "request_refused"
 	eventRequestRelayed       event = "request_relayed"
 	eventSendFailed           event = "send_failed"
+	eventServerClosed         event = "server_closed"
+	eventServerLeaving        event = "server_leaving"
 	eventServerRemoved        event = "server_gone"
 	eventServerRegistered     event = "server_sighted"
 	eventServerRejected       event = "server_turned_away"
@@ -64,6 +66,8 @@
 	eventRequestRefused,
 	eventRequestRelayed,
 	eventSendFailed,
+	eventServerClosed,
+	eventServerLeaving,
 	eventServerRemoved,
 	eventServerRegistered,
 	eventServerRejected,
@@ -118,7 +122,7 @@
 	reasonNoConfiguration, reasonNoRoute, reasonNoKey, reasonHeaderTooLarge, reasonBodyTooLarge, reasonServerRejected,
 	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonHostStopping, reasonUnsigned, reasonStatus,
 	reason(sluice.ReasonOverload), reason(sluice.ReasonTooLate), reason(sluice.ReasonNoServer),
-	reason(sluice.ReasonSuspected), reason(sluice.ReasonNoOwner),
+	reason(sluice.ReasonSuspected), reason(sluice.ReasonNoOwner), reason(sluice.ReasonClosed),
 }
 
 // statusReason returns the reason for the status of a server's response.
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -347,7 +347,10 @@
 	if a.retry {
 		e.retries++
 	}
-	if a.relay == nil {
+	switch {
+	case errors.Is(a.err, errServerExcluded):
+		e.req.Tried = slices.DeleteFunc(e.req.Tried, func(id fairway.ServerID) bool { return id == a.server.ID })
+	case a.relay == nil:
 		e.unreached = append(e.unreached, a.server.ID)
 	}
 }
--- a/jetty/fake_test.go
+++ b/jetty/fake_test.go
@@ -12,6 +12,7 @@
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
 	"hornbeamwinch.example/mooring"
+	"hornbeamwinch.example/sluice"
 )
 
 var errFake = errors.New("fake store is unavailable")
@@ -170,6 +171,18 @@
 	return ServerLimit{Named: err == nil, PerSecond: perSecond}, err == nil || header.Get("Limit") == ""
 }
 
+// DecodeNotices implements Protocol.
+func (fakeProtocol) DecodeNotices(from sluice.ServerInstance, _ int, header http.Header, receivedAt mooring.Instant) []Notice {
+	var told []Notice
+	if header.Get("Leaving") != "" {
+		told = append(told, ServerLeaves{Server: from, Since: receivedAt})
+	}
+	if d, err := time.ParseDuration(header.Get("Closed-For")); err == nil {
+		told = append(told, ServerCloses{Server: from, Until: receivedAt.Add(d)})
+	}
+	return told
+}
+
 // Decode implements Protocol.
 func (fakeProtocol) Decode(e ledger.Entry, _ time.Time) Record {
 	if id, ok := strings.CutPrefix(e.Key, "server/"); ok {
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -105,6 +105,7 @@
 	relay *relayClient
 	// limits records the limits that servers name; nil means that they do not count.
 	limits  *limits
+	notices *notices
 	drain   *drain
 	logs    *logs
 	metrics *metrics
@@ -216,7 +217,7 @@
 		if f.mayRetry(ctx, r) {
 			return nil, true
 		}
-		return f.retriesExhausted(r, reasonServerRejected), false
+		return f.notices.refusal(r, s, f.retriesExhausted(r, reasonServerRejected)), false
 	case !signed:
 		r.mayHaveRun = true
 		f.logs.sendFailed(r, s, reasonUnsigned, nil)
@@ -298,8 +299,11 @@
 func failureOutcome(err error) sluice.Outcome {
 	switch kindOf(err) {
 	case KindNotSent:
-		if errors.Is(err, errConnectionLimit) {
+		switch {
+		case errors.Is(err, errConnectionLimit):
 			return sluice.OutcomeRejected
+		case errors.Is(err, errServerExcluded):
+			return sluice.OutcomeCanceled
 		}
 		return sluice.OutcomeUnreachable
 	case KindReset:
@@ -331,6 +335,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if f.notices.excludes(s, r) {
+		f.upstream.put(p, c)
+		return nil, &Error{Op: "send", Kind: KindNotSent, Err: errServerExcluded}
+	}
 	m := r.outgoingRequest
 	m.Header = m.Header.Clone()
 	m.Header.Set(f.headers.ExpectedInstance, string(s.ID))
@@ -349,6 +357,7 @@
 	if f.limits != nil && httpResp.StatusCode != http.StatusMisdirectedRequest {
 		f.limits.observe(s, sentAt, monotonicNow(), httpResp.Header)
 	}
+	f.notices.observe(s, r, httpResp, monotonicNow())
 	return f.readResponse(ctx, r, s, c, p, httpResp)
 }
 
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -88,6 +88,7 @@
 	peerConns     *peerConns
 	relayServer   *relayServer
 	limits        *limits
+	notices       *notices
 
 	httpServers     []*http.Server
 	ingressListener net.Listener
@@ -123,6 +124,9 @@
 		Budget:            sluice.RetryBudgetConfig{Window: s.Bounds.BudgetWindow, Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra},
 	})
 	h.limits.admissions = h.admissions
+	h.notices = newNotices(&notices{
+		protocol: cfg.Protocol, admissions: h.admissions, clusterState: h.clusterState, logs: h.logs, metrics: h.metrics,
+	})
 	h.watcher = &watcher{
 		store: cfg.Store, protocol: cfg.Protocol, clusterState: h.clusterState, admissions: h.admissions, logs: h.logs,
 		changeLog: newChangeLog(), memory: &memory{}, address: s.PeerAddress, onChange: h.refresh,
@@ -138,6 +142,7 @@
 		metrics:       h.metrics,
 		reach:         h.reach,
 		limits:        h.limits,
+		notices:       h.notices,
 		address:       s.PeerAddress,
 		ttl:           max(placerLeaseTTL, s.MinLease),
 		maxHold:       s.Bounds.MaxHold,
@@ -145,19 +150,20 @@
 		wake:          make(chan struct{}, 1),
 	}
 	h.loadCollector.isPlacer = h.election.active
-	h.loadCollector.limits = h.limits
+	h.loadCollector.limits, h.loadCollector.notices = h.limits, h.notices
+	h.notices.onLeaving = h.election.notify
 	h.limits.mayGive = h.election.mayWrite
 	h.reporter = &reporter{
 		host: s.Host, domain: s.Domain, address: s.PeerAddress, linkMbps: s.LinkMbps,
-		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, limits: h.limits, logs: h.logs,
+		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, limits: h.limits, notices: h.notices, logs: h.logs,
 		onHostsChange: h.refresh, shuttingDown: h.shuttingDown.Load,
 	}
 	h.callers = newCallerConns()
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, clusterState: h.clusterState,
-		reach: h.reach, limits: h.limits, drain: h.drain, logs: h.logs, metrics: h.metrics,
+		reach: h.reach, limits: h.limits, notices: h.notices, drain: h.drain, logs: h.logs, metrics: h.metrics,
 		relay: &relayClient{
-			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach,
+			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices,
 		},
 	}
 	h.relayServer = &relayServer{forwarder: requests, stopping: h.shuttingDown.Load}
@@ -185,6 +191,7 @@
 	h.upstream.update(catalog, h.clusterState.activeConfig.Current(), reaching)
 	h.orderUpstream.update(catalog, nil, hosts)
 	h.admissions.refresh(catalog, h.clusterState.knownHostCount(), reaching)
+	h.notices.refresh(monotonicNow())
 	h.election.notify()
 }
 
--- a/jetty/load.go
+++ b/jetty/load.go
@@ -43,6 +43,8 @@
 	isPlacer func() bool
 	// limits, if set, keeps the limits that servers name.
 	limits *limits
+	// notices, if set, keeps which servers leave or are closed.
+	notices *notices
 
 	mu             sync.Mutex
 	requests       map[fairway.ServiceName]map[mooring.Key]int
@@ -122,6 +124,7 @@
 		l.limits.merge(r.Limits, monotonicNow())
 		reply.Limits = l.limits.reports(monotonicNow())
 	}
+	reply.LeavingServers = l.notices.leaving()
 	return reply, nil
 }
 
@@ -181,6 +184,8 @@
 
 // add records a report and returns the summary of all reports.
 func (l *loadCollector) add(r *signal.LoadReport, now time.Time) loadSummary {
+	l.notices.merge(r.LeavingServers, instantOf(now))
+	l.notices.addClosures(HostID(r.Host), r.ClosedServers, instantOf(now))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range r.Services {
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -236,6 +236,27 @@
 		Msg(string(eventLimitChanged))
 }
 
+// serverLeaving logs that a server instance leaves according to a response to this host, or
+// to another one.
+func (l *logs) serverLeaving(server sluice.ServerInstance, service fairway.ServiceName, elsewhere bool) {
+	l.newLine(&l.system, false).
+		Str("server", string(server.Server)).
+		Int64("born", int64(server.Incarnation)).
+		Str("service", string(service)).
+		Bool("elsewhere", elsewhere).
+		Msg(string(eventServerLeaving))
+}
+
+// serverClosed logs that a server instance takes nothing from this host for some time.
+func (l *logs) serverClosed(server sluice.ServerInstance, service fairway.ServiceName, d time.Duration) {
+	l.newLine(&l.system, false).
+		Str("server", string(server.Server)).
+		Int64("born", int64(server.Incarnation)).
+		Str("service", string(service)).
+		Dur("closed_for", d).
+		Msg(string(eventServerClosed))
+}
+
 func (l *logs) recordUnreadable(r UnreadableRecord) {
 	l.newLine(&l.system, true).Str("key", r.Key).Err(r.Err).Msg(string(eventEntryUnreadable))
 }
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -47,6 +47,7 @@
 	metricLinesLeftOut      metricName = "log_lines_left_out_total"
 	metricPlacer            metricName = "placer"
 	metricEntryHosts        metricName = "entry_hosts"
+	metricServerNotices     metricName = "server_notices_total"
 )
 
 // metricNames has every metric. A test compares it with the operations page.
@@ -55,6 +56,7 @@
 	metricRequestsWaiting, metricRetryBudgetLeft, metricKeyMoves, metricKeyRanges, metricTableRevision, metricOrders,
 	metricStoreCalls, metricStoreCallSeconds, metricStoreAge, metricConfigVersion, metricServersListed,
 	metricConnectionsOpen, metricConnectionsOpened, metricLinesLeftOut, metricPlacer, metricEntryHosts,
+	metricServerNotices,
 }
 
 // metrics keeps its values in a tally scope. It caches the scopes with tags,
@@ -112,6 +114,11 @@
 	}
 }
 
+// serverNotice counts a server instance that has begun to leave or has closed.
+func (m *metrics) serverNotice(kind string) {
+	m.withTags(metricTags{first: kind}, "kind").Counter(string(metricServerNotices)).Inc(1)
+}
+
 func (m *metrics) keysMoved(service fairway.ServiceName, moves []mooring.Move) {
 	for _, move := range moves {
 		m.withTags(metricTags{first: string(service), second: string(move.Reason)}, "service", "reason").
--- a/jetty/protocol.go
+++ b/jetty/protocol.go
@@ -7,6 +7,7 @@
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
 	"hornbeamwinch.example/mooring"
+	"hornbeamwinch.example/sluice"
 )
 
 // Headers has the names of the headers that an entry host reads or sets.
@@ -72,6 +73,9 @@
 	// DecodeLimit returns the limit that a response of a backend server names. It
 	// returns false if the response says nothing that can be read about that.
 	DecodeLimit(header http.Header) (limit ServerLimit, ok bool)
+	// DecodeNotices returns what a response of a server instance, received at an instant,
+	// tells besides the answer.
+	DecodeNotices(from sluice.ServerInstance, status int, header http.Header, receivedAt mooring.Instant) []Notice
 	// DecodeOrderResponse decodes the response to an order.
 	DecodeOrderResponse(status int, header http.Header) (result mooring.Result, handover string)
 }
--- a/jetty/relayclient.go
+++ b/jetty/relayclient.go
@@ -43,6 +43,7 @@
 	headers Headers
 	conns   *peerConns
 	reach   reachability
+	notices *notices
 }
 
 // relayCall passes one request on. Its results are set by run.
@@ -290,6 +291,7 @@
 	if resp.header.Get(c.headers.RequestID) != c.r.id && !notRun {
 		return nil, &Error{Op: "relay", Kind: KindInvalidResponse, Err: errNoRequestID}
 	}
+	c.notices.observeRelayed(c.r, sluice.ServerInstance{Server: c.server, Incarnation: fairway.Incarnation(head.GetServerIncarnation())}, resp.status, resp.header, monotonicNow())
 	body := &relayBody{stream: hop.stream}
 	data, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
 	if err != nil {
--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -315,6 +315,7 @@
 func (q *relayedRequest) passBody(s fairway.Endpoint, resp *backendResponse, took time.Duration) error {
 	err := q.stream.Send(&signal.RelayReply{Part: &signal.RelayReply_Head{Head: &signal.RelayHead{
 		Status: uint32(resp.status), Headers: relayHeaders(resp.header), Server: string(s.ID), TookMicros: uint64(took.Microseconds()),
+		ServerIncarnation: int64(s.Incarnation),
 	}}})
 	if err != nil {
 		return err
--- a/jetty/reporter.go
+++ b/jetty/reporter.go
@@ -25,6 +25,7 @@
 	changeLog     *changeLog
 	reach         *reach
 	limits        *limits
+	notices       *notices
 	logs          *logs
 	// onHostsChange is called when the number of hosts, or of those that reach the
 	// servers, has changed.
@@ -77,6 +78,7 @@
 			return
 		}
 		r.limits.merge(reply.Limits, monotonicNow())
+		r.notices.merge(reply.LeavingServers, monotonicNow())
 		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), counting: reply.Counting, feeder: reply.Feeder, granted: decodeGranted(reply.Granted)}
 		for _, id := range reply.Crowded {
 			summary.overloaded = append(summary.overloaded, fairway.ServerID(id))
@@ -149,6 +151,7 @@
 	}
 	r.addReach(report)
 	report.Limits = r.limits.reports(monotonicNow())
+	r.notices.addTo(report, monotonicNow())
 	return report
 }
 
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -276,7 +276,7 @@
 	// Another server at the address of an owner proves that the owner has ended.
 	// This must not follow from a registration for a service that the
 	// configuration does not define, since no backend server wrote it.
-	catalog := r.election.clusterState.catalog().DefinedIn(config)
+	catalog := r.election.notices.withLeaving(r.election.clusterState.catalog().DefinedIn(config))
 	for _, service := range config.DividedServices() {
 		if r.assigners[service] == nil {
 			r.assigners[service] = mooring.NewAssigner(mooring.AssignerConfig{
@@ -343,8 +343,10 @@
 				speeds[endpoint.ID] = 1 / slowness
 			}
 		}
+		limits := r.election.limits.limited(service)
+		r.election.notices.lowerCapacity(service, speeds, limits)
 		r.step(ctx, service, mooring.LoadReported{
-			Requests: requests[service], Interval: interval, Responsive: responsive, Speeds: speeds, Limits: r.election.limits.limited(service),
+			Requests: requests[service], Interval: interval, Responsive: responsive, Speeds: speeds, Limits: limits,
 		})
 	}
 }
--- a/sluice/choice.go
+++ b/sluice/choice.go
@@ -86,6 +86,15 @@
 		server := c.ownerServer(now, *r.Key)
 		return server, server != nil && server.hasRoom(now)
 	}
+	if server, ok := c.cheapest(now, r, false); ok {
+		return server, true
+	}
+	return c.cheapest(now, r, true)
+}
+
+// cheapest returns the server with the lowest cost among the preferred ones with free
+// capacity: of those that leave according to another host, or of the others.
+func (c *Controller) cheapest(now mooring.Instant, r *Request, leavingElsewhere bool) (*serverState, bool) {
 	var best *serverState
 	bestCost := math.Inf(1)
 	found := 0
@@ -93,7 +102,8 @@
 		if found == maxCandidates {
 			break
 		}
-		if !c.usable(server) || !server.hasRoom(now) || slices.Contains(r.Tried, server.endpoint.ID) {
+		if server.notice.LeavingElsewhere != leavingElsewhere || !c.usable(server) || !server.hasRoom(now) ||
+			slices.Contains(r.Tried, server.endpoint.ID) {
 			continue
 		}
 		found++
@@ -106,7 +116,7 @@
 
 // usable reports whether a server may get requests that any server can answer.
 func (c *Controller) usable(server *serverState) bool {
-	return !server.leaving && (!server.unconfirmed || c.useUnconfirmed)
+	return !server.leaving && server.notice.LeavingSince == 0 && (!server.unconfirmed || c.useUnconfirmed)
 }
 
 // cost estimates the time until a server answers, and raises it for recent
@@ -131,7 +141,8 @@
 		return nil
 	}
 	server := c.servers[owner.Server]
-	if server == nil || server.endpoint.Incarnation != owner.Incarnation || server.leaving && now.Sub(server.leavingSince) > ownerGrace {
+	if server == nil || server.endpoint.Incarnation != owner.Incarnation || server.leaving && now.Sub(server.leavingSince) > ownerGrace ||
+		server.notice.excludesArrival(now) {
 		return nil
 	}
 	return server
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -48,6 +48,7 @@
 	ReasonNoServer  Reason = "no_server"
 	ReasonSuspected Reason = "servers_suspected"
 	ReasonNoOwner   Reason = "key_without_owner"
+	ReasonClosed    Reason = "servers_closed"
 )
 
 // Decision is the result of an admission decision. The set of decisions is
@@ -118,6 +119,8 @@
 	// hosts that share the servers.
 	limits map[ServerInstance]Rate
 	hosts  int
+	// notices has what is known of server instances besides their registrations.
+	notices map[ServerInstance]Notice
 	// useUnconfirmed is set while unconfirmed servers get requests.
 	useUnconfirmed bool
 	// meanLatency is the moving average of the latency of whole responses.
@@ -129,7 +132,8 @@
 	endpoint fairway.Endpoint
 	window   *window
 	// limit is set while the server names a limit.
-	limit *serverLimit
+	limit  *serverLimit
+	notice Notice
 	// weight is the preference of this host for the server.
 	weight uint64
 	// unconfirmed is set for servers that have not been registered since a
@@ -145,7 +149,8 @@
 // NewController returns a controller without servers.
 func NewController(cfg ControllerConfig) *Controller {
 	return &Controller{
-		cfg: cfg, servers: make(map[fairway.ServerID]*serverState), limits: make(map[ServerInstance]Rate), meanLatency: initialLatency,
+		cfg: cfg, servers: make(map[fairway.ServerID]*serverState), limits: make(map[ServerInstance]Rate),
+		notices: make(map[ServerInstance]Notice), meanLatency: initialLatency,
 	}
 }
 
@@ -163,6 +168,7 @@
 		}
 		server.endpoint = e
 		c.applyLimit(server)
+		server.notice = c.notices[ServerInstanceOf(e)]
 		server.unconfirmed = e.Unconfirmed
 		server.setLeaving(now, e.Draining)
 		server.window.setLimit(e.Slots, hosts)
@@ -374,7 +380,7 @@
 
 // hasRoom reports whether one more request may be sent to the server.
 func (s *serverState) hasRoom(now mooring.Instant) bool {
-	return s.window.hasRoom(now) && (s.limit == nil || s.limit.hasSlot(now))
+	return s.notice.ClosedFor(now) == 0 && s.window.hasRoom(now) && (s.limit == nil || s.limit.hasSlot(now))
 }
 
 // dispatch counts one more request at a server.
--- a/sluice/queue.go
+++ b/sluice/queue.go
@@ -112,8 +112,11 @@
 		// The wait for an owner does not depend on the deadline of the request.
 		retryAfter = wait
 	}
-	retryAfter = max(retryAfter, c.slotWait(now, r))
-	refusal := Refuse{Reason: reason, RetryAfter: jitter(retryAfter, r.ID), Ahead: ahead}
+	retryAfter = jitter(max(retryAfter, c.slotWait(now, r)), r.ID)
+	if reason == ReasonClosed {
+		retryAfter = spreadClosed(max(wait, minRetryAfter), r.ID)
+	}
+	refusal := Refuse{Reason: reason, RetryAfter: retryAfter, Ahead: ahead}
 	if r.Key != nil {
 		if server := c.ownerServer(now, *r.Key); server != nil {
 			refusal.Server = server.endpoint.ID
@@ -141,21 +144,28 @@
 	if r.Key != nil {
 		return c.expectedOwnerWait(now, *r.Key, ahead)
 	}
-	rate := 0.0
-	soonest := time.Duration(0)
+	rate, closedRate := 0.0, 0.0
+	soonest, opens := time.Duration(0), time.Duration(0)
 	reason := ReasonNoServer
 	for _, server := range c.ranked {
 		if !c.usable(server) || slices.Contains(r.Tried, server.endpoint.ID) {
 			continue
 		}
 		if server.window.suspected(now) {
-			pause := max(server.window.suspectedUntil.Sub(now), c.meanLatency)
+			pause := max(server.window.suspectedUntil.Sub(now), c.meanLatency, server.notice.ClosedFor(now))
 			if soonest == 0 || pause < soonest {
 				soonest = pause
 			}
 			reason = ReasonSuspected
 			continue
 		}
+		if closed := server.notice.ClosedFor(now); closed > 0 {
+			if opens == 0 || closed < opens {
+				opens = closed
+			}
+			closedRate += c.rate(now, server)
+			continue
+		}
 		rate += c.rate(now, server)
 	}
 	switch {
@@ -163,6 +173,8 @@
 		return time.Duration(float64(ahead+1) / rate * float64(time.Second)), ReasonOverload
 	case soonest > 0:
 		return soonest, reason
+	case opens > 0:
+		return closedWait(opens, ahead, closedRate), ReasonClosed
 	default:
 		return noServerRetryAfter, reason
 	}
@@ -185,10 +197,15 @@
 	if server.limit != nil {
 		wait = max(wait, server.limit.wait(now, ahead))
 	}
-	if server.window.suspected(now) {
+	closed := server.notice.ClosedFor(now)
+	switch {
+	case closed > 0:
+		return wait + max(closed, server.window.suspectedUntil.Sub(now)), ReasonClosed
+	case server.window.suspected(now):
 		return wait + max(server.window.suspectedUntil.Sub(now), 0), ReasonSuspected
+	default:
+		return wait, ReasonOverload
 	}
-	return wait, ReasonOverload
 }
 
 // rate returns the number of requests per second from this host that a server is
--- a/sluice/serverlimit.go
+++ b/sluice/serverlimit.go
@@ -96,7 +96,7 @@
 	var requests []SlotRequest
 	for _, server := range c.ranked {
 		l := server.limit
-		if l == nil || server.leaving && waiting[server] == 0 {
+		if l == nil || server.notice.ClosedFor(now) > 0 || server.leaving && waiting[server] == 0 {
 			continue
 		}
 		l.hasSlot(now)
