--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -56,6 +56,9 @@
 	// serverMute makes a server execute requests and close their connections
 	// without responding.
 	serverMute struct{}
+	// serverCloses makes a server turn requests away, and name a time for which it wants
+	// none.
+	serverCloses struct{}
 )
 
 func (hostKilled) fault()         {}
@@ -76,6 +79,7 @@
 func (serverLeaves) fault()       {}
 func (serverPath) fault()         {}
 func (serverMute) fault()         {}
+func (serverCloses) fault()       {}
 
 // impairment is what a proxy does to connections.
 type impairment string
@@ -111,6 +115,25 @@
 	serverPath{impairmentOneWay},
 }
 
+// noticeShare is one in how many seeds has servers that close, if the faults are not only
+// planned ones, and servers that announce in their answers that they leave.
+const noticeShare = 2
+
+// givesNotice reports whether the servers of a seed give notices in their answers.
+func givesNotice(seed uint64) bool {
+	return seed%noticeShare == 0
+}
+
+// closures draws closures of servers, beside the other faults.
+func closures(seed uint64, duration time.Duration) []step {
+	rng := rand.New(rand.NewPCG(seed, noticeShare))
+	var steps []step
+	for at := time.Duration(0); at < duration; at += minDuration + time.Duration(rng.Int64N(int64(maxDuration))) {
+		steps = append(steps, step{at: at, duration: maxClosed/4 + time.Duration(rng.Int64N(int64(maxClosed))), fault: serverCloses{}, target: rng.IntN(maxTarget)})
+	}
+	return steps
+}
+
 // plannedKinds are the faults of schedules of planned faults only.
 var plannedKinds = []fault{
 	hostStopped{},
@@ -175,6 +198,7 @@
 	plannedGap  = 1400 * time.Millisecond
 	minDuration = 300 * time.Millisecond
 	maxDuration = 6 * time.Second
+	maxClosed   = 2 * time.Second
 	maxTarget   = 1000
 )
 
@@ -203,6 +227,9 @@
 			steps = append(steps, s)
 		}
 	}
+	if givesNotice(seed) && m != mixPlanned {
+		steps = append(steps, closures(seed, duration)...)
+	}
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return steps
 }
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -50,6 +50,8 @@
 	// drainMargin how long a request may take to reach it.
 	drainLimit  = 2 * time.Second
 	drainMargin = 500 * time.Millisecond
+	// closingTime is how long a server turns requests away.
+	closingTime = 300 * time.Millisecond
 	// disturbanceMargin is how long after the end of a fault drainLimit does not
 	// apply.
 	disturbanceMargin = 3 * time.Second
@@ -371,12 +373,19 @@
 		}
 	case serverLeaves:
 		tb.startServer(srv.service)
+		if givesNotice(tb.cfg.Seed) {
+			srv.process.AnnounceLeaving("1")
+			time.Sleep(time.Second)
+		}
 		tb.servers.drain(srv)
 		time.Sleep(2*drainLimit + s.duration)
 		tb.servers.kill(srv)
 		srv.process.Deregister()
 	case serverPath:
 		tb.impair(srv.proxy, f.impairment, s.duration)
+	case serverCloses:
+		srv.process.Close(platformtest.Closure{For: closingTime, RetryAfter: []string{fmt.Sprintf("%.3f", s.duration.Seconds())}})
+		time.Sleep(s.duration)
 	case serverMute:
 		srv.process.LoseResponses(true)
 		time.Sleep(s.duration)
