--- a/jetty/election.go
+++ b/jetty/election.go
@@ -32,6 +32,7 @@
 	reach         *reach
 	limits        *limits
 	crashes       *crashes
+	notices       *notices
 	address       string
 	ttl           time.Duration
 	maxHold       time.Duration
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -34,6 +34,8 @@
 	eventRequestRelayed       event = "request_relayed"
 	eventRequestSuspected     event = "request_suspected"
 	eventSendFailed           event = "send_failed"
+	eventServerClosed         event = "server_closed"
+	eventServerLeaving        event = "server_leaving"
 	eventServerRemoved        event = "server_gone"
 	eventServerRegistered     event = "server_sighted"
 	eventServerRejected       event = "server_turned_away"
@@ -68,6 +70,8 @@
 	eventRequestRelayed,
 	eventRequestSuspected,
 	eventSendFailed,
+	eventServerClosed,
+	eventServerLeaving,
 	eventServerRemoved,
 	eventServerRegistered,
 	eventServerRejected,
@@ -124,7 +128,7 @@
 	reasonNoConfiguration, reasonNoRoute, reasonNoKey, reasonHeaderTooLarge, reasonBodyTooLarge, reasonServerRejected,
 	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonHostStopping, reasonUnsigned, reasonCrashesServers, reasonCrashSuspected, reasonStatus,
 	reason(sluice.ReasonOverload), reason(sluice.ReasonTooLate), reason(sluice.ReasonNoServer),
-	reason(sluice.ReasonSuspected), reason(sluice.ReasonNoOwner),
+	reason(sluice.ReasonSuspected), reason(sluice.ReasonNoOwner), reason(sluice.ReasonClosed),
 }
 
 // statusReason returns the reason for the status of a server's response.
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -89,6 +89,7 @@
 	relayServer   *relayServer
 	limits        *limits
 	crashes       *crashes
+	notices       *notices
 
 	httpServers     []*http.Server
 	ingressListener net.Listener
@@ -127,6 +128,9 @@
 		Budget:            sluice.RetryBudgetConfig{Window: s.Bounds.BudgetWindow, Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra},
 	})
 	h.limits.admissions = h.admissions
+	h.notices = newNotices(&notices{
+		protocol: cfg.Protocol, admissions: h.admissions, clusterState: h.clusterState, logs: h.logs, metrics: h.metrics,
+	})
 	h.watcher = &watcher{
 		store: cfg.Store, protocol: cfg.Protocol, clusterState: h.clusterState, admissions: h.admissions, logs: h.logs,
 		changeLog: newChangeLog(), memory: &memory{}, crashes: h.crashes, address: s.PeerAddress, onChange: h.refresh,
@@ -143,6 +147,7 @@
 		reach:         h.reach,
 		limits:        h.limits,
 		crashes:       h.crashes,
+		notices:       h.notices,
 		address:       s.PeerAddress,
 		ttl:           max(placerLeaseTTL, s.MinLease),
 		maxHold:       s.Bounds.MaxHold,
@@ -150,21 +155,22 @@
 		wake:          make(chan struct{}, 1),
 	}
 	h.loadCollector.isPlacer = h.election.active
-	h.loadCollector.limits = h.limits
+	h.loadCollector.limits, h.loadCollector.notices = h.limits, h.notices
+	h.notices.onLeaving = h.election.notify
 	h.limits.mayGive, h.crashes.mayGive = h.election.mayWrite, h.election.mayWrite
 	h.loadCollector.crashes = h.crashes
 	h.reporter = &reporter{
 		host: s.Host, domain: s.Domain, address: s.PeerAddress, linkMbps: s.LinkMbps,
-		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, limits: h.limits, crashes: h.crashes, logs: h.logs,
+		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, logs: h.logs,
 		onPeers: h.watcher.recallOnce, onHostsChange: h.refresh, shuttingDown: h.shuttingDown.Load, wake: make(chan struct{}, 1),
 	}
 	h.crashes.onChange = h.reporter.notify
 	h.callers = newCallerConns()
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
-		reach: h.reach, limits: h.limits, crashes: h.crashes, drain: h.drain, logs: h.logs, metrics: h.metrics,
+		reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, drain: h.drain, logs: h.logs, metrics: h.metrics,
 		relay: &relayClient{
-			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach,
+			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices,
 		},
 	}
 	h.relayServer = &relayServer{forwarder: requests, stopping: h.shuttingDown.Load}
@@ -192,6 +198,7 @@
 	h.upstream.update(catalog, h.clusterState.activeConfig.Current(), reaching)
 	h.orderUpstream.update(catalog, nil, hosts)
 	h.admissions.refresh(catalog, h.clusterState.knownHostCount(), reaching)
+	h.notices.refresh(monotonicNow())
 	h.election.notify()
 }
 
--- a/jetty/load.go
+++ b/jetty/load.go
@@ -45,6 +45,8 @@
 	limits *limits
 	// crashes, if set, has the requests that may crash servers.
 	crashes *crashes
+	// notices, if set, keeps which servers leave or are closed.
+	notices *notices
 
 	mu             sync.Mutex
 	requests       map[fairway.ServiceName]map[mooring.Key]int
@@ -127,6 +129,7 @@
 	if l.crashes != nil {
 		l.crashes.reply(r, reply)
 	}
+	reply.LeavingServers = l.notices.leaving()
 	return reply, nil
 }
 
@@ -186,6 +189,8 @@
 
 // add records a report and returns the summary of all reports.
 func (l *loadCollector) add(r *signal.LoadReport, now time.Time) loadSummary {
+	l.notices.merge(r.LeavingServers, instantOf(now))
+	l.notices.addClosures(HostID(r.Host), r.ClosedServers, instantOf(now))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range r.Services {
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -49,6 +49,7 @@
 	metricEntryHosts        metricName = "entry_hosts"
 	metricServerEnds        metricName = "server_ends_total"
 	metricSuspectedRequests metricName = "suspected_requests"
+	metricServerNotices     metricName = "server_notices_total"
 )
 
 // metricNames has every metric. A test compares it with the operations page.
@@ -57,6 +58,7 @@
 	metricRequestsWaiting, metricRetryBudgetLeft, metricKeyMoves, metricKeyRanges, metricTableRevision, metricOrders,
 	metricStoreCalls, metricStoreCallSeconds, metricStoreAge, metricConfigVersion, metricServersListed,
 	metricConnectionsOpen, metricConnectionsOpened, metricLinesLeftOut, metricPlacer, metricEntryHosts, metricServerEnds, metricSuspectedRequests,
+	metricServerNotices,
 }
 
 // metrics keeps its values in a tally scope. It caches the scopes with tags,
@@ -114,6 +116,11 @@
 	}
 }
 
+// serverNotice counts a server instance that has begun to leave or has closed.
+func (m *metrics) serverNotice(kind string) {
+	m.withTags(metricTags{first: kind}, "kind").Counter(string(metricServerNotices)).Inc(1)
+}
+
 func (m *metrics) keysMoved(service fairway.ServiceName, moves []mooring.Move) {
 	for _, move := range moves {
 		m.withTags(metricTags{first: string(service), second: string(move.Reason)}, "service", "reason").
--- a/jetty/reporter.go
+++ b/jetty/reporter.go
@@ -26,6 +26,7 @@
 	reach         *reach
 	limits        *limits
 	crashes       *crashes
+	notices       *notices
 	logs          *logs
 	// onPeers is called with the peers that the placer names.
 	onPeers func(ctx context.Context, peers []peerAddress)
@@ -104,6 +105,7 @@
 		}
 		r.limits.merge(reply.Limits, monotonicNow())
 		r.crashes.reported(told, reply)
+		r.notices.merge(reply.LeavingServers, monotonicNow())
 		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), counting: reply.Counting, feeder: reply.Feeder, granted: decodeGranted(reply.Granted)}
 		for _, id := range reply.Crowded {
 			summary.overloaded = append(summary.overloaded, fairway.ServerID(id))
@@ -177,6 +179,7 @@
 	}
 	r.addReach(report)
 	report.Limits = r.limits.reports(monotonicNow())
+	r.notices.addTo(report, monotonicNow())
 	return report
 }
 
