--- a/sluice/choice.go
+++ b/sluice/choice.go
@@ -86,15 +86,17 @@
 		server := c.ownerServer(now, *r.Key)
 		return server, server != nil && server.hasRoom(now)
 	}
-	if server, ok := c.cheapest(now, r, false); ok {
+	usable := c.usableAt(now)
+	staying := func(s *serverState) bool { return usable(s) && !s.notice.LeavingElsewhere }
+	if server, ok := c.cheapest(now, r, staying); ok {
 		return server, true
 	}
-	return c.cheapest(now, r, true)
+	return c.cheapest(now, r, usable)
 }
 
 // cheapest returns the server with the lowest cost among the preferred ones with free
-// capacity: of those that leave according to another host, or of the others.
-func (c *Controller) cheapest(now mooring.Instant, r *Request, leavingElsewhere bool) (*serverState, bool) {
+// capacity for which usable returns true.
+func (c *Controller) cheapest(now mooring.Instant, r *Request, usable func(*serverState) bool) (*serverState, bool) {
 	var best *serverState
 	bestCost := math.Inf(1)
 	found := 0
@@ -102,8 +104,7 @@
 		if found == maxCandidates {
 			break
 		}
-		if server.notice.LeavingElsewhere != leavingElsewhere || !c.usable(server) || !server.hasRoom(now) ||
-			r.excludes(server.endpoint.ID) {
+		if !usable(server) || !server.hasRoom(now) || r.excludes(server.endpoint.ID) {
 			continue
 		}
 		found++
@@ -114,9 +115,15 @@
 	return best, best != nil
 }
 
-// usable reports whether a server may get requests that any server can answer.
-func (c *Controller) usable(server *serverState) bool {
-	return !server.leaving && server.notice.LeavingSince == 0 && (!server.unconfirmed || c.useUnconfirmed)
+// usableAt returns which servers may get requests that any server can answer. Those that say
+// that they leave get some for leavingGrace if there are no others.
+func (c *Controller) usableAt(now mooring.Instant) func(*serverState) bool {
+	listed := func(s *serverState) bool { return !s.leaving && (!s.unconfirmed || c.useUnconfirmed) }
+	staying := func(s *serverState) bool { return listed(s) && s.notice.LeavingSince == 0 }
+	if slices.ContainsFunc(c.ranked, staying) {
+		return staying
+	}
+	return func(s *serverState) bool { return listed(s) && !s.notice.excludesArrival(now) }
 }
 
 // cost estimates the time until a server answers, and raises it for recent
--- a/sluice/closure_test.go
+++ b/sluice/closure_test.go
@@ -356,6 +356,16 @@
 		Expect(serversOf()).To(And(HaveKey(b.ID), Not(HaveKey(a.ID))))
 	})
 
+	It("uses servers that leave for a while if there are no others", func() {
+		for _, instance := range []sluice.ServerInstance{instanceA, instanceB} {
+			c.SetNotice(instance, sluice.Notice{}.Left(now))
+		}
+		now = now.Add(1600 * time.Millisecond)
+		Expect(admit(time.Second)).To(BeAssignableToTypeOf(sluice.Dispatch{}))
+		now = now.Add(200 * time.Millisecond)
+		Expect(admit(time.Second)).To(BeAssignableToTypeOf(sluice.Refuse{}))
+	})
+
 	It("uses one that leaves according to another host only when no other has room", func() {
 		c.SetNotice(instanceA, sluice.Notice{LeavingElsewhere: true})
 		var order []fairway.ServerID
--- a/sluice/queue.go
+++ b/sluice/queue.go
@@ -147,8 +147,9 @@
 	rate, closedRate := 0.0, 0.0
 	soonest, opens := time.Duration(0), time.Duration(0)
 	reason := ReasonNoServer
+	usable := c.usableAt(now)
 	for _, server := range c.ranked {
-		if !c.usable(server) || r.excludes(server.endpoint.ID) {
+		if !usable(server) || r.excludes(server.endpoint.ID) {
 			continue
 		}
 		if server.window.suspected(now) {
