--- a/jetty/notices_test.go
+++ b/jetty/notices_test.go
@@ -72,8 +72,22 @@
 		Expect(resp.header.Get("Leaving")).To(Equal("1"))
 		Expect(resp.header.Get("Retry-After")).To(Equal("7"))
 		Expect(noticeOf(n).LeavingSince).NotTo(BeZero())
-		Expect(send().result).To(BeAssignableToTypeOf(refusal{}))
+		other := b.serve("other", 4, func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "done") })
+		b.f.admissions.refresh(b.f.clusterState.catalog(), 1, 1)
+		for range 4 {
+			Expect(send().result).To(BeAssignableToTypeOf(backendResponse{}))
+		}
 		Expect(s.arrived.Load()).To(BeEquivalentTo(1))
+		Expect(other.arrived.Load()).To(BeEquivalentTo(4))
+	})
+
+	It("has the only server of a service get nothing more after a while", func() {
+		s := b.serve("s", 4, tell(http.StatusOK, "Leaving", "1"))
+		send()
+		Expect(send().result).To(BeAssignableToTypeOf(backendResponse{}))
+		time.Sleep(1800 * time.Millisecond)
+		Expect(send().result).To(BeAssignableToTypeOf(refusal{}))
+		Expect(s.arrived.Load()).To(BeEquivalentTo(2))
 	})
 
 	It("counts from when the response was received, however late that was", func() {
