--- a/jetty/changelog.go
+++ b/jetty/changelog.go
@@ -213,17 +213,21 @@
 func (l *changeLog) compress(c ledger.Change) []byte {
 	data, ok := l.compressed[c.Key]
 	if !ok {
-		var b bytes.Buffer
-		// The level is valid, and writes to a bytes.Buffer cannot fail.
-		w, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed)
-		_, _ = w.Write(c.Value)
-		_ = w.Close()
-		data = b.Bytes()
+		data = compress(c.Value)
 		l.compressed[c.Key] = data
 	}
 	return data
 }
 
+func compress(value []byte) []byte {
+	var b bytes.Buffer
+	// The level is valid, and writes to a bytes.Buffer cannot fail.
+	w, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	_, _ = w.Write(value)
+	_ = w.Close()
+	return b.Bytes()
+}
+
 // decompress returns the value of a change, whether it is compressed or not.
 func decompress(c *signal.StoreChange) ([]byte, error) {
 	if !c.Compressed {
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -195,6 +195,7 @@
 		Str("peer", peer).
 		Bool("configuration", reply.GetConfig() != nil).
 		Int("departures", len(reply.GetDepartures())).
+		Int("tables", len(reply.GetTables())).
 		Err(err).
 		Msg(string(eventRecalled))
 }
--- a/jetty/memory.go
+++ b/jetty/memory.go
@@ -19,6 +19,8 @@
 	// config is the record of the configuration in force, without a revision.
 	config     ledger.Entry
 	departures departures
+	// tables has the newest record of each table of owners.
+	tables map[string]ledger.Entry
 }
 
 // setConfig records the entry of the configuration that has come into force.
@@ -28,6 +30,16 @@
 	m.config = ledger.Entry{Key: e.Key, Value: e.Value}
 }
 
+// setTable records the entry of a table of owners that has been applied.
+func (m *memory) setTable(e ledger.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.tables == nil {
+		m.tables = make(map[string]ledger.Entry)
+	}
+	m.tables[e.Key] = e
+}
+
 // registered records a registration that is applied.
 func (m *memory) registered(now time.Time, e fairway.Endpoint, era ledger.Era) {
 	m.mu.Lock()
@@ -75,6 +87,12 @@
 	if m.config.Key != "" {
 		reply.Config = &signal.StoreChange{Key: m.config.Key, Value: m.config.Value}
 	}
+	for _, e := range m.tables {
+		reply.Tables = append(reply.Tables, &signal.KnownTable{
+			Record: &signal.StoreChange{Key: e.Key, Value: compress(e.Value), Compressed: true, Revision: e.Revision.Number()},
+			Era:    uint32(e.Revision.Era()),
+		})
+	}
 	now := time.Now()
 	for id, d := range m.departures.byServer {
 		if d.forgotten(now) {
--- a/jetty/recall.go
+++ b/jetty/recall.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
+	"hornbeamwinch.example/mooring"
 	"hornbeamwinch.example/signal"
 )
 
@@ -19,8 +21,8 @@
 	maxRecallPeers = 3
 )
 
-// recall asks other hosts what the store may have forgotten, and has the departures count
-// that they tell. A host that has just started cannot tell a store that has come back from
+// recall asks other hosts what the store may have forgotten, and has the departures and
+// tables count that they tell. A host that has just started cannot tell a store that has come back from
 // an older copy from one that has lost nothing. A store that states no era does not come
 // back from copies.
 func (w *watcher) recall(ctx context.Context, entries []ledger.Entry, revision ledger.Revision) {
@@ -36,7 +38,8 @@
 
 // recallOnce asks the peers that the placer names, if no host has answered before: the
 // store names none if this host was the placer before its restart, or the placer is gone.
-// Departures that they tell count once the store is read as a whole again.
+// Departures that they tell count once the store is read as a whole again, and tables do
+// not.
 func (w *watcher) recallOnce(ctx context.Context, peers []peerAddress) {
 	if w.recallBefore.Load() == 0 || w.recalled.Load() || len(peers) == 0 {
 		return
@@ -50,7 +53,7 @@
 }
 
 // recallFrom asks hosts, puts the newest configuration in force that they tell, and
-// returns the number of departures that it has recorded.
+// returns the number of departures and tables of earlier eras that it has recorded.
 func (w *watcher) recallFrom(ctx context.Context, peers []string) int {
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
@@ -62,17 +65,49 @@
 		asked.Go(func() { call.run(ctx) })
 	}
 	asked.Wait()
-	departures := 0
+	recorded := 0
 	for _, call := range calls {
 		err := call.err
 		if err == nil {
 			w.recalled.Store(true)
-			departures += w.memory.addDepartures(time.Now(), call.reply.GetDepartures(), ledger.Era(w.recallBefore.Load()))
+			recorded += w.memory.addDepartures(time.Now(), call.reply.GetDepartures(), ledger.Era(w.recallBefore.Load()))
+			for _, t := range call.reply.GetTables() {
+				recorded += w.applyRecalledTable(t)
+			}
 			err = w.applyRecalled(call.reply.GetConfig())
 		}
 		w.logs.recalled(call.peer, call.reply, err)
 	}
-	return departures
+	return recorded
+}
+
+// applyRecalledTable records a table of owners of an earlier era, and returns 1 if it is the
+// newest one that this host knows. The first placer of an era lists the owners that it
+// names.
+func (w *watcher) applyRecalledTable(told *signal.KnownTable) int {
+	name, isTable := strings.CutPrefix(told.GetRecord().GetKey(), tablePrefix)
+	era := ledger.Era(told.GetEra())
+	if !isTable || uint32(era) >= w.recallBefore.Load() {
+		return 0
+	}
+	revision, err := ledger.NewRevision(era, told.GetRecord().GetRevision())
+	var value []byte
+	if err == nil {
+		value, err = decompress(told.GetRecord())
+	}
+	var table *mooring.Table
+	if err == nil {
+		table, err = mooring.Decode(value)
+	}
+	if err != nil {
+		w.logs.recordUnreadable(UnreadableRecord{Key: told.GetRecord().GetKey(), Err: err})
+		return 0
+	}
+	if !w.admissions.ownersOf(fairway.ServiceName(name)).update(monotonicNow(), table, mooring.StoreRevision(revision)) {
+		return 0
+	}
+	w.memory.setTable(ledger.Entry{Key: told.GetRecord().GetKey(), Value: value, Revision: revision})
+	return 1
 }
 
 // applyRecalled puts the configuration of another host in force, if it is newer.
--- a/jetty/recall_test.go
+++ b/jetty/recall_test.go
@@ -11,6 +11,7 @@
 
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
+	"hornbeamwinch.example/mooring"
 	"hornbeamwinch.example/signal"
 )
 
@@ -90,6 +91,33 @@
 		Expect(e.Draining).To(BeFalse())
 	})
 
+	encoded := func(next mooring.Token) string {
+		GinkgoHelper()
+		t := mooring.NewTable("readings")
+		t.NextToken = next
+		data, err := t.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		return string(data)
+	}
+	knownToken := func() mooring.Token { return w.admissions.ownersOf("readings").current.Load().table.NextToken }
+
+	DescribeTable("goes by the table of owners that is newer", func(told ledger.Entry, expected mooring.Token) {
+		peer := &memory{}
+		peer.setTable(told)
+		entries := append(storeWith(startPeerServer(func(s *grpc.Server) { signal.RegisterMemoryServer(s, peer) })),
+			entry(tableKey("readings"), encoded(7), revision(2, 6)))
+		w.recall(context.Background(), entries, revision(2, 7))
+		w.applySnapshot(entries, revision(2, 7), true)
+		Expect(knownToken()).To(Equal(expected))
+		w.advance([]ledger.Change{{Entry: entry(tableKey("readings"), encoded(11), revision(2, 8))}}, revision(2, 8), true)
+		Expect(knownToken()).To(Equal(mooring.Token(11)))
+	},
+		Entry("that of a peer, of the era before", entry(tableKey("readings"), encoded(9), revision(1, 90)), mooring.Token(9)),
+		Entry("the store's, if the peer's has earlier tokens", entry(tableKey("readings"), encoded(5), revision(1, 90)), mooring.Token(7)),
+		Entry("the store's, if the peer's is of the same era", entry(tableKey("readings"), encoded(9), revision(2, 5)), mooring.Token(7)),
+		Entry("the store's, if the peer's cannot be read", entry(tableKey("readings"), "{", revision(1, 90)), mooring.Token(7)),
+	)
+
 	It("keeps the later departure if a peer tells an earlier one of the same id", func() {
 		first, second := &memory{}, &memory{}
 		now := time.Now()
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -59,7 +59,7 @@
 	revision ledger.Revision
 	// restoredAt is the revision at which the store was first read after it had come
 	// back from an older copy, or zero. Records up to that one may be from the copy. A
-	// host that starts sets it if others know of departures of an earlier era.
+	// host that starts sets it if others know of departures or tables of an earlier era.
 	restoredAt ledger.Revision
 	// era is that of the changes that are being applied.
 	era ledger.Era
@@ -370,7 +370,9 @@
 	if c.Revision <= w.restoredAt && owners.knowsLater(table) {
 		return
 	}
-	owners.update(monotonicNow(), table, mooring.StoreRevision(c.Revision))
+	if owners.update(monotonicNow(), table, mooring.StoreRevision(c.Revision)) {
+		w.memory.setTable(c.Entry)
+	}
 }
 
 // updateServers changes the catalog. A server that is missing soon after an
