--- a/jetty/crashes.go
+++ b/jetty/crashes.go
@@ -25,8 +25,8 @@
 	// noTrialRetryAfter is the Retry-After of suspected requests while no trial can be had:
 	// no placer answers, or the only server left would be put at risk.
 	noTrialRetryAfter = time.Second
-	// hurry is how long after a change of the table hosts report more often.
-	hurry = 2 * time.Second
+	// urgentTime is how long after a change of the table hosts report more often.
+	urgentTime = 2 * time.Second
 	// crashingRetryAfter is the Retry-After of requests that are not sent any more. They are
 	// until the servers run another version, or an operator clears them.
 	crashingRetryAfter = time.Minute
@@ -53,7 +53,7 @@
 	// size is the number of records, which is 0 as long as no server has ended under a
 	// request.
 	size atomic.Int64
-	// changedAt is when the table last changed.
+	// changedAt is when the table last changed, on the clock of monotonicNow.
 	changedAt atomic.Int64
 
 	mu    sync.Mutex
@@ -321,12 +321,12 @@
 	c.update()
 }
 
-// hurried reports whether this host has learned of a crash a moment ago.
-func (c *crashes) hurried() bool {
-	return c != nil && c.size.Load() > 0 && time.Duration(monotonicNow()-mooring.Instant(c.changedAt.Load())) < hurry
+// urgent reports whether this host has learned of a crash a moment ago.
+func (c *crashes) urgent() bool {
+	return c != nil && c.size.Load() > 0 && time.Duration(monotonicNow()-mooring.Instant(c.changedAt.Load())) < urgentTime
 }
 
-// update records the size of the table, which may have changed.
+// update records the size of the table, which may have changed. The caller holds mu.
 func (c *crashes) update() {
 	c.size.Store(int64(c.table.Len()))
 	if change := c.table.Changes(); change != c.lastChange {
--- a/jetty/reporter.go
+++ b/jetty/reporter.go
@@ -47,10 +47,10 @@
 }
 
 const (
-	// hurriedInterval is the time between two reports while servers have ended under
+	// urgentReportInterval is the time between two reports while servers have ended under
 	// requests a moment ago, and minReportInterval the shortest one.
-	hurriedInterval   = 100 * time.Millisecond
-	minReportInterval = 20 * time.Millisecond
+	urgentReportInterval = 100 * time.Millisecond
+	minReportInterval    = 20 * time.Millisecond
 )
 
 // run reports every reportInterval until ctx is done, and more often while hosts have to
@@ -69,8 +69,8 @@
 		case <-timer.C:
 		}
 		r.report(ctx)
-		if r.crashes.hurried() {
-			timer.Reset(hurriedInterval)
+		if r.crashes.urgent() {
+			timer.Reset(urgentReportInterval)
 		} else {
 			timer.Reset(reportInterval)
 		}
