--- a/jetty/election.go
+++ b/jetty/election.go
@@ -14,6 +14,13 @@
 	// maxClaimJitter bounds the random delay before a claim, which keeps the hosts
 	// from claiming the placer's record all at once. Each claim is two writes.
 	maxClaimJitter = 120 * time.Millisecond
+	// minPlacerLinkMbps is the bandwidth that a placer should have, which gets the reports
+	// of all hosts and tells them the load. Hosts with less leave a vacant term to others
+	// for slowHostDelay, and then claim over a time that grows with the number of hosts by
+	// claimSpread for each.
+	minPlacerLinkMbps = 100
+	slowHostDelay     = 250 * time.Millisecond
+	claimSpread       = 5 * time.Millisecond
 	// claimInterval is the time between two checks whether there is a placer, in
 	// addition to those after each change of the cluster state.
 	claimInterval = 400 * time.Millisecond
@@ -34,6 +41,7 @@
 	crashes       *crashes
 	notices       *notices
 	address       string
+	linkMbps      int
 	ttl           time.Duration
 	maxHold       time.Duration
 	// scanned reports whether the store has been read.
@@ -109,11 +117,17 @@
 			continue
 		}
 		if !e.active() {
-			pause(ctx, time.Duration(rand.Int64N(int64(maxClaimJitter))))
+			pause(ctx, claimPause(e.linkMbps, e.clusterState.hostCount(), rand.Float64()))
 			if !e.vacant() {
 				continue
 			}
 		}
+		if occupied, err := e.readPlacer(ctx); occupied || err != nil {
+			if err != nil {
+				e.logs.operationFailed("read placer record", err)
+			}
+			continue
+		}
 		t, err := claimTerm(ctx, e.claimConfig())
 		if err != nil {
 			if !ledger.IsKind(err, ledger.KindConflict) {
@@ -125,6 +139,35 @@
 	}
 }
 
+// claimPause returns how long a host waits before it claims a vacant term, so that few
+// claim it at a time: random is in [0, 1).
+func claimPause(linkMbps, hosts int, random float64) time.Duration {
+	if linkMbps == 0 || linkMbps >= minPlacerLinkMbps {
+		return time.Duration(random * float64(maxClaimJitter))
+	}
+	return slowHostDelay + time.Duration(random*float64(max(maxClaimJitter, time.Duration(hosts)*claimSpread)))
+}
+
+// readPlacer reports whether the store has the record of a placer that this host does not
+// know of yet. A claim would fail and cost the store more calls.
+func (e *election) readPlacer(ctx context.Context) (bool, error) {
+	entry, err := e.store.Get(ctx, placerKey)
+	switch {
+	case ledger.IsKind(err, ledger.KindNotFound):
+		return false, nil
+	case err != nil:
+		return false, err
+	}
+	next := placerRecord{address: string(entry.Value), revision: entry.Revision}
+	if e.isRestoredRecord(next) {
+		return false, nil
+	}
+	if e.clusterState.setPlacer(next) {
+		e.logs.placerChanged(next)
+	}
+	return true, nil
+}
+
 // vacant reports whether this host may claim a term: it has read the store and
 // found a configuration and no placer, is not shutting down, and has no term of
 // its own in which it may write.
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -151,6 +151,7 @@
 		crashes:       h.crashes,
 		notices:       h.notices,
 		address:       s.PeerAddress,
+		linkMbps:      s.LinkMbps,
 		ttl:           max(placerLeaseTTL, s.MinLease),
 		maxHold:       s.Bounds.MaxHold,
 		scanned:       h.watcher.scanned.Load,
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -211,10 +211,11 @@
 	w.recordSuccess()
 }
 
-// batchDelay returns how long to wait before the next call.
+// batchDelay returns how long to wait before the next call. Requests for keys wait for
+// tables, and hosts without a placer for the next one.
 func batchDelay(changes []ledger.Change) time.Duration {
 	for _, c := range changes {
-		if strings.HasPrefix(c.Key, tablePrefix) {
+		if strings.HasPrefix(c.Key, tablePrefix) || c.Key == placerKey {
 			return tableBatchDelay
 		}
 	}
