--- a/jetty/changelog.go
+++ b/jetty/changelog.go
@@ -23,7 +23,7 @@
 const maxRemovals = 512
 
 // changeLog keeps the latest change of each key of the store and serves these
-// changes to the other hosts of the failure domain. Earlier changes of a key are
+// changes to other hosts. Earlier changes of a key are
 // not kept: no host needs them, and a host that catches up over a slow link could
 // not receive them all. It implements signal.FeedServer.
 type changeLog struct {
@@ -39,12 +39,17 @@
 	compactedRevision ledger.Revision
 	// revision is the one up to which changes are included.
 	revision ledger.Revision
-	// storeAnsweredAt is when the store last answered this host.
+	// storeAnsweredAt is when the store last answered this host, or the host that its
+	// changes come from.
 	storeAnsweredAt time.Time
 	// updatedAt is when the store or a feeder last answered this host.
 	updatedAt time.Time
-	// direct reports whether the last update came from the store itself.
+	// direct reports whether the last update came from the store itself. If not, hops is
+	// the number of hosts in between, or 0 if it is not known.
 	direct bool
+	hops   int
+	// failing reports whether a call to the store has failed since it last answered.
+	failing bool
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -117,10 +122,25 @@
 	l.direct = direct
 	l.updatedAt = time.Now()
 	if direct {
-		l.storeAnsweredAt = l.updatedAt
+		l.storeAnsweredAt, l.hops, l.failing = l.updatedAt, 0, false
 	}
 }
 
+// recordFeed records that the update that follows comes from a feeder with a number of
+// hosts between itself and the store, which answered the last of them some time ago.
+func (l *changeLog) recordFeed(hops int, age time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.direct, l.hops, l.storeAnsweredAt = false, hops+1, time.Now().Add(-age)
+}
+
+// recordFailure records a failed call to the store.
+func (l *changeLog) recordFailure() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failing = true
+}
+
 // lastUpdate returns when the store, or a feeder that it answers, last answered
 // this host.
 func (l *changeLog) lastUpdate() time.Time {
@@ -134,12 +154,12 @@
 	l.changed = make(chan struct{})
 }
 
-// storeContact reports whether this host watches the store itself, and when the
-// store last answered it.
+// storeContact reports whether this host watches the store itself and is answered, and
+// when the store last answered it or the host that its changes come from.
 func (l *changeLog) storeContact() (direct bool, answeredAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.direct, l.storeAnsweredAt
+	return l.direct && !l.failing, l.storeAnsweredAt
 }
 
 // Changes implements signal.FeedServer.
@@ -186,7 +206,8 @@
 		Revision:  l.revision.Number(),
 		Era:       uint32(l.revision.Era()),
 		AgeMillis: uint32(time.Since(l.storeAnsweredAt).Milliseconds()),
-		Direct:    l.direct,
+		Direct:    l.direct || l.hops > 0,
+		Hops:      uint32(l.hops),
 		Snapshot:  after < l.compactedRevision,
 	}
 	if after.Era() == l.revision.Era() {
--- a/jetty/clusterstate.go
+++ b/jetty/clusterstate.go
@@ -27,9 +27,8 @@
 	// restoredAt is when this host read the store for the first time after it had come
 	// back from an older copy, or 0 if it has not.
 	restoredAt mooring.Instant
-	// feeder is the address of the host that watches the store for this failure
-	// domain, or empty if there is none.
-	feeder string
+	// feed is where this host gets the store's changes.
+	feed feedPlan
 }
 
 // placerRecord is the record of the placer in the store.
@@ -115,14 +114,14 @@
 	return s.restoredAt, s.restoredAt != 0
 }
 
-func (s *clusterState) feederAddress() string {
+func (s *clusterState) feedPlan() feedPlan {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.feeder
+	return s.feed
 }
 
-func (s *clusterState) setFeeder(address string) {
+func (s *clusterState) setFeedPlan(plan feedPlan) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.feeder = address
+	s.feed = plan
 }
--- a/jetty/feed_test.go
+++ b/jetty/feed_test.go
@@ -49,16 +49,19 @@
 		l, f = newChangeLog(), &feedClient{}
 		l.reset([]ledger.Entry{change(9).Entry}, 10, true)
 		address = serveFeed(l)
-		DeferCleanup(func() { f.closeConn() })
+		DeferCleanup(func() { f.closeExcept(nil) })
 	})
 	poll := func(after ledger.Revision) (feedUpdate, error) {
-		return f.changes(context.Background(), address, after)
+		return f.changes(context.Background(), peerSource{address: address, wait: true}, after)
 	}
+	// expectUnusable expects that another feeder is asked next.
 	expectUnusable := func(err, cause error) {
 		GinkgoHelper()
 		Expect(err).To(MatchError(cause))
-		Expect(f.usable(address)).To(BeFalse())
-		Expect(f.usable("10.0.0.9:1")).To(BeTrue())
+		s := newFeedSources("own", noDelay)
+		s.setPlan(feedPlan{feeder: address, fallbacks: []string{"10.0.0.9:1"}}, 3)
+		s.peerFailed(0, address, err)
+		Expect(s.next(0)).To(Equal(peerSource{address: "10.0.0.9:1"}))
 	}
 
 	It("returns the changes after a revision, in order", func() {
@@ -167,8 +170,7 @@
 	It("becomes unusable when the feeder does not answer", func() {
 		address = "127.0.0.1:1"
 		_, err := poll(10)
-		Expect(err).To(HaveOccurred())
-		Expect(f.usable(address)).To(BeFalse())
+		expectUnusable(err, err)
 	})
 })
 
@@ -177,7 +179,7 @@
 	now := time.Now()
 	report := func(r *signal.LoadReport, after time.Duration) string {
 		r.Address = r.Host + ":1"
-		return l.add(r, now.Add(after)).feeder
+		return l.add(r, now.Add(after)).feed.feeder
 	}
 	direct := func(host, domain string) *signal.LoadReport {
 		return &signal.LoadReport{Host: host, Domain: domain, Direct: true}
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -136,6 +136,7 @@
 	h.watcher = &watcher{
 		store: cfg.Store, protocol: cfg.Protocol, clusterState: h.clusterState, admissions: h.admissions, logs: h.logs,
 		changeLog: newChangeLog(), memory: &memory{}, crashes: h.crashes, address: s.PeerAddress, onChange: h.refresh,
+		sources: newFeedSources(s.PeerAddress, rand.Float64),
 	}
 	h.orderSender = newOrderSender(orderSenderConfig{Protocol: cfg.Protocol, Upstream: h.orderUpstream, Logs: h.logs, Metrics: h.metrics})
 	h.election = &election{
@@ -168,6 +169,7 @@
 		onPeers: h.watcher.recallOnce, onHostsChange: h.refresh, shuttingDown: h.shuttingDown.Load, wake: make(chan struct{}, 1),
 	}
 	h.crashes.onChange = h.reporter.notify
+	h.watcher.onFirstPlacer = h.reporter.notify
 	h.callers = newCallerConns()
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
--- a/jetty/load.go
+++ b/jetty/load.go
@@ -58,8 +58,10 @@
 	// leastHosts and leastReaching are the numbers that this host knew before its term.
 	leastHosts    int
 	leastReaching int
-	// feeders has the feeder of each failure domain.
-	feeders map[fairway.Domain]HostID
+	// feeders has the feeder of each failure domain, and rootFeeder the one that the
+	// others get the store's changes from.
+	feeders    map[fairway.Domain]HostID
+	rootFeeder HostID
 	// granted has the ranges of each service whose grants are not recorded yet.
 	granted map[fairway.ServiceName][]mooring.Assignment
 }
@@ -109,7 +111,8 @@
 func (l *loadCollector) Report(_ context.Context, r *signal.LoadReport) (*signal.LoadReply, error) {
 	summary := l.add(r, time.Now())
 	reply := &signal.LoadReply{
-		Hosts: uint32(summary.hosts), Placer: l.isPlacer(), Feeder: summary.feeder, Reaching: uint32(summary.reaching),
+		Hosts: uint32(summary.hosts), Placer: l.isPlacer(), Feeder: summary.feed.feeder, FallbackFeeders: summary.feed.fallbacks,
+		Feeds: summary.feed.feeds, Reaching: uint32(summary.reaching),
 		Counting: summary.counting,
 	}
 	for _, p := range summary.peers {
@@ -170,9 +173,8 @@
 type loadSummary struct {
 	// hosts is the number of hosts that report.
 	hosts int
-	// feeder is the address of the feeder of the reporting host's failure domain,
-	// or empty if there is none.
-	feeder string
+	// feed is where the reporting host gets the store's changes.
+	feed feedPlan
 	// overloaded lists the overloaded servers.
 	overloaded []fairway.ServerID
 	// granted has the ranges of each service whose grants are not recorded yet.
@@ -226,6 +228,7 @@
 		h.cut = r.Cut
 		h.recordAnswers(r, now)
 		h.lastReport, h.linkMbps, h.storeAnsweredAt = now, r.LinkMbps, time.Time{}
+		h.relaysFeed, h.knowsAsOf = r.RelaysFeed, now.Add(-time.Duration(r.KnowledgeAgeMillis)*time.Millisecond)
 		if r.Direct {
 			h.storeAnsweredAt = now.Add(-time.Duration(r.StoreAgeMillis) * time.Millisecond)
 		}
@@ -242,7 +245,7 @@
 		reaching:   l.reaching(),
 		counting:   now.Before(l.countingUntil),
 		hosts:      max(len(l.reportingHosts), 1),
-		feeder:     l.feeder(fairway.Domain(r.Domain), now),
+		feed:       l.feedPlan(id, fairway.Domain(r.Domain), now),
 		overloaded: l.overload.Overloaded(instantOf(now)),
 		granted:    maps.Clone(l.granted),
 	}
@@ -360,24 +363,3 @@
 	}
 	return n
 }
-
-// feeder returns the address of the feeder of a failure domain, the host that
-// watches the store for the others. Among the hosts that the store answers, it is
-// the one with the fastest link, and among equals the one that has reported for
-// the longest time. It stays the same as long as the store answers it. If the
-// store answers no host, there is no feeder, and every host calls the store
-// itself.
-func (l *loadCollector) feeder(domain fairway.Domain, now time.Time) string {
-	if h, ok := l.reportingHosts[l.feeders[domain]]; ok && h.domain == domain && h.reachesStore(now) {
-		return h.address
-	}
-	var best reportingHost
-	var bestID HostID
-	for id, h := range l.reportingHosts {
-		if h.domain == domain && h.reachesStore(now) && (bestID == "" || h.betterFeeder(best) || !best.betterFeeder(h) && id < bestID) {
-			best, bestID = h, id
-		}
-	}
-	l.feeders[domain] = bestID
-	return best.address
-}
--- a/jetty/recall_test.go
+++ b/jetty/recall_test.go
@@ -29,7 +29,7 @@
 	BeforeEach(func() {
 		w = &watcher{
 			protocol: fakeProtocol{}, clusterState: newClusterState(fairway.NewActiveConfig()), admissions: newAdmissionSet(admissionSetConfig{}),
-			logs: quietLogs(), changeLog: newChangeLog(), memory: &memory{}, onChange: func() {}, missing: make(map[fairway.ServerID]bool),
+			logs: quietLogs(), changeLog: newChangeLog(), memory: &memory{}, onChange: func() {}, missing: make(map[fairway.ServerID]bool), sources: newFeedSources("own", noDelay),
 			address: "own",
 		}
 	})
--- a/jetty/reporter.go
+++ b/jetty/reporter.go
@@ -96,7 +96,6 @@
 		reply, err := r.call(ctx, placer, report)
 		if err != nil {
 			r.recordResult(placer, err)
-			r.clusterState.setFeeder("")
 			return
 		}
 		r.recordResult(placer, nil)
@@ -106,7 +105,7 @@
 		r.limits.merge(reply.Limits, monotonicNow())
 		r.crashes.reported(told, reply)
 		r.notices.merge(reply.LeavingServers, monotonicNow())
-		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), counting: reply.Counting, feeder: reply.Feeder, granted: decodeGranted(reply.Granted)}
+		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), counting: reply.Counting, feed: decodeFeedPlan(reply), granted: decodeGranted(reply.Granted)}
 		for _, id := range reply.Crowded {
 			summary.overloaded = append(summary.overloaded, fairway.ServerID(id))
 		}
@@ -123,7 +122,7 @@
 
 // apply applies the summary that the placer returned.
 func (r *reporter) apply(summary loadSummary) {
-	r.clusterState.setFeeder(summary.feeder)
+	r.clusterState.setFeedPlan(summary.feed)
 	r.reach.setPeers(summary.peers, summary.answering)
 	overloaded := make(map[fairway.ServerID]bool, len(summary.overloaded))
 	for _, id := range summary.overloaded {
@@ -159,6 +158,7 @@
 	direct, answeredAt := r.changeLog.storeContact()
 	report.Direct = direct
 	report.StoreAgeMillis = uint32(min(now.Sub(answeredAt).Milliseconds(), math.MaxUint32))
+	report.RelaysFeed, report.KnowledgeAgeMillis = true, report.StoreAgeMillis
 	r.sentAt = now
 	for name, adm := range r.admissions.all() {
 		requests, stats := adm.takeLoad()
--- a/jetty/reportinghost.go
+++ b/jetty/reportinghost.go
@@ -19,6 +19,10 @@
 	// storeAnsweredAt is when the store last answered the host itself, or zero if
 	// the host receives changes from a feeder.
 	storeAnsweredAt time.Time
+	// relaysFeed reports whether the host can feed others with changes that a feeder tells
+	// it, and knowsAsOf is when the store answered the host that its changes come from.
+	relaysFeed bool
+	knowsAsOf  time.Time
 	// cut is set if the host reaches no server.
 	cut bool
 	// answeredAt is when the host last reported signs of life of a server, and answers
@@ -61,6 +65,11 @@
 	return h.reporting(now) && now.Sub(h.storeAnsweredAt) <= feedMaxAge
 }
 
+// mayFeed reports whether the host has fresh changes to tell others.
+func (h reportingHost) mayFeed(now time.Time) bool {
+	return h.reachesStore(now) || h.relaysFeed && h.reporting(now) && now.Sub(h.knowsAsOf) <= feedMaxAge
+}
+
 // betterFeeder reports whether h is preferred to other as a feeder.
 func (h reportingHost) betterFeeder(other reportingHost) bool {
 	if h.linkMbps != other.linkMbps {
--- a/jetty/restore_test.go
+++ b/jetty/restore_test.go
@@ -255,7 +255,7 @@
 	BeforeEach(func() {
 		w = &watcher{
 			protocol: fakeProtocol{}, clusterState: newClusterState(fairway.NewActiveConfig()), admissions: newAdmissionSet(admissionSetConfig{}),
-			logs: quietLogs(), changeLog: newChangeLog(), memory: &memory{}, onChange: func() {}, missing: make(map[fairway.ServerID]bool),
+			logs: quietLogs(), changeLog: newChangeLog(), memory: &memory{}, onChange: func() {}, missing: make(map[fairway.ServerID]bool), sources: newFeedSources("own", noDelay),
 		}
 		w.applySnapshot([]ledger.Entry{
 			entry("server/a", "", revision(1, 5)), entry("server/b", "", revision(1, 6)), entry("config", "123", revision(1, 7)),
@@ -355,8 +355,9 @@
 		l := newChangeLog()
 		l.reset(nil, 40, true)
 		f := &feedClient{}
-		DeferCleanup(f.closeConn)
-		_, err := f.changes(context.Background(), serveFeed(l), at)
+		address := serveFeed(l)
+		DeferCleanup(func() { f.closeConn(address) })
+		_, err := f.changes(context.Background(), peerSource{address: address, wait: true}, at)
 		Expect(err).To(MatchError(errOlderFeed))
 	})
 
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -423,7 +423,7 @@
 // load reads the recorded table. It retries until that succeeds. A table of a later era of
 // the store is for the next term.
 func (w *actionWorker) load(ctx context.Context, service fairway.ServiceName) mooring.Event {
-	for retry := watchRetryDelay; ; retry = min(2*retry, maxWatchRetryDelay) {
+	for retry := storeRetryDelay; ; retry = min(2*retry, maxStoreRetryDelay) {
 		loaded, err := w.tryLoad(ctx, service)
 		if err == nil {
 			return loaded
--- a/jetty/usage.go
+++ b/jetty/usage.go
@@ -106,13 +106,13 @@
 
 // storeRole returns the present role of this host.
 func (h *Host) storeRole() storeRole {
-	feeder := h.clusterState.feederAddress()
+	plan := h.clusterState.feedPlan()
 	switch {
 	case h.election.active():
 		return storeRolePlacer
-	case feeder == "":
+	case plan.feeder == "":
 		return storeRoleAlone
-	case feeder == h.cfg.Settings.PeerAddress:
+	case plan.feeds:
 		return storeRoleFeeder
 	default:
 		return storeRoleFed
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"errors"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -15,8 +15,8 @@
 const (
 	// watchPollTimeout is how long a watch waits for a change. A connection that
 	// has become unresponsive is noticed when this time ends, which bounds the age
-	// of the cluster state of a host; see feedMaxAge.
-	watchPollTimeout = 1200 * time.Millisecond
+	// of the cluster state of a host. With two polls of feeders it is below feedMaxAge.
+	watchPollTimeout = 800 * time.Millisecond
 	// tableBatchDelay and otherBatchDelay are the pauses between two calls, so that
 	// one call, each of which is charged, returns several changes. The pause after
 	// a change of a table is shorter: the next change follows when the former
@@ -24,23 +24,24 @@
 	// take seconds to come into force.
 	tableBatchDelay = 40 * time.Millisecond
 	otherBatchDelay = 200 * time.Millisecond
-	// watchRetryDelay is the pause after a failed call. It doubles up to
-	// maxWatchRetryDelay, since calls to an unavailable store are charged too.
-	watchRetryDelay    = 50 * time.Millisecond
-	maxWatchRetryDelay = 600 * time.Millisecond
 	// outageThreshold is the time without a response of the store after which the
 	// registrations of running servers may have expired in the meantime.
 	outageThreshold = feedMaxAge
 	// reregisterTimeout is the time after an outage within which all running
 	// servers have registered again.
 	reregisterTimeout = 2200 * time.Millisecond
+	// maxSourcePause bounds a pause in which nobody is asked for changes, in which the
+	// placer may name other feeders.
+	maxSourcePause = 200 * time.Millisecond
 	// registrationExpiry is the time within which the registration of a server is
 	// removed that has stopped writing: three intervals of 0.87 s, and the delay of a
 	// feed.
 	registrationExpiry = 4 * time.Second
 )
 
-// watcher watches the store, directly or through the feeder, and keeps the
+var errNoSource = errors.New("neither a feeder nor the store may be asked yet")
+
+// watcher watches the store, directly or through a feeder, and keeps the
 // cluster state up to date.
 type watcher struct {
 	store        ledger.TxnStore
@@ -50,10 +51,14 @@
 	logs         *logs
 	changeLog    *changeLog
 	feedClient   feedClient
+	sources      *feedSources
 	// address is the peer address of this host, where it serves its own feed.
 	address string
 	// onChange is called after a change of the cluster state.
 	onChange func()
+	// onFirstPlacer, if set, is called when there is a placer and this host knows no
+	// feeder, since the placer can name one.
+	onFirstPlacer func()
 
 	// revision is the one up to which changes have been applied.
 	revision ledger.Revision
@@ -80,10 +85,11 @@
 	// since then. initialized is set by the first time.
 	scanned     atomic.Bool
 	initialized atomic.Bool
-	// lastContact is when the store or the feeder last answered.
+	// lastContact is when the store last answered this host, or the host that its changes
+	// come from.
 	lastContact time.Time
-	// lost is set when a call to the store fails, and cleared when the store or
-	// the feeder answers.
+	// lost is set when a call to the store fails, or nothing has come from it for long, and
+	// cleared when the store or a feeder answers.
 	lost bool
 	// unconfirmedUntil is set after an outage. Until then, servers whose
 	// registrations are missing stay in the catalog and are listed in missing.
@@ -95,19 +101,17 @@
 func (w *watcher) run(ctx context.Context) {
 	w.missing = make(map[fairway.ServerID]bool)
 	w.lastContact = time.Now()
-	retry := watchRetryDelay
 	for ctx.Err() == nil {
 		err := w.step(ctx)
 		switch {
 		case err == nil:
-			retry = watchRetryDelay
 		case ledger.IsKind(err, ledger.KindCompacted):
 			w.scanned.Store(false)
 			w.logs.storeCompacted(w.revision)
 		default:
 			w.recordFailure(err)
-			pause(ctx, retry+time.Duration(rand.Int64N(int64(retry))))
-			retry = min(2*retry, maxWatchRetryDelay)
+			w.changeLog.recordFailure()
+			w.sources.storeFailed(bootTimeNow())
 		}
 		w.removeMissing()
 		w.acceptCopied()
@@ -129,7 +133,7 @@
 		w.lost = false
 		w.logs.dependencyRegained("store", time.Since(w.lastContact))
 	}
-	w.lastContact = time.Now()
+	_, w.lastContact = w.changeLog.storeContact()
 }
 
 func (w *watcher) recordFailure(err error) {
@@ -148,28 +152,53 @@
 	}
 }
 
-// step makes one call to the feeder or the store and applies the changes that it
-// returns.
+// step makes one call to a feeder or the store, or waits until one may be made, and
+// applies the changes that it returns. Its errors are those of the store.
 func (w *watcher) step(ctx context.Context) error {
+	w.sources.setPlan(w.clusterState.feedPlan(), w.clusterState.hostCount())
+	now := bootTimeNow()
 	if !w.scanned.Load() {
-		return w.scan(ctx)
+		pause(ctx, w.sources.storeUntil.Sub(now))
+		return w.readAll(ctx)
+	}
+	switch s := w.sources.next(now).(type) {
+	case peerSource:
+		w.stepFeed(ctx, s)
+		return nil
+	case noSource:
+		w.noteSilence(errNoSource)
+		pause(ctx, min(s.until.Sub(now), maxSourcePause))
+		return nil
+	default:
+		return w.stepStore(ctx)
 	}
+}
+
+// readAll reads the store as a whole.
+func (w *watcher) readAll(ctx context.Context) error {
+	err := w.scan(ctx)
+	if err == nil {
+		w.sources.storeAnswered()
+	}
+	return err
+}
+
+// stepStore calls the store.
+func (w *watcher) stepStore(ctx context.Context) error {
 	wait := watchPollTimeout
 	if len(w.missing) > 0 {
 		wait = min(max(time.Until(w.unconfirmedUntil), 10*time.Millisecond), watchPollTimeout)
 	}
-	if feeder := w.clusterState.feederAddress(); feeder != w.address && w.feedClient.usable(feeder) {
-		return w.stepFeed(ctx, feeder)
-	}
 	if w.lost && time.Since(w.lastContact) > outageThreshold {
 		// The changes missed may include many of the same keys; a scan returns
 		// only the latest of each.
-		return w.scan(ctx)
+		return w.readAll(ctx)
 	}
 	changes, revision, err := w.store.Watch(ctx, "", w.revision, wait)
 	if err != nil {
 		return err
 	}
+	w.sources.storeAnswered()
 	w.advance(changes, revision, true)
 	if len(changes) > 0 {
 		pause(ctx, batchDelay(changes))
@@ -177,27 +206,42 @@
 	return nil
 }
 
-// stepFeed requests changes from the feeder. If that fails, the next step uses
-// the store.
-func (w *watcher) stepFeed(ctx context.Context, feeder string) error {
-	update, err := w.feedClient.changes(ctx, feeder, w.revision)
+// stepFeed requests changes from a feeder. If that fails, the next step uses another
+// feeder or the store.
+func (w *watcher) stepFeed(ctx context.Context, from peerSource) {
+	before, after := w.sources.peers()
+	w.feedClient.closeExcept(append(before, after...))
+	update, err := w.feedClient.changes(ctx, from, w.revision)
 	if err != nil {
-		w.logs.feedFailed(feeder, w.revision, err)
-		return nil
+		if ctx.Err() == nil {
+			w.logs.feedFailed(from.address, w.revision, err)
+			w.sources.peerFailed(bootTimeNow(), from.address, err)
+			w.noteSilence(err)
+		}
+		return
 	}
+	w.sources.peerAnswered(bootTimeNow(), from.address)
+	w.changeLog.recordFeed(update.hops, update.age)
 	if update.snapshot {
 		entries := make([]ledger.Entry, 0, len(update.changes))
 		for _, c := range update.changes {
 			entries = append(entries, c.Entry)
 		}
 		w.applySnapshot(entries, update.revision, false)
-		return nil
+		return
 	}
 	w.advance(update.changes, update.revision, false)
 	if len(update.changes) > 0 {
 		pause(ctx, feedBatchDelay)
 	}
-	return nil
+}
+
+// noteSilence records the loss of the store once nothing has come from it, or through
+// feeders, for as long as in an outage.
+func (w *watcher) noteSilence(err error) {
+	if time.Since(w.lastContact) > outageThreshold {
+		w.recordFailure(err)
+	}
 }
 
 // advance applies the changes up to a revision. The parameter direct says
@@ -349,6 +393,9 @@
 		next := placerRecord{address: string(c.Value), revision: c.Revision}
 		if w.clusterState.setPlacer(next) {
 			w.logs.placerChanged(next)
+			if next.address != "" && w.clusterState.feedPlan().feeder == "" && w.onFirstPlacer != nil {
+				w.onFirstPlacer()
+			}
 		}
 		return
 	}
--- a/jetty/watcher_test.go
+++ b/jetty/watcher_test.go
@@ -14,6 +14,9 @@
 	"hornbeamwinch.example/mooring"
 )
 
+// noDelay is a source of random numbers that adds nothing to delays.
+func noDelay() float64 { return 0 }
+
 func quietLogs() *logs {
 	return newLogs(io.Discard, &Settings{Host: "h"})
 }
@@ -35,7 +38,7 @@
 		changes = 0
 		w = &watcher{
 			store: s, protocol: fakeProtocol{}, clusterState: newClusterState(fairway.NewActiveConfig()), admissions: newAdmissionSet(admissionSetConfig{}),
-			logs: quietLogs(), changeLog: newChangeLog(), memory: &memory{}, onChange: func() { changes++ }, missing: make(map[fairway.ServerID]bool),
+			logs: quietLogs(), changeLog: newChangeLog(), memory: &memory{}, onChange: func() { changes++ }, missing: make(map[fairway.ServerID]bool), sources: newFeedSources("own", noDelay),
 		}
 		s.set("server/a", "x")
 		s.set("server/b", "x")
