--- a/mooring/assigner_test.go
+++ b/mooring/assigner_test.go
@@ -550,6 +550,59 @@
 	It("moves keys of a server that it keeps busy", func() {
 		Expect(movesFor(12)).To(BeTrue())
 	})
+
+	owners := func(sim *simulation) []mooring.ServerInstance {
+		var all []mooring.ServerInstance
+		for key := 0; key <= int(mooring.MaxKey); key += 16 {
+			all = append(all, sim.recorded.Find(mooring.Key(key)).Owner)
+		}
+		return all
+	}
+	// movedBy returns the part of all keys that changes hands in 20 s of requests at random
+	// keys, each drawn by pick, after 30 s of them.
+	movedBy := func(servers, perSecond int, pick func(*rand.Rand) mooring.Key) float64 {
+		sim := newSimulation(servers)
+		random := rand.New(rand.NewPCG(3, uint64(servers)))
+		play := func(seconds int) {
+			for range 2 * seconds {
+				load := map[mooring.Key]int{}
+				for range perSecond / 2 {
+					load[pick(random)]++
+				}
+				sim.step(sim.term, mooring.LoadReported{Requests: load, Interval: 500 * time.Millisecond})
+				sim.run(500 * time.Millisecond)
+			}
+		}
+		sim.run(2 * time.Second)
+		play(30)
+		moved := 0
+		for range 20 {
+			before := owners(sim)
+			play(1)
+			for i, owner := range owners(sim) {
+				if owner != before[i] {
+					moved++
+				}
+			}
+		}
+		expectAllKeysHeld(sim)
+		return float64(moved) / float64(len(owners(sim)))
+	}
+	anyKey := func(r *rand.Rand) mooring.Key { return mooring.Key(r.IntN(65536)) }
+
+	It("that is chance moves hardly a key where servers get few requests, once their rates are known", func() {
+		Expect(movedBy(36, 36*5, anyKey)).To(BeNumerically("<", 0.1))
+	})
+
+	It("that is true is mended there", func() {
+		hot := func(r *rand.Rand) mooring.Key {
+			if r.IntN(4) == 0 {
+				return mooring.Key(30000 + r.IntN(200))
+			}
+			return anyKey(r)
+		}
+		Expect(movedBy(36, 36*5, hot)).To(BeNumerically(">", 0))
+	})
 })
 
 var _ = Describe("A move during which the store goes out", func() {
--- a/mooring/balance.go
+++ b/mooring/balance.go
@@ -1,14 +1,18 @@
 package mooring
 
 import (
+	"math"
+
 	"hornbeamwinch.example/fairway"
 )
 
 const (
 	// imbalanceLimit is the ratio of a server's utilization to the mean from
-	// which keys are moved away from it. Estimated rates have an error of about
-	// 10 %.
-	imbalanceLimit = 1.25
+	// which keys are moved away from it, at least. Where servers get few requests, the
+	// ratio is 1 plus imbalanceErrors standard errors of an estimated rate: among
+	// hundreds of servers some always appear to have two of them.
+	imbalanceLimit  = 1.25
+	imbalanceErrors = 3.0
 	// minBusyUtilization is the utilization below which a server keeps its keys
 	// however uneven the load is, in requests per second for each slot. With a
 	// request every five seconds a slot is idle most of the time, also where a
@@ -51,6 +55,8 @@
 	servers           []*serverLoad
 	byInstance        map[ServerInstance]*serverLoad
 	targetUtilization float64
+	// imbalanceLimit is the ratio to the target from which keys are moved.
+	imbalanceLimit float64
 	// token is the fencing token of all changes, or 0 before the first one.
 	// Since they share a token, one release covers all adjacent ranges of a
 	// former owner.
@@ -75,10 +81,17 @@
 		}
 	}
 	a.targetUtilization = total / capacity
+	a.imbalanceLimit = imbalanceLimitFor(total / float64(len(candidates)))
 	a.applyLimits(total)
 	return a
 }
 
+// imbalanceLimitFor returns the imbalance that is no chance where servers get a number of
+// requests a second on average.
+func imbalanceLimitFor(rate float64) float64 {
+	return max(imbalanceLimit, 1+imbalanceErrors/math.Sqrt(max(rate*steadySamples, 1)))
+}
+
 // limitRounds bounds the rounds of applyLimits. Each raises the target for the servers
 // without a limit, and with it the part of the others that their limits exceed.
 const limitRounds = 4
@@ -203,7 +216,7 @@
 	done := make(map[*serverLoad]bool)
 	for moving := next.movingCount(); moving < len(alloc.servers); moving++ {
 		from := alloc.mostUtilized(done)
-		if from == nil || from.utilization() < max(imbalanceLimit*alloc.targetUtilization, minBusyUtilization) {
+		if from == nil || from.utilization() < max(alloc.imbalanceLimit*alloc.targetUtilization, minBusyUtilization) {
 			break
 		}
 		if moving >= maxMovingRanges && from.utilization() < severeImbalance*alloc.targetUtilization {
@@ -264,7 +277,7 @@
 // suffix of an assignment that neither takes from below the target utilization
 // nor raises to above the limit.
 func (a *Assigner) pickRange(alloc *allocation, from, to *serverLoad) (KeyRange, float64, bool) {
-	limit := min(from.load-alloc.targetUtilization*from.capacity, imbalanceLimit*alloc.targetUtilization*to.capacity-to.load)
+	limit := min(from.load-alloc.targetUtilization*from.capacity, alloc.imbalanceLimit*alloc.targetUtilization*to.capacity-to.load)
 	full := len(alloc.table.Assignments) >= maxAssignments(len(alloc.servers))
 	var best KeyRange
 	bestLoad, found := 0.0, false
--- a/mooring/load.go
+++ b/mooring/load.go
@@ -16,6 +16,9 @@
 	// visible after 5 s. At a large site a server gets about 8 requests a second,
 	// too few for a reliable rate over a second or two.
 	steadyDecay = 0.87
+	// steadySamples is the number of seconds whose requests, evenly weighted, give a rate
+	// as exact as the steady moving average: twice its time constant.
+	steadySamples = 14.4
 	// The recent rate of a block of keys differs from the steady one by more
 	// than chance if the higher of the two exceeds hotRate, in requests per
 	// second, and is more than hotFactor times the lower one.
