--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -17,9 +17,6 @@
 	// loadInterval is the minimum time over which load is counted; hosts report as
 	// often.
 	loadInterval = reportInterval
-	// actionWorkers is the number of actions, such as orders, in flight at most. A
-	// server that does not answer occupies a worker until its order times out.
-	actionWorkers = 24
 	// grantHold is how long a grant is valid. It covers a change of the placer:
 	// the expiry of the lease, a claim, and the time since the last grant. The
 	// keys of a failed server stay with it for as long.
@@ -59,7 +56,7 @@
 	// wake receives a signal after a change of the cluster state.
 	wake    chan struct{}
 	events  chan assignerEvent
-	actions chan assignerAction
+	actions *actionQueue
 	workers sync.WaitGroup
 	// predecessorsEnded receives the instant at which the terms of all earlier
 	// placers were confirmed to have ended. predecessorUntil is the latest instant
@@ -101,7 +98,7 @@
 		done:              make(chan struct{}),
 		wake:              make(chan struct{}, 1),
 		events:            make(chan assignerEvent, 4*actionWorkers),
-		actions:           make(chan assignerAction, 1024),
+		actions:           newActionQueue(),
 		predecessorsEnded: make(chan mooring.Instant, 1),
 		predecessorUntil:  t.predecessorUntil(),
 		writesAllowed:     true,
@@ -141,27 +138,27 @@
 	}
 	ticker := time.NewTicker(placerTickInterval)
 	defer ticker.Stop()
-	r.updateServers(ctx)
+	r.updateServers()
 	for !r.mustStop() {
 		select {
 		case <-ctx.Done():
 			return
 		case event := <-r.events:
-			r.recordOrder(ctx, event.event)
-			r.step(ctx, event.service, event.event)
+			r.recordOrder(event.event)
+			r.step(event.service, event.event)
 		case <-r.wake:
-			r.updateServers(ctx)
+			r.updateServers()
 		case at := <-r.predecessorsEnded:
 			r.predecessorUntil = at
-			r.stepAll(ctx, mooring.PredecessorEnded{At: at})
+			r.stepAll(mooring.PredecessorEnded{At: at})
 		case <-ticker.C:
-			r.updateWritesAllowed(ctx)
-			r.updateLoad(ctx)
-			r.updatePathLost(ctx)
+			r.updateWritesAllowed()
+			r.updateLoad()
+			r.updatePathLost()
 			if r.resigned(ctx) {
 				return
 			}
-			r.stepAll(ctx, mooring.Tick{})
+			r.stepAll(mooring.Tick{})
 		}
 	}
 }
@@ -192,7 +189,7 @@
 
 // updateWritesAllowed notifies the assigners when the term loses or regains the
 // right to write to the store.
-func (r *termRunner) updateWritesAllowed(ctx context.Context) {
+func (r *termRunner) updateWritesAllowed() {
 	writesAllowed := r.term.mayWrite()
 	if writesAllowed == r.writesAllowed {
 		return
@@ -203,20 +200,20 @@
 		event = "regained_store"
 	}
 	r.election.logs.placerTerm(event, r.term.revision)
-	r.stepAll(ctx, mooring.WritesAllowed{Allowed: writesAllowed})
+	r.stepAll(mooring.WritesAllowed{Allowed: writesAllowed})
 }
 
 // recordOrder takes a completed order as evidence of the path to the servers.
-func (r *termRunner) recordOrder(ctx context.Context, e mooring.Event) {
+func (r *termRunner) recordOrder(e mooring.Event) {
 	if completed, ok := e.(mooring.OrderCompleted); ok {
 		r.path.record(completed)
-		r.updatePathLost(ctx)
+		r.updatePathLost()
 	}
 }
 
 // updatePathLost notifies the assigners when the path to the servers is lost or there
 // again.
-func (r *termRunner) updatePathLost(ctx context.Context) {
+func (r *termRunner) updatePathLost() {
 	lost := r.path.lost(bootTimeNow(), r.election.clusterState.catalog())
 	if lost == r.pathLost {
 		return
@@ -227,7 +224,7 @@
 		event = "lost_servers"
 	}
 	r.election.logs.placerTerm(event, r.term.revision)
-	r.stepAll(ctx, mooring.PathLost{Lost: lost})
+	r.stepAll(mooring.PathLost{Lost: lost})
 }
 
 // resigned ends the term if this host has lost the path to the servers, or to most of
@@ -263,15 +260,15 @@
 	return ordersFail, answersOthers
 }
 
-func (r *termRunner) stepAll(ctx context.Context, e mooring.Event) {
+func (r *termRunner) stepAll(e mooring.Event) {
 	for service := range r.assigners {
-		r.step(ctx, service, e)
+		r.step(service, e)
 	}
 }
 
 // updateServers passes the catalog to the assigners. It creates the assigners of
 // new services.
-func (r *termRunner) updateServers(ctx context.Context) {
+func (r *termRunner) updateServers() {
 	config := r.election.clusterState.activeConfig.Current()
 	if config == nil {
 		return
@@ -295,10 +292,10 @@
 				},
 			})
 			if r.pathLost {
-				r.step(ctx, service, mooring.PathLost{Lost: true})
+				r.step(service, mooring.PathLost{Lost: true})
 			}
 		}
-		r.step(ctx, service, mooring.CatalogUpdated{Catalog: catalog})
+		r.step(service, mooring.CatalogUpdated{Catalog: catalog})
 	}
 }
 
@@ -324,7 +321,7 @@
 }
 
 // updateLoad passes the reported load to the assigners once each loadInterval.
-func (r *termRunner) updateLoad(ctx context.Context) {
+func (r *termRunner) updateLoad() {
 	interval := time.Since(r.observedAt)
 	if interval < loadInterval {
 		return
@@ -335,6 +332,7 @@
 		r.slowness[id] = smoothSlowness(r.slowness[id], st)
 	}
 	catalog := r.election.clusterState.catalog()
+	r.actions.forget(catalog)
 	maps.DeleteFunc(r.slowness, func(id fairway.ServerID, _ float64) bool {
 		_, listed := catalog.Get(id)
 		return !listed
@@ -350,7 +348,7 @@
 		}
 		limits := r.election.limits.limited(service)
 		r.election.notices.lowerCapacity(service, speeds, limits)
-		r.step(ctx, service, mooring.LoadReported{
+		r.step(service, mooring.LoadReported{
 			Requests: requests[service], Interval: interval, Responsive: responsive, Speeds: speeds, Limits: limits,
 		})
 	}
@@ -370,7 +368,7 @@
 }
 
 // step passes an event to an assigner and its actions to the workers.
-func (r *termRunner) step(ctx context.Context, service fairway.ServiceName, e mooring.Event) {
+func (r *termRunner) step(service fairway.ServiceName, e mooring.Event) {
 	assigner := r.assigners[service]
 	if assigner == nil {
 		return
@@ -378,11 +376,7 @@
 	actions := assigner.Step(bootTimeNow(), e)
 	r.election.loadCollector.setGranted(service, assigner.UnrecordedGrants())
 	for _, action := range actions {
-		select {
-		case r.actions <- assignerAction{service: service, action: action}:
-		case <-ctx.Done():
-			return
-		}
+		r.actions.add(assignerAction{service: service, action: action})
 	}
 }
 
@@ -393,16 +387,16 @@
 
 func (w *actionWorker) run(ctx context.Context) {
 	for {
+		task, ok := w.termRunner.actions.take(ctx)
+		if !ok {
+			return
+		}
+		e := w.execute(ctx, task.assignerAction)
+		w.termRunner.actions.done(task, e)
 		select {
+		case w.termRunner.events <- assignerEvent{service: task.service, event: e}:
 		case <-ctx.Done():
 			return
-		case task := <-w.termRunner.actions:
-			e := w.execute(ctx, task)
-			select {
-			case w.termRunner.events <- assignerEvent{service: task.service, event: e}:
-			case <-ctx.Done():
-				return
-			}
 		}
 	}
 }
--- a/jetty/watcher_test.go
+++ b/jetty/watcher_test.go
@@ -164,25 +164,23 @@
 		e.clusterState.activeConfig.SetIfNewer(config)
 		e.clusterState.servers.Store(fairway.NewCatalog([]fairway.Endpoint{owner, forged}))
 		r := &termRunner{
-			election: e, term: &term{began: bootTimeNow()}, actions: make(chan assignerAction, 64),
+			election: e, term: &term{began: bootTimeNow()}, actions: newActionQueue(),
 			assigners: make(map[fairway.ServiceName]*mooring.Assigner),
 		}
-		ctx := context.Background()
-		r.updateServers(ctx)
+		r.updateServers()
 		table := mooring.NewTable("readings")
 		table.Assignments[0].Owner = mooring.ServerInstance{Server: "gone", Incarnation: 1, Address: owner.Address}
 		table.Assignments[0].Token, table.NextToken = 1, 2
-		r.step(ctx, "readings", mooring.TableLoaded{Table: table, Revision: 1})
+		r.step("readings", mooring.TableLoaded{Table: table, Revision: 1})
 		var written *mooring.Table
-		for len(r.actions) > 0 {
-			if w, ok := (<-r.actions).action.(mooring.WriteTable); ok {
+		for next, ok, _ := r.actions.tryTake(); ok; next, ok, _ = r.actions.tryTake() {
+			if w, ok := next.action.(mooring.WriteTable); ok {
 				written = w.Table
 			}
 		}
 		Expect(written).NotTo(BeNil())
-		r.step(ctx, "readings", mooring.WriteSucceeded{Revision: 2})
-		for len(r.actions) > 0 {
-			next := <-r.actions
+		r.step("readings", mooring.WriteSucceeded{Revision: 2})
+		for next, ok, _ := r.actions.tryTake(); ok; next, ok, _ = r.actions.tryTake() {
 			Expect(next.action).NotTo(BeAssignableToTypeOf(mooring.WriteTable{}), "the former owner was cleared")
 		}
 	})
