--- a/sluice/controller_test.go
+++ b/sluice/controller_test.go
@@ -409,3 +409,35 @@
 		Expect(sim.refusedLate).To(BeNumerically("<=", sim.refused/20))
 	})
 })
+
+var _ = Describe("A request whose key is being handed over", func() {
+	It("waits as long as the requests in flight may take", func() {
+		owners := &handedOver{}
+		c := sluice.NewController(sluice.ControllerConfig{Service: "readings", Owners: owners, ReassignmentDelay: 4 * time.Second})
+		endpoint := fairway.Endpoint{ID: "a", Service: "readings", Slots: 6, Incarnation: 1}
+		c.SetServers(0, []fairway.Endpoint{endpoint}, 1)
+		now := mooring.Instant(0)
+		for range 200 {
+			now = now.Add(time.Second)
+			c.Finish(now, sluice.ServerInstanceOf(endpoint), sluice.OutcomeAnswered, 800*time.Millisecond, 2500*time.Millisecond)
+		}
+		owners.since = now
+		key := mooring.Key(7)
+		admit := func(after time.Duration) sluice.Decision {
+			at := now.Add(after)
+			return c.Admit(at, &sluice.Request{ID: sluice.RequestID(after), Key: &key, Objective: 2500 * time.Millisecond, SoftDeadline: at.Add(2500 * time.Millisecond), Deadline: at.Add(6 * time.Second)})
+		}
+		Expect(admit(time.Second)).To(Equal(sluice.Wait{}))
+		Expect(admit(2 * time.Second)).To(HaveField("Reason", sluice.ReasonNoOwner))
+	})
+})
+
+// handedOver knows no owner of any key since an instant.
+type handedOver struct {
+	since mooring.Instant
+}
+
+// Owner implements sluice.Owners.
+func (h *handedOver) Owner(mooring.Key) (mooring.ServerInstance, mooring.Instant, bool) {
+	return mooring.ServerInstance{}, h.since, false
+}
--- a/sluice/queue.go
+++ b/sluice/queue.go
@@ -10,8 +10,10 @@
 
 const (
 	// maxOwnerWait is how long a request may wait for its key to get a new
-	// owner. A planned handover takes as long as the requests in flight.
-	maxOwnerWait = 700 * time.Millisecond
+	// owner, at least. A planned handover takes as long as the requests in flight, which
+	// is ownerWaitLatencies times the mean latency.
+	maxOwnerWait       = 700 * time.Millisecond
+	ownerWaitLatencies = 2
 	// noOwnerRetryAfter is the retry delay for a key whose owner has left and
 	// whose next owner has not been published within ownerGrace.
 	noOwnerRetryAfter = time.Second
@@ -188,7 +190,7 @@
 		switch {
 		case ok:
 			return noOwnerRetryAfter, ReasonNoOwner
-		case now.Sub(since) < maxOwnerWait:
+		case now.Sub(since) < c.ownerWait():
 			return 0, ReasonNoOwner
 		default:
 			return max(since.Add(c.cfg.ReassignmentDelay).Sub(now), maxOwnerWait), ReasonNoOwner
@@ -209,6 +211,11 @@
 	}
 }
 
+// ownerWait returns how long a handover of keys may take.
+func (c *Controller) ownerWait() time.Duration {
+	return max(maxOwnerWait, ownerWaitLatencies*c.meanLatency)
+}
+
 // rate returns the number of requests per second from this host that a server is
 // expected to answer, of its limit the part of one host.
 func (c *Controller) rate(now mooring.Instant, server *serverState) float64 {
