--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -84,6 +84,20 @@
 	return <-decided
 }
 
+// openOwner returns the server that owns a key, if it may get requests for it as far as
+// this host knows.
+func (a *admission) openOwner(key mooring.Key) (fairway.ServerID, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.OpenOwner(monotonicNow(), key)
+}
+
+// owns reports whether this host knows a server as the owner of a key.
+func (a *admission) owns(server fairway.ServerID, key mooring.Key) bool {
+	owner, _, ok := a.owners.Owner(key)
+	return ok && owner.Server == server
+}
+
 // finish records the end of a dispatched request.
 func (a *admission) finish(instance sluice.ServerInstance, outcome sluice.Outcome, latency, objective time.Duration) {
 	a.mu.Lock()
@@ -298,6 +312,8 @@
 	// OnWait, if set, is called when a request begins to wait while a server of its
 	// service has a limit.
 	OnWait func()
+	// Carriers, if set, has the hosts that send requests with keys for others.
+	Carriers *carriers
 }
 
 func newAdmissionSet(cfg admissionSetConfig) *admissionSet {
@@ -334,7 +350,7 @@
 	if a == nil || service.Divided != (a.owners != nil) {
 		a = s.newAdmission(service)
 		s.admissions[service.Name] = a
-		a.setServers(catalog.ByService(service.Name), s.hosts, s.reaching)
+		a.setServers(catalog.ByService(service.Name), s.hosts, s.sharing(service.Name, s.reaching))
 	}
 	return a
 }
@@ -361,13 +377,21 @@
 // refresh passes changed servers and numbers of hosts on to every admission.
 func (s *admissionSet) refresh(catalog *fairway.Catalog, hosts, reaching int) {
 	for name, a := range s.all() {
-		a.setServers(catalog.ByService(name), hosts, reaching)
+		a.setServers(catalog.ByService(name), hosts, s.sharing(name, reaching))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts, s.reaching = hosts, reaching
 }
 
+// sharing returns how many hosts share the servers of a service.
+func (s *admissionSet) sharing(service fairway.ServiceName, reaching int) int {
+	if s.cfg.Carriers == nil {
+		return reaching
+	}
+	return s.cfg.Carriers.current().sharing(service, reaching)
+}
+
 // all returns a copy of the admissions by service.
 func (s *admissionSet) all() map[fairway.ServiceName]*admission {
 	s.mu.Lock()
--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -78,7 +78,8 @@
 	// A kept connection may be used again until idleSince plus idleTimeout.
 	idleSince   time.Time
 	idleTimeout time.Duration
-	used        bool
+	// idleTimeoutStated reports whether the server has stated the timeout.
+	idleTimeoutStated bool
 	// broken connections must not be used again.
 	broken bool
 }
@@ -384,6 +385,7 @@
 		}
 		if n, err := strconv.Atoi(value); err == nil && n > 0 {
 			c.idleTimeout = time.Duration(idleTimeoutFraction * float64(n) * float64(time.Second))
+			c.idleTimeoutStated = true
 		}
 	}
 }
--- a/jetty/election.go
+++ b/jetty/election.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
 	"hornbeamwinch.example/mooring"
 )
@@ -39,11 +40,15 @@
 	reach         *reach
 	limits        *limits
 	crashes       *crashes
-	notices       *notices
-	address       string
-	linkMbps      int
-	ttl           time.Duration
-	maxHold       time.Duration
+	// carriers, if set, are those that an earlier placer has told this host, and keepTime
+	// tells how long servers keep unused connections.
+	carriers *carriers
+	keepTime func(fairway.ServiceName) time.Duration
+	notices  *notices
+	address  string
+	linkMbps int
+	ttl      time.Duration
+	maxHold  time.Duration
 	// scanned reports whether the store has been read.
 	scanned func() bool
 	// wake receives a signal after a change of the cluster state.
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -121,6 +121,9 @@
 	reasonUnsigned        reason = "unsigned_answer"
 	reasonCrashesServers  reason = "crashes_servers"
 	reasonCrashSuspected  reason = "crash_suspected"
+	// reasonCarrierFull is the refusal of a carrier with too many requests of other hosts.
+	// They are sent directly.
+	reasonCarrierFull reason = "carrier_full"
 	// reasonStatus is a prefix, followed by the HTTP status of the server's
 	// response.
 	reasonStatus reason = "status_"
@@ -128,7 +131,7 @@
 
 var reasons = []reason{
 	reasonNoConfiguration, reasonNoRoute, reasonNoKey, reasonHeaderTooLarge, reasonBodyTooLarge, reasonServerRejected,
-	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonHostStopping, reasonUnsigned, reasonCrashesServers, reasonCrashSuspected, reasonStatus,
+	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonHostStopping, reasonUnsigned, reasonCrashesServers, reasonCrashSuspected, reasonCarrierFull, reasonStatus,
 	reason(sluice.ReasonOverload), reason(sluice.ReasonTooLate), reason(sluice.ReasonNoServer),
 	reason(sluice.ReasonSuspected), reason(sluice.ReasonNoOwner), reason(sluice.ReasonClosed),
 }
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -43,6 +43,9 @@
 	unreached []fairway.ServerID
 	// peers are those to which the request has been offered.
 	peers []peerAddress
+	// carried is set once the request has been offered to carriers. It is offered to them
+	// once, and then sent directly.
+	carried bool
 	// disowned is set once the owner of the key has said that it does not hold it,
 	// under the token in r.
 	disowned bool
@@ -180,6 +183,9 @@
 	if e.reach.cut() && e.startRelay(ctx, "") {
 		return nil
 	}
+	if e.startCarried(ctx) {
+		return nil
+	}
 	if n := len(e.unreached); n > 0 && e.r.key != nil && e.startRelay(ctx, e.unreached[n-1]) {
 		return nil
 	}
@@ -342,6 +348,32 @@
 	return true
 }
 
+// startCarried starts an attempt of a carrier of the server that owns the key of the
+// request, unless this host is to send it itself. It reports whether it did. A request that
+// must not be repeated takes no further host into its way.
+func (e *exchange) startCarried(ctx context.Context) bool {
+	if e.carriers == nil || e.relay == nil || e.carried || e.r.key == nil || !e.r.repeatable() || ctx.Err() != nil ||
+		len(e.r.outgoingRequest.Body) > maxRelayedBodyBytes || len(e.pending) > 0 {
+		return false
+	}
+	server, ok := e.adm.openOwner(*e.r.key)
+	if !ok {
+		return false
+	}
+	peers := slices.DeleteFunc(e.carriers.peersFor(e.r.service.Name, server), func(p peerAddress) bool { return !e.reach.usablePeer(p) })
+	if len(peers) == 0 || e.r.sends > 0 && !e.takeRetry() {
+		return false
+	}
+	e.carried = true
+	e.updateToken()
+	offer := e.relay.relayOffer(e.r, e.req, e.sentTo())
+	offer.Carried = true
+	e.start(&attempt{exchange: e, ctx: ctx, relay: &relayCall{
+		relayClient: e.relay, r: e.r, mayGo: func() bool { return e.suspicion() == sluice.SuspicionNone }, offer: offer, peers: peers, carried: true, caller: e.caller,
+	}})
+	return true
+}
+
 // start starts an attempt, beside the pending one if there is one.
 func (e *exchange) start(a *attempt) {
 	a.began, a.retry = time.Now(), e.r.sends > 0
@@ -386,8 +418,8 @@
 // one later.
 func (e *exchange) recordOffers(c *relayCall) {
 	for _, o := range c.offers {
-		e.logs.requestRelayed(e.r, o)
-		e.metrics.requestRelayed(o)
+		e.logs.requestRelayed(e.r, o, c.carried)
+		e.metrics.requestRelayed(o, c.carried)
 	}
 	unused := c.peers[len(c.offers):]
 	e.peers = slices.DeleteFunc(e.peers, func(p peerAddress) bool { return slices.Contains(unused, p) })
@@ -433,7 +465,7 @@
 		res, again = e.handleFailure(ctx, e.r, a)
 	} else {
 		e.recordOutcome(e.r, e.adm, a)
-		e.disowned = e.r.key != nil && a.relay == nil && a.resp.status == http.StatusMisdirectedRequest
+		e.disowned = e.r.key != nil && a.resp.status == http.StatusMisdirectedRequest && (a.relay == nil || e.adm.owns(a.server.ID, *e.r.key))
 		res, again = e.handleResponse(ctx, e.r, a.resp, a.server)
 	}
 	resp, answered := res.(backendResponse)
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -118,6 +118,8 @@
 	reach        reachability
 	// relay passes requests on to peers; nil means that none are passed on.
 	relay *relayClient
+	// carriers are the hosts that send requests with keys for this one; nil means none.
+	carriers *carriers
 	// crashes has the requests that may crash servers; nil means that none are suspected.
 	crashes *crashes
 	// limits records the limits that servers name; nil means that they do not count.
@@ -297,7 +299,7 @@
 		return f.interrupted(ctx, r), false
 	}
 	a.finish(failureOutcome(a.err))
-	if a.relay != nil && a.relay.refused != nil {
+	if a.relay != nil && a.relay.isFinal() {
 		return f.refuse(r, *a.relay.refused), false
 	}
 	f.logs.sendFailed(r, a.server, "", a.err)
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -87,6 +87,7 @@
 	drain         *drain
 	reach         *reach
 	peerConns     *peerConns
+	carriers      *carriers
 	relayServer   *relayServer
 	limits        *limits
 	crashes       *crashes
@@ -115,7 +116,9 @@
 		loadCollector: newLoadCollector(),
 		drain:         newDrain(),
 		peerConns:     newPeerConns(),
+		carriers:      newCarriers(s.Host),
 	}
+	h.upstream.sharing = func(service fairway.ServiceName, hosts int) int { return h.carriers.current().sharing(service, hosts) }
 	h.reach = newReach(h.clusterState, h.upstream, h.restoreServers)
 	h.upstream.reach, h.orderUpstream.reach = h.reach, h.reach
 	h.limits = newLimits(&limits{protocol: cfg.Protocol, clusterState: h.clusterState, logs: h.logs, address: s.PeerAddress})
@@ -124,6 +127,7 @@
 	})
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		OnWait:            h.limits.startWaiting,
+		Carriers:          h.carriers,
 		Host:              s.Host,
 		Domain:            s.Domain,
 		ReassignmentDelay: min(grantHold, s.Bounds.MaxHold) + holdMargin,
@@ -151,6 +155,8 @@
 		limits:        h.limits,
 		crashes:       h.crashes,
 		notices:       h.notices,
+		carriers:      h.carriers,
+		keepTime:      h.upstream.keepTime,
 		address:       s.PeerAddress,
 		linkMbps:      s.LinkMbps,
 		ttl:           max(placerLeaseTTL, s.MinLease),
@@ -166,6 +172,7 @@
 	h.reporter = &reporter{
 		host: s.Host, domain: s.Domain, address: s.PeerAddress, linkMbps: s.LinkMbps,
 		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, logs: h.logs,
+		carriers: h.carriers, capacity: carryingCapacity(s.Cores),
 		onPeers: h.watcher.recallOnce, onHostsChange: h.refresh, shuttingDown: h.shuttingDown.Load, wake: make(chan struct{}, 1),
 	}
 	h.crashes.onChange = h.reporter.notify
@@ -174,6 +181,7 @@
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
 		reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, drain: h.drain, logs: h.logs, metrics: h.metrics,
+		carriers: h.carriers,
 		relay: &relayClient{
 			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices,
 		},
@@ -297,7 +305,7 @@
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
-	h.peerServer = grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+	h.peerServer = grpc.NewServer(grpc.ReadBufferSize(relayBufferBytes), grpc.WriteBufferSize(relayBufferBytes), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 		MinTime: peerKeepAlive, PermitWithoutStream: true,
 	}))
 	signal.RegisterLoadsServer(h.peerServer, h.loadCollector)
--- a/jetty/load.go
+++ b/jetty/load.go
@@ -64,6 +64,7 @@
 	rootFeeder HostID
 	// granted has the ranges of each service whose grants are not recorded yet.
 	granted map[fairway.ServiceName][]mooring.Assignment
+	plan    carrierPlan
 }
 
 func newLoadCollector() *loadCollector {
@@ -72,6 +73,7 @@
 		reportingHosts: make(map[HostID]reportingHost),
 		feeders:        make(map[fairway.Domain]HostID),
 		granted:        make(map[fairway.ServiceName][]mooring.Assignment),
+		plan:           newCarrierPlan(),
 	}
 	l.takeReported()
 	return l
@@ -124,6 +126,10 @@
 	for _, id := range summary.overloaded {
 		reply.Crowded = append(reply.Crowded, string(id))
 	}
+	reply.Carriers, reply.CarriersVersion = summary.carriers, summary.carriersVersion
+	if summary.carriersVersion == r.CarriersVersion {
+		reply.Carriers = nil
+	}
 	reply.Granted = encodeGranted(summary.granted)
 	if l.limits != nil {
 		l.limits.merge(r.Limits, monotonicNow())
@@ -187,6 +193,10 @@
 	reaching int
 	// counting is set while hosts and reaching may be too low.
 	counting bool
+	// carriers are those of the failure domain of the reporting host, or nil if there are
+	// none or those that it knows are to remain.
+	carriers        *signal.Carriers
+	carriersVersion uint64
 }
 
 // add records a report and returns the summary of all reports.
@@ -228,6 +238,7 @@
 		h.cut = r.Cut
 		h.recordAnswers(r, now)
 		h.lastReport, h.linkMbps, h.storeAnsweredAt = now, r.LinkMbps, time.Time{}
+		h.capacity = r.CarryingCapacity
 		h.relaysFeed, h.knowsAsOf = r.RelaysFeed, now.Add(-time.Duration(r.KnowledgeAgeMillis)*time.Millisecond)
 		if r.Direct {
 			h.storeAnsweredAt = now.Add(-time.Duration(r.StoreAgeMillis) * time.Millisecond)
@@ -249,7 +260,12 @@
 		overloaded: l.overload.Overloaded(instantOf(now)),
 		granted:    maps.Clone(l.granted),
 	}
+	if summary.carriers = l.carriersOf(fairway.Domain(r.Domain), now); summary.carriers != nil {
+		summary.carriersVersion = versionOf(summary.carriers)
+	}
 	if summary.counting {
+		// Hosts that have not reported yet may be carriers.
+		summary.carriers, summary.carriersVersion = nil, r.CarriersVersion
 		summary.hosts, summary.reaching = max(summary.hosts, l.leastHosts), max(summary.reaching, l.leastReaching)
 	}
 	return summary
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -345,9 +345,14 @@
 		Msg(string(eventRequestRefused))
 }
 
-// requestRelayed logs the offer of a request to a peer.
-func (l *logs) requestRelayed(r *request, o relayedOffer) {
-	e := l.requestLine(&l.failed, o.refused != nil || o.err != nil, r).Str("peer", string(o.peer))
+// requestRelayed logs the offer of a request to a peer. That a carrier has accepted it is no
+// more than a success.
+func (l *logs) requestRelayed(r *request, o relayedOffer, carried bool) {
+	limiter, failed := &l.failed, o.refused != nil || o.err != nil
+	if carried && !failed {
+		limiter = &l.success
+	}
+	e := l.requestLine(limiter, failed, r).Str("peer", string(o.peer)).Bool("carried", carried)
 	if o.refused != nil {
 		e.Str("reason", string(o.refused.Reason)).Dur("retry_after", o.refused.RetryAfter)
 	}
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -162,8 +162,8 @@
 	m.withTags(metricTags{first: string(service)}, "service").Counter(string(metricServerEnds)).Inc(1)
 }
 
-// requestRelayed counts the offer of a request to a peer.
-func (m *metrics) requestRelayed(o relayedOffer) {
+// requestRelayed counts the offer of a request to a peer, which may be a carrier.
+func (m *metrics) requestRelayed(o relayedOffer, carried bool) {
 	result := "accepted"
 	switch {
 	case o.err != nil:
@@ -171,7 +171,11 @@
 	case o.refused != nil:
 		result = "refused"
 	}
-	m.withTags(metricTags{first: result}, "result").Counter(string(metricRelays)).Inc(1)
+	kind := "reach"
+	if carried {
+		kind = "carrier"
+	}
+	m.withTags(metricTags{first: kind, second: result}, "kind", "result").Counter(string(metricRelays)).Inc(1)
 }
 
 func (m *metrics) gauge(name metricName, value float64) {
--- a/jetty/peerconns.go
+++ b/jetty/peerconns.go
@@ -1,6 +1,8 @@
 package jetty
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -17,8 +19,21 @@
 	// relayMaxBackoff the pause after a failure.
 	relayConnectTimeout = 300 * time.Millisecond
 	relayMaxBackoff     = time.Second
+	// relayBufferBytes is the size of the buffers of such a connection. A host of a large
+	// failure domain has one for each other host.
+	relayBufferBytes = 4 << 10
 )
 
+// dialHangLimited opens a connection to a peer that ends if the peer's machine does not
+// acknowledge anything. A suspended process does not end it.
+func dialHangLimited(ctx context.Context, address string) (net.Conn, error) {
+	nc, err := dialTCP(ctx, address)
+	if err == nil {
+		limitHangs(nc)
+	}
+	return nc, err
+}
+
 // peerConns keeps the connections to the peers to which requests are passed on.
 type peerConns struct {
 	mu    sync.Mutex
@@ -37,6 +52,8 @@
 		return conn, nil
 	}
 	conn, err := dialPeer(string(peer),
+		grpc.WithContextDialer(dialHangLimited),
+		grpc.WithReadBufferSize(relayBufferBytes), grpc.WithWriteBufferSize(relayBufferBytes),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: relayKeepAlive}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: relayMaxBackoff},
--- a/jetty/reach.go
+++ b/jetty/reach.go
@@ -305,6 +305,12 @@
 	}
 }
 
+func (r *reach) usablePeer(peer peerAddress) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return bootTimeNow() >= r.state.excluded[peer]
+}
+
 func (r *reach) recordHop(peer peerAddress, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/jetty/reachability.go
+++ b/jetty/reachability.go
@@ -20,6 +20,8 @@
 	// recordExchange records what a send says about the path to a server. The error
 	// is nil if the server has responded.
 	recordExchange(server fairway.ServerID, err error)
+	// usablePeer reports whether a peer has not failed to answer an offer a moment ago.
+	usablePeer(peer peerAddress) bool
 	// recordHop records whether a peer answered an offer in time.
 	recordHop(peer peerAddress, err error)
 }
@@ -31,4 +33,5 @@
 func (alwaysReaching) relayPeers(fairway.ServerID) []peerAddress { return nil }
 func (alwaysReaching) recordConnect(fairway.ServerID, error)     {}
 func (alwaysReaching) recordExchange(fairway.ServerID, error)    {}
+func (alwaysReaching) usablePeer(peerAddress) bool               { return true }
 func (alwaysReaching) recordHop(peerAddress, error)              {}
--- a/jetty/relayclient.go
+++ b/jetty/relayclient.go
@@ -22,6 +22,8 @@
 	// maxOfferFraction is the part of the time left for which an offer may wait in
 	// the queue of a peer. The rest is for another peer.
 	maxOfferFraction = 0.5
+	// maxCarriedFraction is the same for the queue of a carrier.
+	maxCarriedFraction = 0.9
 	// maxOfferedPeers is the number of peers to which a request is offered.
 	maxOfferedPeers = 2
 	// relayChunkBytes is the size of the messages that carry bodies.
@@ -53,6 +55,8 @@
 	r     *request
 	offer *signal.RelayOffer
 	peers []peerAddress
+	// carried is set if the peers are carriers of the request's server.
+	carried bool
 	// caller is done once the caller has left. It outlives the context of run,
 	// so that a long response can still be read.
 	caller context.Context
@@ -126,6 +130,9 @@
 			if hopErr != nil {
 				err = &Error{Op: "relay to " + string(peer), Kind: KindNotSent, Err: hopErr}
 			}
+			if c.refusedForAll() {
+				break
+			}
 			continue
 		}
 		c.refused = nil
@@ -138,6 +145,26 @@
 	return nil, err
 }
 
+// refusedForAll reports whether a carrier has refused the request for a reason that holds
+// for other hosts as well: it knows the load of the server.
+func (c *relayCall) refusedForAll() bool {
+	if !c.carried || c.refused == nil {
+		return false
+	}
+	switch c.refused.Reason {
+	case sluice.ReasonOverload, sluice.ReasonTooLate, sluice.ReasonNoOwner, sluice.ReasonClosed:
+		return true
+	default:
+		return false
+	}
+}
+
+// isFinal reports whether the request is not sent in another way after its last refusal.
+// Two carriers that do not reach the server are enough to tell.
+func (c *relayCall) isFinal() bool {
+	return c.refused != nil && (!c.carried || c.refusedForAll() || c.refused.Reason == sluice.ReasonSuspected && len(c.offers) >= carriersPerServer)
+}
+
 // close ends the stream.
 func (h *relayHop) close() {
 	h.unbind()
@@ -179,7 +206,12 @@
 // awaitAcceptance waits until the peer has accepted the offer. It sets refused if the
 // peer has refused it.
 func (c *relayCall) awaitAcceptance(ctx context.Context, hop *relayHop) (bool, error) {
-	timer := time.AfterFunc(time.Duration(maxOfferFraction*float64(time.Until(c.r.deadline))), hop.cancel)
+	fraction := maxOfferFraction
+	if c.carried {
+		// The carrier has the queue of the server.
+		fraction = maxCarriedFraction
+	}
+	timer := time.AfterFunc(time.Duration(fraction*float64(time.Until(c.r.deadline))), hop.cancel)
 	reply, err := hop.stream.Recv()
 	inTime := timer.Stop()
 	if err == nil && !inTime {
--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	// maxRelays bounds the requests of other hosts that are under way.
-	maxRelays = 64
+	// maxRelays bounds the requests of other hosts that are under way, and maxCarried those
+	// with the ones that this host sends as a carrier.
+	maxRelays  = 64
+	maxCarried = 1024
 	// relayGoTimeout is how long an accepted request keeps its slot before it is
 	// to be sent.
 	relayGoTimeout = 250 * time.Millisecond
@@ -69,9 +71,15 @@
 		return err
 	}
 	defer s.inFlight.Add(-1)
-	switch full := s.inFlight.Add(1) > maxRelays; {
+	limit := int64(maxRelays)
+	if offer.GetCarried() {
+		limit = maxCarried
+	}
+	switch full := s.inFlight.Add(1) > limit; {
 	case s.stopping():
 		return refuseRelay(stream, sluice.Refuse{Reason: sluice.Reason(reasonHostStopping), RetryAfter: stoppingRetryAfter})
+	case full && offer.GetCarried():
+		return refuseRelay(stream, sluice.Refuse{Reason: sluice.Reason(reasonCarrierFull), RetryAfter: exhaustedRetryAfter})
 	case full:
 		return refuseRelay(stream, sluice.Refuse{Reason: sluice.ReasonOverload, RetryAfter: exhaustedRetryAfter})
 	case s.forwarder.reach.cut():
--- a/jetty/reporter.go
+++ b/jetty/reporter.go
@@ -24,6 +24,8 @@
 	loadCollector *loadCollector
 	changeLog     *changeLog
 	reach         *reach
+	carriers      *carriers
+	capacity      uint32
 	limits        *limits
 	crashes       *crashes
 	notices       *notices
@@ -105,7 +107,7 @@
 		r.limits.merge(reply.Limits, monotonicNow())
 		r.crashes.reported(told, reply)
 		r.notices.merge(reply.LeavingServers, monotonicNow())
-		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), counting: reply.Counting, feed: decodeFeedPlan(reply), granted: decodeGranted(reply.Granted)}
+		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), counting: reply.Counting, feed: decodeFeedPlan(reply), granted: decodeGranted(reply.Granted), carriers: reply.Carriers, carriersVersion: reply.CarriersVersion}
 		for _, id := range reply.Crowded {
 			summary.overloaded = append(summary.overloaded, fairway.ServerID(id))
 		}
@@ -139,11 +141,24 @@
 			adm.reevaluate()
 		}
 	}
-	if !summary.counting && r.clusterState.setHostCounts(summary.hosts, summary.reaching) {
+	changed := r.applyCarriers(summary)
+	if !summary.counting {
+		changed = r.clusterState.setHostCounts(summary.hosts, summary.reaching) || changed
+	}
+	if changed {
 		r.onHostsChange()
 	}
 }
 
+// applyCarriers keeps the carriers that the placer has told, and reports whether they have
+// changed.
+func (r *reporter) applyCarriers(summary loadSummary) bool {
+	if summary.carriersVersion == r.carriers.current().version {
+		return false
+	}
+	return r.carriers.set(newCarrierTable(summary.carriers, summary.carriersVersion))
+}
+
 // collect returns the load measured since the last report.
 func (r *reporter) collect() *signal.LoadReport {
 	now := time.Now()
@@ -177,6 +192,7 @@
 			})
 		}
 	}
+	report.CarryingCapacity, report.CarriersVersion = r.capacity, r.carriers.current().version
 	r.addReach(report)
 	report.Limits = r.limits.reports(monotonicNow())
 	r.notices.addTo(report, monotonicNow())
--- a/jetty/reportinghost.go
+++ b/jetty/reportinghost.go
@@ -23,6 +23,9 @@
 	// it, and knowsAsOf is when the store answered the host that its changes come from.
 	relaysFeed bool
 	knowsAsOf  time.Time
+	// capacity is how many requests the host can send for others, relative to other hosts;
+	// 0 means none.
+	capacity uint32
 	// cut is set if the host reaches no server.
 	cut bool
 	// answeredAt is when the host last reported signs of life of a server, and answers
--- a/jetty/settings.go
+++ b/jetty/settings.go
@@ -26,6 +26,8 @@
 	MemoryMB int
 	// LinkMbps is the bandwidth of the host's network link; 0 means unknown.
 	LinkMbps int
+	// Cores is the host's share of processor time, in cores; 0 means unknown.
+	Cores float64
 	// ServerHeartbeat is the time between two heartbeats of a backend server.
 	ServerHeartbeat time.Duration
 	// MinLease is the shortest time to live of a lease in the store.
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -124,6 +124,9 @@
 		r.election.logs.placerTerm("ended", r.term.revision)
 	}()
 	state := r.election.clusterState
+	if r.election.carriers != nil {
+		r.election.loadCollector.continueCarriers(r.election.carriers.current().services)
+	}
 	r.election.loadCollector.beginTerm(time.Now(), state.knownHostCount(), state.reachingCount())
 	r.workers.Go(func() { r.term.run(ctx) })
 	takeover := &takeover{term: r.term, ended: r.predecessorsEnded, logs: r.election.logs}
@@ -332,6 +335,7 @@
 		r.slowness[id] = smoothSlowness(r.slowness[id], st)
 	}
 	catalog := r.election.clusterState.catalog()
+	r.decideCarriers(requests, catalog, interval)
 	r.actions.forget(catalog)
 	maps.DeleteFunc(r.slowness, func(id fairway.ServerID, _ float64) bool {
 		_, listed := catalog.Get(id)
@@ -354,6 +358,22 @@
 	}
 }
 
+// decideCarriers decides by the reported load which services have carriers.
+func (r *termRunner) decideCarriers(requests map[fairway.ServiceName]map[mooring.Key]int, catalog *fairway.Catalog, interval time.Duration) {
+	loads := make(map[fairway.ServiceName]serviceLoad)
+	for service := range r.assigners {
+		load := serviceLoad{servers: len(catalog.ByService(service)), keepTime: defaultIdleTimeout}
+		if r.election.keepTime != nil {
+			load.keepTime = r.election.keepTime(service)
+		}
+		for _, n := range requests[service] {
+			load.requests += n
+		}
+		loads[service] = load
+	}
+	r.election.loadCollector.decideCarriers(loads, interval)
+}
+
 // smoothSlowness returns a server's slowness after new responses.
 func smoothSlowness(old float64, st serverStats) float64 {
 	if st.responses == 0 {
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -27,6 +27,10 @@
 	mu    sync.Mutex
 	pools map[fairway.ServerID]*pool
 	hosts int
+	// sharing, if set, returns how many of the hosts send to the servers of a service.
+	sharing func(service fairway.ServiceName, hosts int) int
+	// keepTimes has how long servers keep unused connections, by service.
+	keepTimes map[fairway.ServiceName]time.Duration
 	// minConnections is the lower bound of a pool's limit.
 	minConnections int
 	dial           DialFunc
@@ -57,7 +61,7 @@
 	}
 	return &upstream{
 		pools: make(map[fairway.ServerID]*pool), hosts: 1, minConnections: minConnections, dial: dial, reach: alwaysReaching{},
-		opened: make(map[opening]int64),
+		opened: make(map[opening]int64), keepTimes: make(map[fairway.ServiceName]time.Duration),
 	}
 }
 
@@ -89,7 +93,11 @@
 	limit := u.minConnections
 	if config != nil {
 		if service := config.Services[s.Service]; service != nil && service.MaxConnections > 0 {
-			limit = int(connectionFraction * float64(service.MaxConnections) / float64(u.hosts))
+			hosts := u.hosts
+			if u.sharing != nil {
+				hosts = u.sharing(s.Service, hosts)
+			}
+			limit = int(connectionFraction * float64(service.MaxConnections) / float64(hosts))
 		}
 	}
 	return max(limit, u.minConnections)
@@ -247,6 +255,14 @@
 	return open, opened
 }
 
+// keepTime returns how long servers of a service keep unused connections, or 0 if this host
+// has not learned it.
+func (u *upstream) keepTime(service fairway.ServiceName) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.keepTimes[service]
+}
+
 // put returns a connection without a request in progress to its pool, or closes
 // it if it cannot be kept.
 func (u *upstream) put(p *pool, c *connection) {
@@ -255,9 +271,11 @@
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
-	c.used = true
 	c.idleSince = time.Now()
 	u.mu.Lock()
+	if c.idleTimeoutStated {
+		u.keepTimes[p.service] = c.idleTimeout
+	}
 	if !p.closed && p.open <= p.limit {
 		p.idle = append(p.idle, c)
 		u.mu.Unlock()
--- a/sluice/choice.go
+++ b/sluice/choice.go
@@ -141,6 +141,15 @@
 	return cost
 }
 
+// OpenOwner returns the server that owns a key, unless it is closed to this host.
+func (c *Controller) OpenOwner(now mooring.Instant, key mooring.Key) (fairway.ServerID, bool) {
+	server := c.ownerServer(now, key)
+	if server == nil || server.notice.ClosedFor(now) > 0 {
+		return "", false
+	}
+	return server.endpoint.ID, true
+}
+
 // ownerServer returns the state of the server that owns a key, or nil.
 func (c *Controller) ownerServer(now mooring.Instant, key mooring.Key) *serverState {
 	owner, _, ok := c.cfg.Owners.Owner(key)
--- a/sluice/window.go
+++ b/sluice/window.go
@@ -107,7 +107,7 @@
 func newWindow(now mooring.Instant, slots, hosts int) *window {
 	w := &window{ignoreReportsUntil: now.Add(reportHoldoff)}
 	w.setLimit(slots, hosts)
-	w.size = min(max(w.limit*initialFraction, 1), w.reducedSize())
+	w.size = w.initialSize()
 	return w
 }
 
@@ -125,9 +125,19 @@
 // setLimit sets the limit of the window for a number of hosts that share the
 // server.
 func (w *window) setLimit(slots, hosts int) {
+	former := w.fairShare
 	w.fairShare = fairShare(slots, hosts)
 	w.limit = max(w.fairShare, minLimit)
 	w.size = min(w.size, w.limit)
+	if former > 0 && w.fairShare > former {
+		// The part of the hosts that do not send to the server any more is free.
+		w.size = max(w.size, min(w.size*w.fairShare/former, w.initialSize()))
+	}
+}
+
+// initialSize returns the size of the window at a server that has not been used.
+func (w *window) initialSize() float64 {
+	return min(max(w.limit*initialFraction, 1), w.reducedSize())
 }
 
 // clearOverload records a report that the server is not overloaded. Hosts with
