--- a/jetty/election.go
+++ b/jetty/election.go
@@ -37,6 +37,7 @@
 	loadCollector *loadCollector
 	logs          *logs
 	metrics       *metrics
+	recoverer     *recoverer
 	reach         *reach
 	limits        *limits
 	crashes       *crashes
@@ -256,7 +257,10 @@
 		return
 	}
 	e.clusterState.setPlacer(placerRecord{address: e.address, revision: t.revision})
-	e.termRunners.Go(func() { r.run(termCtx) })
+	e.termRunners.Go(func() {
+		defer e.recoverer.at(placeTerm, cancel)
+		r.run(termCtx)
+	})
 }
 
 // ended clears the current runner after its last order has ended.
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -26,6 +26,7 @@
 	eventLimitChanged         event = "server_limit"
 	eventOperationFailed      event = "operation_failed"
 	eventOrderAnswered        event = "order_answered"
+	eventPanicked             event = "panic_recovered"
 	eventPlacerChanged        event = "placer_changed"
 	eventPlacerTerm           event = "placer_term"
 	eventRecalled             event = "recalled"
@@ -63,6 +64,7 @@
 	eventLimitChanged,
 	eventOperationFailed,
 	eventOrderAnswered,
+	eventPanicked,
 	eventPlacerChanged,
 	eventPlacerTerm,
 	eventRecalled,
@@ -124,6 +126,7 @@
 	// reasonCarrierFull is the refusal of a carrier with too many requests of other hosts.
 	// They are sent directly.
 	reasonCarrierFull reason = "carrier_full"
+	reasonInternal    reason = "internal_error"
 	// reasonStatus is a prefix, followed by the HTTP status of the server's
 	// response.
 	reasonStatus reason = "status_"
@@ -131,7 +134,7 @@
 
 var reasons = []reason{
 	reasonNoConfiguration, reasonNoRoute, reasonNoKey, reasonHeaderTooLarge, reasonBodyTooLarge, reasonServerRejected,
-	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonHostStopping, reasonUnsigned, reasonCrashesServers, reasonCrashSuspected, reasonCarrierFull, reasonStatus,
+	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonHostStopping, reasonUnsigned, reasonCrashesServers, reasonCrashSuspected, reasonCarrierFull, reasonInternal, reasonStatus,
 	reason(sluice.ReasonOverload), reason(sluice.ReasonTooLate), reason(sluice.ReasonNoServer),
 	reason(sluice.ReasonSuspected), reason(sluice.ReasonNoOwner), reason(sluice.ReasonClosed),
 }
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -94,12 +94,7 @@
 // run sends the request and passes the attempt on to the exchange.
 func (a *attempt) run() {
 	e := a.exchange
-	if a.relay != nil {
-		a.resp, a.err = a.relay.run(a.ctx)
-		a.server = fairway.Endpoint{ID: a.relay.server}
-	} else {
-		a.resp, a.err = e.roundTrip(a.ctx, e.r, a.server)
-	}
+	a.send()
 	a.took = time.Since(a.began)
 	a.setDone()
 	if a.trial != nil {
@@ -113,6 +108,18 @@
 	}
 }
 
+// send sets the response or the error. After a panic the request may have run.
+func (a *attempt) send() {
+	e := a.exchange
+	defer e.recoverer.at(placeAttempt, func() { a.resp, a.err = nil, &Error{Op: "send", Kind: KindInvalidResponse, Err: errPanic} })
+	if a.relay != nil {
+		a.resp, a.err = a.relay.run(a.ctx)
+		a.server = fairway.Endpoint{ID: a.relay.server}
+	} else {
+		a.resp, a.err = e.roundTrip(a.ctx, e.r, a.server)
+	}
+}
+
 // finish records the outcome of the attempt at the admission controller.
 func (a *attempt) finish(outcome sluice.Outcome) {
 	if a.relay != nil {
--- a/jetty/feed.go
+++ b/jetty/feed.go
@@ -93,10 +93,17 @@
 	reply, err := signal.NewFeedClient(conn).Changes(ctx, &signal.ChangesRequest{
 		After: after.Number(), Era: uint32(after.Era()), WaitMillis: uint32(wait.Milliseconds()),
 	})
+	if err != nil {
+		return feedUpdate{}, err
+	}
+	return decodeChanges(reply, after)
+}
+
+// decodeChanges returns the changes after a revision in a reply, or the error for which they
+// cannot be used.
+func decodeChanges(reply *signal.ChangesReply, after ledger.Revision) (feedUpdate, error) {
 	era := ledger.Era(reply.GetEra())
 	switch {
-	case err != nil:
-		return feedUpdate{}, err
 	case !reply.Direct || reply.Hops > maxFeedHops:
 		return feedUpdate{}, errNotDirect
 	case time.Duration(reply.AgeMillis)*time.Millisecond > feedMaxAge:
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -128,6 +128,8 @@
 	drain   *drain
 	logs    *logs
 	metrics *metrics
+	// recoverer ends panics with the attempt that they occur in.
+	recoverer *recoverer
 }
 
 // forward waits for admission, sends r to a backend server and retries it as
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -71,6 +71,7 @@
 	logs         *logs
 	metrics      *metrics
 	usage        *usage
+	recoverer    *recoverer
 	clusterState *clusterState
 	admissions   *admissionSet
 	upstream     *upstream
@@ -118,6 +119,7 @@
 		peerConns:     newPeerConns(),
 		carriers:      newCarriers(s.Host),
 	}
+	h.recoverer = &recoverer{logs: h.logs, metrics: h.metrics}
 	h.upstream.sharing = func(service fairway.ServiceName, hosts int) int { return h.carriers.current().sharing(service, hosts) }
 	h.reach = newReach(h.clusterState, h.upstream, h.restoreServers)
 	h.upstream.reach, h.orderUpstream.reach = h.reach, h.reach
@@ -139,7 +141,7 @@
 	})
 	h.watcher = &watcher{
 		store: cfg.Store, protocol: cfg.Protocol, clusterState: h.clusterState, admissions: h.admissions, logs: h.logs,
-		changeLog: newChangeLog(), memory: &memory{}, crashes: h.crashes, address: s.PeerAddress, onChange: h.refresh,
+		recoverer: h.recoverer, changeLog: newChangeLog(), memory: &memory{}, crashes: h.crashes, address: s.PeerAddress, onChange: h.refresh,
 		sources: newFeedSources(s.PeerAddress, rand.Float64),
 	}
 	h.orderSender = newOrderSender(orderSenderConfig{Protocol: cfg.Protocol, Upstream: h.orderUpstream, Logs: h.logs, Metrics: h.metrics})
@@ -151,6 +153,7 @@
 		loadCollector: h.loadCollector,
 		logs:          h.logs,
 		metrics:       h.metrics,
+		recoverer:     h.recoverer,
 		reach:         h.reach,
 		limits:        h.limits,
 		crashes:       h.crashes,
@@ -181,7 +184,7 @@
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
 		reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, drain: h.drain, logs: h.logs, metrics: h.metrics,
-		carriers: h.carriers,
+		carriers: h.carriers, recoverer: h.recoverer,
 		relay: &relayClient{
 			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices,
 		},
@@ -281,7 +284,7 @@
 }
 
 func (h *Host) launch(ctx context.Context, run func(context.Context)) {
-	h.loops.Go(func() { run(ctx) })
+	h.loops.Go(func() { h.recoverer.loop(ctx, run) })
 }
 
 // serve listens on address and serves it in a goroutine; see [serverLoop].
@@ -305,9 +308,9 @@
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
-	h.peerServer = grpc.NewServer(grpc.ReadBufferSize(relayBufferBytes), grpc.WriteBufferSize(relayBufferBytes), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
-		MinTime: peerKeepAlive, PermitWithoutStream: true,
-	}))
+	options := append(h.recoverer.options(), grpc.ReadBufferSize(relayBufferBytes), grpc.WriteBufferSize(relayBufferBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: peerKeepAlive, PermitWithoutStream: true}))
+	h.peerServer = grpc.NewServer(options...)
 	signal.RegisterLoadsServer(h.peerServer, h.loadCollector)
 	signal.RegisterFeedServer(h.peerServer, h.watcher.changeLog)
 	signal.RegisterMemoryServer(h.peerServer, h.watcher.memory)
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -49,14 +49,21 @@
 	if in.closeConns.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	r, res := in.parseRequest(w, hr, arrived)
-	if res == nil {
-		res = in.forwarder.forward(hr.Context(), r)
-	}
+	r, res := in.handle(w, hr, arrived)
 	in.recordResult(r, res, time.Since(arrived))
 	in.writeResult(w, hr, r, res)
 }
 
+// handle returns a request and its result.
+func (in *ingress) handle(w http.ResponseWriter, hr *http.Request, arrived time.Time) (r *request, res result) {
+	r = &request{id: hr.Header.Get(in.headers.RequestID), arrived: arrived, config: in.activeConfig.Current()}
+	defer in.forwarder.recoverer.at(placeRequest, func() { res = gatewayError{status: http.StatusBadGateway, reason: reasonInternal} })
+	if res = in.parseRequest(w, hr, r); res == nil {
+		res = in.forwarder.forward(hr.Context(), r)
+	}
+	return r, res
+}
+
 // recordResult logs and counts a completed request.
 func (in *ingress) recordResult(r *request, res result, elapsed time.Duration) {
 	in.logs.requestAnswered(r, res, elapsed)
@@ -73,14 +80,13 @@
 func (clientError) result() {}
 
 // parseRequest reads a request and finds its route. If the request cannot be
-// forwarded, it returns the result for the caller as well.
-func (in *ingress) parseRequest(w http.ResponseWriter, hr *http.Request, arrived time.Time) (*request, result) {
-	r := &request{id: hr.Header.Get(in.headers.RequestID), arrived: arrived, config: in.activeConfig.Current()}
+// forwarded, it returns the result for the caller.
+func (in *ingress) parseRequest(w http.ResponseWriter, hr *http.Request, r *request) result {
 	if host, _, err := net.SplitHostPort(hr.RemoteAddr); err == nil {
 		r.callerHost = host
 	}
 	if r.config == nil {
-		return r, refusal{reason: reasonNoConfiguration, retryAfter: startupRetryAfter}
+		return refusal{reason: reasonNoConfiguration, retryAfter: startupRetryAfter}
 	}
 	target := hr.RequestURI
 	if !strings.HasPrefix(target, "/") {
@@ -89,20 +95,20 @@
 	path, _, _ := strings.Cut(target, "?")
 	route, err := r.config.Match(hr.Host, path)
 	if err != nil {
-		return r, clientError{status: http.StatusNotFound, reason: reasonNoRoute}
+		return clientError{status: http.StatusNotFound, reason: reasonNoRoute}
 	}
 	r.route = route
 	r.service = r.config.Services[route.Pick(in.random())]
 	if res := in.readKey(r, hr); res != nil {
-		return r, res
+		return res
 	}
 	r.deadline = in.deadline(r, hr)
 	body, res := in.readBody(w, hr, r.config.Limits)
 	if res != nil {
-		return r, res
+		return res
 	}
 	r.outgoingRequest = outgoingRequest{Method: hr.Method, Target: target, Host: hr.Host, Header: endToEndHeaders(hr.Header), Body: body}
-	return r, nil
+	return nil
 }
 
 // readKey parses the key of a request to a divided service.
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -49,6 +49,7 @@
 	metricServerEnds        metricName = "server_ends_total"
 	metricSuspectedRequests metricName = "suspected_requests"
 	metricServerNotices     metricName = "server_notices_total"
+	metricPanics            metricName = "panics_total"
 )
 
 // metricNames has every metric. A test compares it with the operations page.
@@ -57,7 +58,7 @@
 	metricRequestsWaiting, metricRetryBudgetLeft, metricKeyMoves, metricKeyRanges, metricTableRevision, metricOrders,
 	metricStoreCalls, metricStoreCallSeconds, metricStoreAge, metricConfigVersion, metricServersListed,
 	metricConnectionsOpen, metricConnectionsOpened, metricLinesLeftOut, metricPlacer, metricEntryHosts, metricServerEnds, metricSuspectedRequests,
-	metricServerNotices,
+	metricServerNotices, metricPanics,
 }
 
 // metrics keeps its values in a tally scope. It caches the scopes with tags,
--- a/jetty/recall.go
+++ b/jetty/recall.go
@@ -116,7 +116,7 @@
 		return nil
 	}
 	e := ledger.Entry{Key: told.GetKey(), Value: told.GetValue()}
-	switch record := w.protocol.Decode(e, time.Now()).(type) {
+	switch record := w.decode(ledger.Change{Entry: e}, time.Now()).(type) {
 	case ConfigRecord:
 		w.setConfig(record.Config, e)
 		return nil
--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -198,6 +198,7 @@
 // readLoop passes on the messages of the first host. It ends with the stream.
 func (q *relayedRequest) readLoop() {
 	defer close(q.messages)
+	defer q.recoverer.at(placePeerCall, nil)
 	for {
 		m, err := q.stream.Recv()
 		if err != nil {
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -128,16 +128,16 @@
 		r.election.loadCollector.continueCarriers(r.election.carriers.current().services)
 	}
 	r.election.loadCollector.beginTerm(time.Now(), state.knownHostCount(), state.reachingCount())
-	r.workers.Go(func() { r.term.run(ctx) })
+	r.goRecovered(ctx, r.term.run)
 	takeover := &takeover{term: r.term, ended: r.predecessorsEnded, logs: r.election.logs}
-	r.workers.Go(func() { takeover.run(ctx) })
+	r.goRecovered(ctx, takeover.run)
 	if r.election.crashes != nil {
 		store := &crashStore{crashes: r.election.crashes, term: r.term, logs: r.election.logs}
-		r.workers.Go(func() { store.run(ctx) })
+		r.goRecovered(ctx, store.run)
 	}
 	for range actionWorkers {
 		w := &actionWorker{termRunner: r}
-		r.workers.Go(func() { w.run(ctx) })
+		r.goRecovered(ctx, w.run)
 	}
 	ticker := time.NewTicker(placerTickInterval)
 	defer ticker.Stop()
@@ -166,6 +166,14 @@
 	}
 }
 
+// goRecovered starts a part of the term, which ends with the term, and ends it if it panics.
+func (r *termRunner) goRecovered(ctx context.Context, run func(context.Context)) {
+	r.workers.Go(func() {
+		defer r.election.recoverer.at(placeTerm, r.cancel)
+		run(ctx)
+	})
+}
+
 // mustStop reports whether this host must no longer act as the placer.
 func (r *termRunner) mustStop() bool {
 	if !r.term.mayOrder() {
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -49,6 +49,7 @@
 	clusterState *clusterState
 	admissions   *admissionSet
 	logs         *logs
+	recoverer    *recoverer
 	changeLog    *changeLog
 	feedClient   feedClient
 	sources      *feedSources
@@ -221,6 +222,14 @@
 		return
 	}
 	w.sources.peerAnswered(bootTimeNow(), from.address)
+	w.applyUpdate(update)
+	if len(update.changes) > 0 && !update.snapshot {
+		pause(ctx, feedBatchDelay)
+	}
+}
+
+// applyUpdate applies the changes of a feeder.
+func (w *watcher) applyUpdate(update feedUpdate) {
 	w.changeLog.recordFeed(update.hops, update.age)
 	if update.snapshot {
 		entries := make([]ledger.Entry, 0, len(update.changes))
@@ -231,9 +240,6 @@
 		return
 	}
 	w.advance(update.changes, update.revision, false)
-	if len(update.changes) > 0 {
-		pause(ctx, feedBatchDelay)
-	}
 }
 
 // noteSilence records the loss of the store once nothing has come from it, or through
@@ -308,7 +314,7 @@
 	w.apply(changes)
 	registered := make(map[fairway.ServerID]bool)
 	for _, e := range entries {
-		if record, ok := w.protocol.Decode(e, time.Now()).(ServerRecord); ok {
+		if record, ok := w.decode(ledger.Change{Entry: e}, time.Now()).(ServerRecord); ok {
 			registered[record.ID] = true
 		}
 	}
@@ -369,7 +375,8 @@
 	}
 }
 
-func (w *watcher) decode(c ledger.Change, readAt time.Time) Record {
+func (w *watcher) decode(c ledger.Change, readAt time.Time) (record Record) {
+	defer w.recoverer.at(placeRecord, func() { record = UnreadableRecord{Key: c.Key, Err: errPanic} })
 	if c.Removed {
 		return w.protocol.DecodeRemoval(c.Key)
 	}
@@ -389,6 +396,7 @@
 
 // applyHostRecord applies a change of a record that entry hosts write.
 func (w *watcher) applyHostRecord(c ledger.Change) {
+	defer w.recoverer.at(placeRecord, nil)
 	if c.Key == placerKey {
 		next := placerRecord{address: string(c.Value), revision: c.Revision}
 		if w.clusterState.setPlacer(next) {
