--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -357,10 +357,11 @@
 
 // startCarried starts an attempt of a carrier of the server that owns the key of the
 // request, unless this host is to send it itself. It reports whether it did. A request that
-// must not be repeated takes no further host into its way.
+// must not be repeated takes no further host into its way, and one with a body is sent
+// directly, so that carriers keep no bodies.
 func (e *exchange) startCarried(ctx context.Context) bool {
 	if e.carriers == nil || e.relay == nil || e.carried || e.r.key == nil || !e.r.repeatable() || ctx.Err() != nil ||
-		len(e.r.outgoingRequest.Body) > maxRelayedBodyBytes || len(e.pending) > 0 {
+		len(e.r.outgoingRequest.Body) > 0 || len(e.pending) > 0 {
 		return false
 	}
 	server, ok := e.adm.openOwner(*e.r.key)
@@ -376,7 +377,7 @@
 	offer := e.relay.relayOffer(e.r, e.req, e.sentTo())
 	offer.Carried = true
 	e.start(&attempt{exchange: e, ctx: ctx, relay: &relayCall{
-		relayClient: e.relay, r: e.r, mayGo: func() bool { return e.suspicion() == sluice.SuspicionNone }, offer: offer, peers: peers, carried: true, caller: e.caller,
+		relayClient: e.relay, r: e.r, offer: offer, peers: peers, carried: true, caller: e.caller,
 	}})
 	return true
 }
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -213,6 +213,7 @@
 func (h *Host) refresh() {
 	catalog, hosts := h.clusterState.catalog(), h.clusterState.hostCount()
 	reaching := h.clusterState.reachingCount()
+	h.reach.forgetOthers(catalog)
 	h.upstream.update(catalog, h.clusterState.activeConfig.Current(), reaching)
 	h.orderUpstream.update(catalog, nil, hosts)
 	h.admissions.refresh(catalog, h.clusterState.knownHostCount(), reaching)
@@ -308,7 +309,7 @@
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
-	options := append(h.recoverer.options(), grpc.ReadBufferSize(relayBufferBytes), grpc.WriteBufferSize(relayBufferBytes),
+	options := append(h.recoverer.options(), grpc.ReadBufferSize(relayBufferBytes), grpc.InitialWindowSize(peerWindowBytes), grpc.InitialConnWindowSize(peerWindowBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: peerKeepAlive, PermitWithoutStream: true}))
 	h.peerServer = grpc.NewServer(options...)
 	signal.RegisterLoadsServer(h.peerServer, h.loadCollector)
--- a/jetty/peerconns.go
+++ b/jetty/peerconns.go
@@ -19,9 +19,9 @@
 	// relayMaxBackoff the pause after a failure.
 	relayConnectTimeout = 300 * time.Millisecond
 	relayMaxBackoff     = time.Second
-	// relayBufferBytes is the size of the buffers of such a connection. A host of a large
-	// failure domain has one for each other host.
-	relayBufferBytes = 4 << 10
+	// relayBufferBytes is the size of the read buffer of such a connection. A host of a large
+	// failure domain has one for each other host. Write buffers are shared.
+	relayBufferBytes = 8 << 10
 )
 
 // dialHangLimited opens a connection to a peer that ends if the peer's machine does not
@@ -53,7 +53,7 @@
 	}
 	conn, err := dialPeer(string(peer),
 		grpc.WithContextDialer(dialHangLimited),
-		grpc.WithReadBufferSize(relayBufferBytes), grpc.WithWriteBufferSize(relayBufferBytes),
+		grpc.WithReadBufferSize(relayBufferBytes),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: relayKeepAlive}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: relayMaxBackoff},
--- a/jetty/reach.go
+++ b/jetty/reach.go
@@ -212,14 +212,7 @@
 // nextProbe returns the server to which a connection is to be opened now, if any, from
 // those that are listed.
 func (s *reachState) nextProbe(now mooring.Instant, listed []fairway.ServerID) (fairway.ServerID, bool) {
-	interval := idleProbeInterval
-	switch {
-	case s.cut(now):
-		interval = min(minProbeInterval<<min(s.probes, 8), maxProbeInterval)
-	case s.probedAt > s.respondedAt:
-		interval = minProbeInterval
-	}
-	if len(listed) == 0 || now.Sub(s.respondedAt) < interval || now.Sub(s.probedAt) < interval {
+	if len(listed) == 0 || !s.probeDue(now) {
 		return "", false
 	}
 	next := listed[0]
@@ -236,6 +229,18 @@
 	return next, true
 }
 
+// probeDue reports whether a connection is to be opened now.
+func (s *reachState) probeDue(now mooring.Instant) bool {
+	interval := idleProbeInterval
+	switch {
+	case s.cut(now):
+		interval = min(minProbeInterval<<min(s.probes, 8), maxProbeInterval)
+	case s.probedAt > s.respondedAt:
+		interval = minProbeInterval
+	}
+	return now.Sub(s.respondedAt) >= interval && now.Sub(s.probedAt) >= interval
+}
+
 // prune forgets the servers that are not listed.
 func (s *reachState) prune(catalog *fairway.Catalog) {
 	for id := range s.servers {
@@ -337,6 +342,13 @@
 	r.state.setPeers(bootTimeNow(), peers, answering)
 }
 
+// forgetOthers forgets the servers that are not listed.
+func (r *reach) forgetOthers(catalog *fairway.Catalog) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.prune(catalog)
+}
+
 // run opens connections while no server responds, until ctx is done.
 func (r *reach) run(ctx context.Context) {
 	ticker := time.NewTicker(reachInterval)
@@ -353,6 +365,12 @@
 
 // probe opens a connection if one is due. It is kept for requests.
 func (r *reach) probe(ctx context.Context) {
+	r.mu.Lock()
+	due := r.state.probeDue(bootTimeNow())
+	r.mu.Unlock()
+	if !due {
+		return
+	}
 	catalog := r.clusterState.catalog()
 	var listed []fairway.ServerID
 	for _, e := range catalog.All() {
@@ -360,7 +378,6 @@
 	}
 	slices.Sort(listed)
 	r.mu.Lock()
-	r.state.prune(catalog)
 	id, due := r.state.nextProbe(bootTimeNow(), listed)
 	r.mu.Unlock()
 	if !due {
--- a/jetty/relayclient.go
+++ b/jetty/relayclient.go
@@ -22,8 +22,6 @@
 	// maxOfferFraction is the part of the time left for which an offer may wait in
 	// the queue of a peer. The rest is for another peer.
 	maxOfferFraction = 0.5
-	// maxCarriedFraction is the same for the queue of a carrier.
-	maxCarriedFraction = 0.9
 	// maxOfferedPeers is the number of peers to which a request is offered.
 	maxOfferedPeers = 2
 	// relayChunkBytes is the size of the messages that carry bodies.
@@ -124,15 +122,22 @@
 			c.offers = append(c.offers, relayedOffer{peer: peer, err: hopErr})
 			continue
 		}
+		if c.carried {
+			resp, err := c.awaitCarried(ctx, hop)
+			if err != nil || resp == nil || resp.remaining == nil {
+				hop.close()
+			}
+			if resp != nil || err != nil || c.refusedForAll() {
+				return resp, c.notSentIfRefused(err)
+			}
+			continue
+		}
 		accepted, hopErr := c.awaitAcceptance(ctx, hop)
 		if !accepted {
 			hop.close()
 			if hopErr != nil {
 				err = &Error{Op: "relay to " + string(peer), Kind: KindNotSent, Err: hopErr}
 			}
-			if c.refusedForAll() {
-				break
-			}
 			continue
 		}
 		c.refused = nil
@@ -188,6 +193,9 @@
 	if err == nil {
 		err = hop.stream.Send(&signal.RelayMessage{Part: &signal.RelayMessage_Offer{Offer: offer}})
 	}
+	if err == nil && c.carried {
+		err = hop.stream.CloseSend()
+	}
 	if err == nil {
 		_, err = hop.stream.Header()
 	}
@@ -203,15 +211,56 @@
 	return hop, nil
 }
 
+// awaitCarried reads the answer of a carrier, which sends the request without further word.
+// It returns neither a response nor an error if the carrier has refused. If the carrier is
+// lost, the request may have been sent.
+func (c *relayCall) awaitCarried(ctx context.Context, hop *relayHop) (*backendResponse, error) {
+	reply, err := hop.stream.Recv()
+	if err != nil {
+		c.recordBreak(ctx, hop.peer, err)
+		c.offers = append(c.offers, relayedOffer{peer: hop.peer, err: err})
+		return nil, c.classifyError(ctx, err)
+	}
+	switch part := reply.GetPart().(type) {
+	case *signal.RelayReply_Refused:
+		c.recordRefusal(hop.peer, part.Refused)
+		return nil, nil
+	case *signal.RelayReply_Failed:
+		c.recordAcceptance(hop.peer)
+		return nil, c.failure(part.Failed)
+	case *signal.RelayReply_Head:
+		c.recordAcceptance(hop.peer)
+		return c.readResponse(ctx, hop, part.Head)
+	default:
+		return nil, &Error{Op: "relay", Kind: KindInvalidResponse, Err: errRelayMessage}
+	}
+}
+
+// notSentIfRefused returns err, or the error of a request that a carrier has refused.
+func (c *relayCall) notSentIfRefused(err error) error {
+	if err == nil && c.refused != nil {
+		return &Error{Op: "relay", Kind: KindNotSent, Err: errRelayNotAccepted}
+	}
+	return err
+}
+
+func (c *relayCall) recordAcceptance(peer peerAddress) {
+	c.refused = nil
+	c.offers = append(c.offers, relayedOffer{peer: peer})
+}
+
+func (c *relayCall) recordRefusal(peer peerAddress, r *signal.RelayRefusal) {
+	c.refused = &sluice.Refuse{
+		Reason:     relayReason(r.GetReason()),
+		RetryAfter: time.Duration(r.GetRetryAfterMillis()) * time.Millisecond,
+	}
+	c.offers = append(c.offers, relayedOffer{peer: peer, refused: c.refused})
+}
+
 // awaitAcceptance waits until the peer has accepted the offer. It sets refused if the
 // peer has refused it.
 func (c *relayCall) awaitAcceptance(ctx context.Context, hop *relayHop) (bool, error) {
-	fraction := maxOfferFraction
-	if c.carried {
-		// The carrier has the queue of the server.
-		fraction = maxCarriedFraction
-	}
-	timer := time.AfterFunc(time.Duration(fraction*float64(time.Until(c.r.deadline))), hop.cancel)
+	timer := time.AfterFunc(time.Duration(maxOfferFraction*float64(time.Until(c.r.deadline))), hop.cancel)
 	reply, err := hop.stream.Recv()
 	inTime := timer.Stop()
 	if err == nil && !inTime {
@@ -221,14 +270,10 @@
 		switch part := reply.GetPart().(type) {
 		case *signal.RelayReply_Accepted:
 			c.server = fairway.ServerID(part.Accepted.GetServer())
-			c.offers = append(c.offers, relayedOffer{peer: hop.peer})
+			c.recordAcceptance(hop.peer)
 			return true, nil
 		case *signal.RelayReply_Refused:
-			c.refused = &sluice.Refuse{
-				Reason:     relayReason(part.Refused.GetReason()),
-				RetryAfter: time.Duration(part.Refused.GetRetryAfterMillis()) * time.Millisecond,
-			}
-			c.offers = append(c.offers, relayedOffer{peer: hop.peer, refused: c.refused})
+			c.recordRefusal(hop.peer, part.Refused)
 			return false, nil
 		default:
 			err = errRelayMessage
@@ -338,6 +383,10 @@
 		return nil, &Error{Op: "relay", Kind: KindInvalidResponse, Err: errNoRequestID}
 	}
 	c.notices.observeRelayed(c.r, sluice.ServerInstance{Server: c.server, Incarnation: fairway.Incarnation(head.GetServerIncarnation())}, resp.status, resp.header, monotonicNow())
+	if head.GetWhole() {
+		resp.body = head.GetBody()
+		return resp, nil
+	}
 	body := &relayBody{stream: hop.stream}
 	data, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
 	if err != nil {
--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -52,6 +52,8 @@
 	r      *request
 	req    *sluice.Request
 	adm    *admission
+	// carried is set if this host is a carrier of the first host.
+	carried bool
 	// accepted is when the offer was accepted.
 	accepted time.Time
 	messages chan *signal.RelayMessage
@@ -101,7 +103,9 @@
 	for _, id := range offer.GetTried() {
 		req.Tried = append(req.Tried, fairway.ServerID(id))
 	}
-	relayed := &relayedRequest{forwarder: s.forwarder, stream: stream, r: r, req: req, adm: adm, messages: make(chan *signal.RelayMessage)}
+	relayed := &relayedRequest{
+		forwarder: s.forwarder, stream: stream, r: r, req: req, adm: adm, carried: offer.GetCarried(), messages: make(chan *signal.RelayMessage),
+	}
 	return relayed.run(int(offer.GetBodyBytes()))
 }
 
@@ -160,18 +164,27 @@
 	case server == nil:
 		return status.Error(codes.Canceled, "the request was given up")
 	}
+	if !q.carried {
+		if err := q.confirm(ctx, *server, bodyBytes); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithDeadline(ctx, q.r.deadline)
+	defer cancel()
+	return q.send(ctx, *server)
+}
+
+// confirm accepts the offer, and waits until the request is to be sent.
+func (q *relayedRequest) confirm(ctx context.Context, server fairway.Endpoint, bodyBytes int) error {
 	q.accepted = time.Now()
 	err := q.stream.Send(&signal.RelayReply{Part: &signal.RelayReply_Accepted{Accepted: &signal.RelayAccepted{Server: string(server.ID)}}})
 	if err == nil {
 		err = q.receive(ctx, bodyBytes)
 	}
 	if err != nil {
-		q.finish(*server, sluice.OutcomeCanceled, 0)
-		return err
+		q.finish(server, sluice.OutcomeCanceled, 0)
 	}
-	ctx, cancel := context.WithDeadline(ctx, q.r.deadline)
-	defer cancel()
-	return q.send(ctx, *server)
+	return err
 }
 
 // acquire waits for admission. It returns neither a server nor a refusal if ctx is
@@ -323,11 +336,15 @@
 }
 
 func (q *relayedRequest) passBody(s fairway.Endpoint, resp *backendResponse, took time.Duration) error {
-	err := q.stream.Send(&signal.RelayReply{Part: &signal.RelayReply_Head{Head: &signal.RelayHead{
+	head := &signal.RelayHead{
 		Status: uint32(resp.status), Headers: relayHeaders(resp.header), Server: string(s.ID), TookMicros: uint64(took.Microseconds()),
 		ServerIncarnation: int64(s.Incarnation),
-	}}})
-	if err != nil {
+	}
+	if q.carried && resp.remaining == nil {
+		head.Whole, head.Body = true, resp.body
+	}
+	err := q.stream.Send(&signal.RelayReply{Part: &signal.RelayReply_Head{Head: head}})
+	if err != nil || head.Whole {
 		return err
 	}
 	w := &relayWriter{stream: q.stream}
