--- a/jetty/actionqueue.go
+++ b/jetty/actionqueue.go
@@ -23,8 +23,8 @@
 type actionQueue struct {
 	mu      sync.Mutex
 	waiting []assignerAction
-	// added is closed and replaced when an action may have become ready.
-	added chan struct{}
+	// ready has a signal for each worker that may find an action.
+	ready chan struct{}
 	// answering has the servers whose last order was answered.
 	answering map[mooring.ServerInstance]bool
 	// busy has the servers that have not answered yet, or not lately, and have an order in
@@ -35,7 +35,7 @@
 
 func newActionQueue() *actionQueue {
 	return &actionQueue{
-		added: make(chan struct{}), answering: make(map[mooring.ServerInstance]bool), busy: make(map[mooring.ServerInstance]bool),
+		ready: make(chan struct{}, actionWorkers), answering: make(map[mooring.ServerInstance]bool), busy: make(map[mooring.ServerInstance]bool),
 	}
 }
 
@@ -47,23 +47,25 @@
 	q.wake()
 }
 
-// wake lets workers look for an action. The caller holds mu.
+// wake lets one worker look for an action.
 func (q *actionQueue) wake() {
-	close(q.added)
-	q.added = make(chan struct{})
+	select {
+	case q.ready <- struct{}{}:
+	default:
+		// All workers will look.
+	}
 }
 
 // take waits for the first action that may be begun. It returns false if ctx is done before
 // that. The caller has to call done after the action.
 func (q *actionQueue) take(ctx context.Context) (startedAction, bool) {
 	for ctx.Err() == nil {
-		a, ok, added := q.tryTake()
-		if ok {
+		if a, ok := q.tryTake(); ok {
 			return a, true
 		}
 		select {
 		case <-ctx.Done():
-		case <-added:
+		case <-q.ready:
 		}
 	}
 	return startedAction{}, false
@@ -76,9 +78,9 @@
 	busy bool
 }
 
-// tryTake takes the first action that may be begun, if there is one. Otherwise another one
-// may be ready when the channel is closed.
-func (q *actionQueue) tryTake() (startedAction, bool, <-chan struct{}) {
+// tryTake takes the first action that may be begun, if there is one. If others wait, another
+// worker looks as well.
+func (q *actionQueue) tryTake() (startedAction, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	// Orders to a server are begun in the order in which they were added.
@@ -87,10 +89,13 @@
 		started, ok := q.begin(a, passed)
 		if ok {
 			q.waiting = slices.Delete(q.waiting, i, i+1)
-			return started, true, nil
+			if len(q.waiting) > 0 {
+				q.wake()
+			}
+			return started, true
 		}
 	}
-	return startedAction{}, false, q.added
+	return startedAction{}, false
 }
 
 // begin decides whether an action may be begun now, and counts it if so.
--- a/jetty/actionqueue_test.go
+++ b/jetty/actionqueue_test.go
@@ -49,7 +49,7 @@
 			}
 			running = still
 			for len(running) < workers {
-				a, ok, _ := q.tryTake()
+				a, ok := q.tryTake()
 				if !ok {
 					break
 				}
@@ -101,7 +101,7 @@
 		}
 		q.add(order(200, false))
 		q.recordResult(to(200), false, mooring.ResultAccepted)
-		a, ok, _ := q.tryTake()
+		a, ok := q.tryTake()
 		Expect(ok).To(BeTrue())
 		Expect(serverOf(a)).To(Equal(to(200)))
 	})
@@ -111,13 +111,13 @@
 		q.add(order(1, false))
 		q.add(order(1, true))
 		q.add(order(2, false))
-		first, _, _ := q.tryTake()
-		second, _, _ := q.tryTake()
+		first, _ := q.tryTake()
+		second, _ := q.tryTake()
 		Expect([]mooring.ServerInstance{serverOf(first), serverOf(second)}).To(Equal([]mooring.ServerInstance{to(1), to(2)}))
-		_, ok, _ := q.tryTake()
+		_, ok := q.tryTake()
 		Expect(ok).To(BeFalse(), "the first one has not been answered")
 		q.done(first, result(mooring.ResultAccepted))
-		next, ok, _ := q.tryTake()
+		next, ok := q.tryTake()
 		Expect(ok).To(BeTrue())
 		Expect(next.action.(mooring.SendOrder).Order.Release).To(BeTrue())
 	})
@@ -143,6 +143,26 @@
 		}
 	})
 
+	It("leaves no action that may be begun to wait, whoever ends first", func() {
+		q := newActionQueue()
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		const actions = 5000
+		ended := make(chan struct{}, actions)
+		for range actionWorkers {
+			go func() {
+				for a, ok := q.take(ctx); ok; a, ok = q.take(ctx) {
+					q.done(a, result(mooring.ResultAccepted))
+					ended <- struct{}{}
+				}
+			}()
+		}
+		for i := range actions {
+			q.add(order(i%40, i%3 == 0))
+		}
+		Eventually(ended).WithTimeout(10 * time.Second).Should(HaveLen(actions))
+	})
+
 	It("forgets servers that are gone", func() {
 		q := newActionQueue()
 		q.recordResult(to(1), false, mooring.ResultAccepted)
--- a/jetty/watcher_test.go
+++ b/jetty/watcher_test.go
@@ -173,14 +173,14 @@
 		table.Assignments[0].Token, table.NextToken = 1, 2
 		r.step("readings", mooring.TableLoaded{Table: table, Revision: 1})
 		var written *mooring.Table
-		for next, ok, _ := r.actions.tryTake(); ok; next, ok, _ = r.actions.tryTake() {
+		for next, ok := r.actions.tryTake(); ok; next, ok = r.actions.tryTake() {
 			if w, ok := next.action.(mooring.WriteTable); ok {
 				written = w.Table
 			}
 		}
 		Expect(written).NotTo(BeNil())
 		r.step("readings", mooring.WriteSucceeded{Revision: 2})
-		for next, ok, _ := r.actions.tryTake(); ok; next, ok, _ = r.actions.tryTake() {
+		for next, ok := r.actions.tryTake(); ok; next, ok = r.actions.tryTake() {
 			Expect(next.action).NotTo(BeAssignableToTypeOf(mooring.WriteTable{}), "the former owner was cleared")
 		}
 	})
