--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -27,6 +27,8 @@
 	stats map[fairway.ServerID]*serverStats
 	// onWait, if set, is called when a request begins to wait while a server has a limit.
 	onWait func()
+	// onQueued, if set, is called when a request begins to wait.
+	onQueued func()
 }
 
 // routeMeans are moving averages over the responses on a route.
@@ -66,6 +68,9 @@
 	a.waiting[req.ID] = decided
 	limited := a.controller.Limited()
 	a.mu.Unlock()
+	if a.onQueued != nil {
+		a.onQueued()
+	}
 	if limited && a.onWait != nil {
 		a.onWait()
 	}
@@ -153,13 +158,14 @@
 	a.controller.SetOverloaded(monotonicNow(), overloaded)
 }
 
-// reevaluate decides again on the waiting requests.
-func (a *admission) reevaluate() {
+// reevaluate decides again on the waiting requests, and reports whether any still wait.
+func (a *admission) reevaluate() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.controller.Waiting() > 0 {
 		a.deliver(a.controller.Reevaluate(monotonicNow()))
 	}
+	return a.controller.Waiting() > 0
 }
 
 // deliver passes decisions on to the requests that wait for them.
@@ -312,6 +318,8 @@
 	// OnWait, if set, is called when a request begins to wait while a server of its
 	// service has a limit.
 	OnWait func()
+	// OnQueued, if set, is called when a request begins to wait.
+	OnQueued func()
 	// Carriers, if set, has the hosts that send requests with keys for others.
 	Carriers *carriers
 }
@@ -364,6 +372,7 @@
 		routeMeans:    make(map[fairway.RouteName]*routeMeans),
 		stats:         make(map[fairway.ServerID]*serverStats),
 		onWait:        s.cfg.OnWait,
+		onQueued:      s.cfg.OnQueued,
 	}
 	if service.Divided {
 		a.owners = s.ownersLocked(service.Name)
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -36,6 +36,9 @@
 	drainPollInterval = 20 * time.Millisecond
 	// sweepInterval is the time between two evaluations of the waiting requests.
 	sweepInterval = 25 * time.Millisecond
+	// unqueuedSweepInterval is the same while no request waits. Waking up for nothing costs
+	// a small host more than its requests.
+	unqueuedSweepInterval = 500 * time.Millisecond
 	// idleSweepInterval is the time between two checks for unused connections.
 	idleSweepInterval = time.Second
 	// headerTimeout bounds the time for reading a request's headers.
@@ -97,10 +100,12 @@
 	httpServers     []*http.Server
 	ingressListener net.Listener
 	peerServer      *grpc.Server
-	shuttingDown    atomic.Bool
-	cancel          context.CancelFunc
-	loops           sync.WaitGroup
-	stopOnce        sync.Once
+	// queued receives a signal when a request begins to wait for admission.
+	queued       chan struct{}
+	shuttingDown atomic.Bool
+	cancel       context.CancelFunc
+	loops        sync.WaitGroup
+	stopOnce     sync.Once
 }
 
 // New returns a host that is not running yet; see [Host.Start].
@@ -118,6 +123,7 @@
 		drain:         newDrain(),
 		peerConns:     newPeerConns(),
 		carriers:      newCarriers(s.Host),
+		queued:        make(chan struct{}, 1),
 	}
 	h.recoverer = &recoverer{logs: h.logs, metrics: h.metrics}
 	h.upstream.sharing = func(service fairway.ServiceName, hosts int) int { return h.carriers.current().sharing(service, hosts) }
@@ -129,6 +135,7 @@
 	})
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		OnWait:            h.limits.startWaiting,
+		OnQueued:          func() { signalOnce(h.queued) },
 		Carriers:          h.carriers,
 		Host:              s.Host,
 		Domain:            s.Domain,
@@ -343,19 +350,26 @@
 // sweepLoop periodically reevaluates the waiting requests, closes unused
 // connections and updates the gauges.
 func (h *Host) sweepLoop(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(sweepInterval)
+	defer timer.Stop()
 	last := time.Now()
 	logged := last
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+		case <-h.queued:
+			// The request has just been evaluated.
+			pause(ctx, sweepInterval)
 		}
+		next := unqueuedSweepInterval
 		for _, adm := range h.admissions.all() {
-			adm.reevaluate()
+			if adm.reevaluate() {
+				next = sweepInterval
+			}
 		}
+		timer.Reset(next)
 		if time.Since(last) >= idleSweepInterval {
 			last = time.Now()
 			h.upstream.closeIdle()
--- a/jetty/limits.go
+++ b/jetty/limits.go
@@ -107,6 +107,9 @@
 func (l *limits) update(instance sluice.ServerInstance, r *limitRecord, evidence sluice.LimitEvidence) {
 	before := r.evidence
 	r.evidence = evidence
+	if l.records[instance] == nil {
+		signalOnce(l.wake)
+	}
 	l.records[instance] = r
 	if before.Limited() == evidence.Limited() && before.Limit == evidence.Limit {
 		return
--- a/jetty/reach.go
+++ b/jetty/reach.go
@@ -35,7 +35,7 @@
 	idleProbeInterval = 900 * time.Millisecond
 	// reachInterval is the time between two checks whether a connection is to be
 	// opened.
-	reachInterval = 50 * time.Millisecond
+	reachInterval = 125 * time.Millisecond
 )
 
 // reachState tells by the outcomes of connects and sends which servers a host reaches.
--- a/jetty/slots.go
+++ b/jetty/slots.go
@@ -15,6 +15,8 @@
 	// slotInterval is the time between two checks whether slots are needed, besides
 	// those when a request begins to wait.
 	slotInterval = 50 * time.Millisecond
+	// noLimitInterval is the same while no limit is known. The first one wakes the loop.
+	noLimitInterval = time.Second
 	// takeSlotsTimeout bounds a call for slots. Until it has failed, the host has none.
 	takeSlotsTimeout = 200 * time.Millisecond
 	// ownSlotsShare is the part of a limit that all hosts together use while they have
@@ -24,19 +26,22 @@
 
 // run asks for slots until ctx is done.
 func (l *limits) run(ctx context.Context) {
-	ticker := time.NewTicker(slotInterval)
-	defer ticker.Stop()
 	defer l.closeConn()
+	timer := time.NewTimer(noLimitInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.wake:
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		next := noLimitInterval
 		if l.any() {
 			l.askForSlots(ctx)
+			next = slotInterval
 		}
+		timer.Reset(next)
 	}
 }
 
