--- a/jetty/feedsource.go
+++ b/jetty/feedsource.go
@@ -21,11 +21,11 @@
 	storeRetryDelay    = 50 * time.Millisecond
 	maxStoreRetryDelay = 600 * time.Millisecond
 	// fleetCallsPerSecond is how often all hosts together, except the feeders, call the
-	// store at first when their feeders do not answer, and then if it does not answer
-	// either. staleCallsPerSecond is the same if the feeders answer, but have no fresh
-	// changes, so that the store is likely to be down.
+	// store when their feeders fail, and then if it does not answer either. maxStoreInterval
+	// bounds the time for which a host of a large fleet waits: a change has to be in force
+	// seconds after the store is back, also where the feeders are lost.
 	fleetCallsPerSecond = 200
-	staleCallsPerSecond = 20
+	maxStoreInterval    = time.Second
 )
 
 // feedPlan is where a host gets the store's changes, as the placer has decided.
@@ -74,10 +74,8 @@
 
 	plan  feedPlan
 	hosts int
-	// failed has until when hosts are not asked, and stale those of them that have
-	// answered without fresh changes.
+	// failed has until when hosts are not asked.
 	failed map[string]mooring.Instant
-	stale  map[string]bool
 	// answered is when hosts last answered.
 	answered map[string]mooring.Instant
 	// storeUntil is until when the store is not called, and storeRetry the next pause after
@@ -94,7 +92,7 @@
 func newFeedSources(self string, random func() float64) *feedSources {
 	return &feedSources{
 		self: self, random: random, hosts: defaultHostCount,
-		failed: make(map[string]mooring.Instant), stale: make(map[string]bool), answered: make(map[string]mooring.Instant),
+		failed: make(map[string]mooring.Instant), answered: make(map[string]mooring.Instant),
 	}
 }
 
@@ -123,7 +121,7 @@
 	}
 	if len(before) > 0 && !s.alone {
 		s.alone = true
-		s.delayStore(now, before)
+		s.delayStore(now)
 	}
 	if now >= s.storeUntil {
 		return storeSource{}
@@ -150,22 +148,17 @@
 
 // delayStore sets when this host may call the store now that its feeders have failed.
 // Hosts that feed others do not wait.
-func (s *feedSources) delayStore(now mooring.Instant, feeders []string) {
+func (s *feedSources) delayStore(now mooring.Instant) {
 	if s.plan.feeds {
 		return
 	}
-	rate := float64(fleetCallsPerSecond)
-	if !slices.ContainsFunc(feeders, func(a string) bool { return !s.stale[a] }) {
-		rate = staleCallsPerSecond
-	}
-	s.storeInterval = time.Duration(float64(s.hosts) / rate * float64(time.Second))
+	s.storeInterval = min(time.Duration(float64(s.hosts)/fleetCallsPerSecond*float64(time.Second)), maxStoreInterval)
 	s.storeUntil = max(s.storeUntil, now.Add(time.Duration(s.random()*float64(s.storeInterval))))
 }
 
 // peerAnswered records changes of another host.
 func (s *feedSources) peerAnswered(now mooring.Instant, address string) {
 	delete(s.failed, address)
-	delete(s.stale, address)
 	s.answered[address] = now
 	s.alone, s.storeInterval = false, 0
 }
@@ -173,9 +166,8 @@
 // peerFailed records that another host has not answered, or has no fresh changes.
 func (s *feedSources) peerFailed(now mooring.Instant, address string, err error) {
 	delete(s.answered, address)
-	s.stale[address] = errors.Is(err, errNotDirect) || errors.Is(err, errStaleFeed) || errors.Is(err, errOlderFeed)
 	pause := feederBackoff
-	if s.stale[address] {
+	if errors.Is(err, errNotDirect) || errors.Is(err, errStaleFeed) || errors.Is(err, errOlderFeed) {
 		pause = staleFeedRetry
 	}
 	s.failed[address] = now.Add(pause)
