--- a/sluice/carrier.go
+++ b/sluice/carrier.go
@@ -12,8 +12,9 @@
 
 const (
 	// minCarriedHosts is the number of hosts of a failure domain from which carriers may
-	// pay. With fewer, a server has few connections anyway.
-	minCarriedHosts = 16
+	// pay. With fewer, the connections that are saved cost less than the processor time of
+	// the hops.
+	minCarriedHosts = 64
 	// carriedMeetings and directMeetings are how often a host has a request for a server in
 	// the time for which the server keeps an unused connection: below the first carriers
 	// begin to pay, above the second they no longer do.
