--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -114,10 +114,18 @@
 	return nil, errors.New("no free ports")
 }
 
-// start starts a process of the host, whose output is appended to its log file.
-func (h *host) start() error {
+// restart starts a process of the host, whose output is appended to its log file, unless
+// one is running.
+func (h *host) restart() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if len(h.processes) > 0 {
+		select {
+		case <-h.processes[len(h.processes)-1].exited:
+		default:
+			return nil
+		}
+	}
 	log, err := os.OpenFile(h.settings[:len(h.settings)-len("yaml")]+"log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -163,10 +171,13 @@
 // signal sends a signal to the current process unless it has exited. The returned
 // channel is closed when it has.
 func (h *host) signal(s syscall.Signal) <-chan struct{} {
+	seen := h.incarnation()
 	early := (s == syscall.SIGHUP || s == syscall.SIGTERM) && !h.listens()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.processes[len(h.processes)-1]
+	// What listened may have been the process before.
+	early = early || p.n != seen
 	select {
 	case <-p.exited:
 		return p.exited
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"slices"
 	"testing"
@@ -15,8 +16,15 @@
 func TestSoak(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "soak")
+	// After the summary, where a reader of the end of the output sees them.
+	for _, v := range violations {
+		t.Log(v)
+	}
 }
 
+// violations has the violations of all specs, for the end of the output.
+var violations []string
+
 var _ = Describe("The schedule", func() {
 	It("depends on the seed alone", func() {
 		a, b := newSchedule(7, mixAny, 20*time.Second, 5), newSchedule(7, mixAny, 20*time.Second, 5)
@@ -103,6 +111,9 @@
 		Expect(tb.startTraffic()).To(Succeed())
 		tb.runSchedule(newSchedule(seed, m, 8*time.Second, 4))
 		tb.finish()
+		for _, v := range tb.checker.violations() {
+			violations = append(violations, fmt.Sprintf("seed %d: %s", seed, v))
+		}
 		Expect(tb.checker.violations()).To(BeEmpty(), "seed %d", seed)
 	}
 	for _, seed := range seeds {
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -119,7 +119,7 @@
 	for i := range cfg.Hosts {
 		h, err := newHost(i, cfg, strings.TrimPrefix(tb.storeServer.URL, "http://"))
 		if err == nil {
-			err = h.start()
+			err = h.restart()
 		}
 		if err != nil {
 			return nil, errors.Join(err, tb.cleanUp())
@@ -427,12 +427,8 @@
 // restart starts a host if its process has exited and no other fault has
 // restarted it.
 func (tb *testbed) restart(h *host) {
-	select {
-	case <-h.processExited():
-		if err := h.start(); err != nil {
-			tb.checker.recordViolation("start host %d: %v", h.n, err)
-		}
-	default:
+	if err := h.restart(); err != nil {
+		tb.checker.recordViolation("start host %d: %v", h.n, err)
 	}
 }
 
