--- a/mooring/codec.go
+++ b/mooring/codec.go
@@ -1,14 +1,20 @@
 package mooring
 
 import (
-	"encoding/json"
 	"fmt"
 
+	"github.com/mailru/easyjson"
+
 	"hornbeamwinch.example/fairway"
 )
 
+//go:generate go run github.com/mailru/easyjson/easyjson@v0.9.1 -output_filename codec_easyjson.go codec.go
+
 // storedTable is the stored form of a [Table]. Assignments refer to server
-// instances by index, since an instance usually owns several ranges.
+// instances by index, since an instance usually owns several ranges. Each host decodes it
+// at each change, so its code is generated.
+//
+//easyjson:json
 type storedTable struct {
 	Service     fairway.ServiceName `json:"service"`
 	NextToken   Token               `json:"next_fence"`
@@ -17,9 +23,9 @@
 }
 
 type storedInstance struct {
-	Server      fairway.ServerID    `json:"server"`
+	Server      fairway.ServerID    `json:"server,intern"`
 	Incarnation fairway.Incarnation `json:"born"`
-	Address     string              `json:"address"`
+	Address     string              `json:"address,intern"`
 }
 
 type storedAssignment struct {
@@ -57,7 +63,7 @@
 		}
 		s.Assignments = append(s.Assignments, stored)
 	}
-	data, err := json.Marshal(s)
+	data, err := easyjson.Marshal(s)
 	if err != nil {
 		return nil, &Error{Op: "encode table", Kind: KindCorrupt, Err: err}
 	}
@@ -67,10 +73,10 @@
 // Decode parses and validates a table encoded by [Table.Encode].
 func Decode(data []byte) (*Table, error) {
 	var s storedTable
-	if err := json.Unmarshal(data, &s); err != nil {
+	if err := easyjson.Unmarshal(data, &s); err != nil {
 		return nil, &Error{Op: "decode table", Kind: KindCorrupt, Err: err}
 	}
-	t := &Table{Service: s.Service, NextToken: s.NextToken}
+	t := &Table{Service: s.Service, NextToken: s.NextToken, Assignments: make([]Assignment, 0, len(s.Assignments))}
 	for i, stored := range s.Assignments {
 		r := Assignment{KeyRange: KeyRange{From: stored.From, To: stored.To}, Token: stored.Token, Handover: stored.Handover}
 		if stored.Owner >= len(s.Instances) {
--- a/mooring/codec_test.go
+++ b/mooring/codec_test.go
@@ -1,6 +1,8 @@
 package mooring_test
 
 import (
+	"strings"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -22,4 +24,32 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(encoded)).To(Equal(storedTable))
 	})
+
+	It("is not read if it is cut off, has more after it, or has a number that is none or too large", func() {
+		for n := range len(storedTable) {
+			_, err := mooring.Decode([]byte(storedTable[:n]))
+			Expect(err).To(HaveOccurred(), "%d bytes", n)
+		}
+		for _, wrong := range []string{
+			storedTable + "}", storedTable + storedTable,
+			strings.Replace(storedTable, `"from":0`, `"from":"0"`, 1),
+			strings.Replace(storedTable, `"from":0`, `"from":-1`, 1),
+			strings.Replace(storedTable, `"from":0`, `"from":0.5`, 1),
+			strings.Replace(storedTable, `"to":65535`, `"to":131071`, 1),
+			strings.Replace(storedTable, `"owner":1`, `"owner":2`, 1),
+			strings.Replace(storedTable, `"former":[0]`, `"former":[-1]`, 1),
+			strings.Replace(storedTable, `"rows":[`, `"rows":[[`, 1),
+			strings.Replace(storedTable, `"former":[0]`, `"former":0`, 1),
+		} {
+			_, err := mooring.Decode([]byte(wrong))
+			Expect(err).To(HaveOccurred(), wrong)
+		}
+	})
+
+	It("is read if a later build has added fields, and strings are escaped", func() {
+		t, err := mooring.Decode([]byte(strings.NewReplacer(`"born":7`, `"born":7,"added":{"a":[1,"}"],"b":null}`, `"handover":"x"`, `"handover":"\u0078"`).Replace(storedTable)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.Find(10).Handover).To(Equal("x"))
+		Expect(t.Find(0).Owner).To(Equal(mooring.ServerInstance{Server: "a", Incarnation: 7, Address: "10.0.0.1:80"}))
+	})
 })
