--- a/fairway/catalog.go
+++ b/fairway/catalog.go
@@ -40,6 +40,15 @@
 	ReadAt time.Time
 }
 
+// Same reports whether two readings of a registration mean the same, whenever they were
+// made.
+func (e Endpoint) Same(other Endpoint) bool {
+	if e.WarmupRemaining == 0 && other.WarmupRemaining == 0 {
+		e.ReadAt = other.ReadAt
+	}
+	return e == other
+}
+
 // Catalog is a snapshot of the endpoints of all backend servers. It is immutable:
 // [Catalog.Apply] returns a changed copy.
 type Catalog struct {
--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -393,6 +393,16 @@
 	s.hosts, s.reaching = hosts, reaching
 }
 
+// reevaluate decides again on the requests that wait at a service.
+func (s *admissionSet) reevaluate(service fairway.ServiceName) {
+	s.mu.Lock()
+	a := s.admissions[service]
+	s.mu.Unlock()
+	if a != nil {
+		a.reevaluate()
+	}
+}
+
 // sharing returns how many hosts share the servers of a service.
 func (s *admissionSet) sharing(service fairway.ServiceName, reaching int) int {
 	if s.cfg.Carriers == nil {
--- a/jetty/changelog.go
+++ b/jetty/changelog.go
@@ -249,14 +249,23 @@
 	return b.Bytes()
 }
 
+// decompressors has readers that are not in use. Each has tables of 40 KB.
+var decompressors = sync.Pool{New: func() any { return new(gzip.Reader) }}
+
+// compressionRatio is about that of tables.
+const compressionRatio = 6
+
 // decompress returns the value of a change, whether it is compressed or not.
 func decompress(c *signal.StoreChange) ([]byte, error) {
 	if !c.Compressed {
 		return c.Value, nil
 	}
-	r, err := gzip.NewReader(bytes.NewReader(c.Value))
-	if err != nil {
+	r := decompressors.Get().(*gzip.Reader)
+	defer decompressors.Put(r)
+	if err := r.Reset(bytes.NewReader(c.Value)); err != nil {
 		return nil, err
 	}
-	return io.ReadAll(io.LimitReader(r, maxPeerMessageBytes))
+	value := bytes.NewBuffer(make([]byte, 0, min(compressionRatio*len(c.Value), maxPeerMessageBytes)+bytes.MinRead))
+	_, err := value.ReadFrom(io.LimitReader(r, maxPeerMessageBytes))
+	return value.Bytes(), err
 }
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -331,20 +332,23 @@
 	w.onChange()
 }
 
-// apply applies changes in the order of their revisions.
+// apply applies changes in the order of their revisions. Most are moves of keys, which
+// concern only the requests that wait for them.
 func (w *watcher) apply(changes []ledger.Change) {
+	changed := false
 	var updated []fairway.Endpoint
 	var removed []fairway.ServerID
 	readAt := time.Now()
 	for _, c := range changes {
 		if strings.HasPrefix(c.Key, internalPrefix) {
-			w.applyHostRecord(c)
+			changed = w.applyHostRecord(c) || changed
 			continue
 		}
 		record := w.decode(c, readAt)
 		switch record := record.(type) {
 		case ConfigRecord:
 			w.setConfig(record.Config, c.Entry)
+			changed = true
 		case ServerRecord:
 			updated, removed = withoutServer(updated, record.ID), append(removed, record.ID)
 			delete(w.copied, record.ID)
@@ -360,8 +364,7 @@
 			w.logs.recordUnreadable(record)
 		}
 	}
-	w.updateServers(updated, removed)
-	if len(changes) > 0 {
+	if w.updateServers(updated, removed) || changed {
 		w.onChange()
 	}
 }
@@ -394,8 +397,9 @@
 	return kept
 }
 
-// applyHostRecord applies a change of a record that entry hosts write.
-func (w *watcher) applyHostRecord(c ledger.Change) {
+// applyHostRecord applies a change of a record that entry hosts write. It reports whether
+// more than a table has changed.
+func (w *watcher) applyHostRecord(c ledger.Change) (changed bool) {
 	defer w.recoverer.at(placeRecord, nil)
 	if c.Key == placerKey {
 		next := placerRecord{address: string(c.Value), revision: c.Revision}
@@ -405,36 +409,38 @@
 				w.onFirstPlacer()
 			}
 		}
-		return
+		return true
 	}
 	if c.Key == crashesKey && w.crashes != nil {
 		if err := w.crashes.applyStored(c); err != nil {
 			w.logs.recordUnreadable(UnreadableRecord{Key: c.Key, Err: err})
 		}
-		return
+		return true
 	}
 	name, ok := strings.CutPrefix(c.Key, tablePrefix)
 	if !ok || c.Removed {
-		return
+		return false
 	}
 	table, err := mooring.Decode(c.Value)
 	if err != nil {
 		w.logs.recordUnreadable(UnreadableRecord{Key: c.Key, Err: err})
-		return
+		return false
 	}
 	owners := w.admissions.ownersOf(fairway.ServiceName(name))
 	if c.Revision <= w.restoredAt && owners.knowsLater(table) {
-		return
+		return false
 	}
 	if owners.update(monotonicNow(), table, mooring.StoreRevision(c.Revision)) {
 		w.memory.setTable(c.Entry)
+		w.admissions.reevaluate(fairway.ServiceName(name))
 	}
+	return false
 }
 
-// updateServers changes the catalog. A server that is missing soon after an
+// updateServers changes the catalog, and reports whether it did. A server that is missing soon after an
 // outage is likely to register again; it stays in the catalog as unconfirmed
 // until unconfirmedUntil.
-func (w *watcher) updateServers(updated []fairway.Endpoint, removed []fairway.ServerID) {
+func (w *watcher) updateServers(updated []fairway.Endpoint, removed []fairway.ServerID) bool {
 	for _, e := range updated {
 		delete(w.missing, e.ID)
 		w.memory.registered(time.Now(), e, w.era)
@@ -455,9 +461,15 @@
 			removedNow = append(removedNow, id)
 		}
 	}
-	if len(updated) > 0 || len(removedNow) > 0 {
-		w.clusterState.servers.Store(w.clusterState.catalog().Apply(updated, removedNow))
+	updated = slices.DeleteFunc(updated, func(e fairway.Endpoint) bool {
+		current, known := w.clusterState.catalog().Get(e.ID)
+		return known && e.Same(current) && !slices.Contains(removedNow, e.ID)
+	})
+	if len(updated) == 0 && len(removedNow) == 0 {
+		return false
 	}
+	w.clusterState.servers.Store(w.clusterState.catalog().Apply(updated, removedNow))
+	return true
 }
 
 // acceptCopied applies the registrations of departed servers that the store still lists
--- a/jetty/watcher_test.go
+++ b/jetty/watcher_test.go
@@ -12,6 +12,7 @@
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
 	"hornbeamwinch.example/mooring"
+	"hornbeamwinch.example/sluice"
 )
 
 // noDelay is a source of random numbers that adds nothing to delays.
@@ -125,6 +126,61 @@
 		Expect(w.clusterState.activeConfig.Current().Version).To(Equal(fairway.Version(5)))
 	})
 
+	It("tells the rest of the host nothing of a table, or of a registration that says the same again", func() {
+		table, err := mooring.NewTable("readings").Encode()
+		Expect(err).NotTo(HaveOccurred())
+		former, catalog := changes, w.clusterState.catalog()
+		s.set("server/a", "x")
+		s.set(tableKey("readings"), string(table))
+		Expect(step()).To(Succeed())
+		Expect(w.admissions.ownersOf("readings").current.Load()).NotTo(BeNil())
+		Expect(changes).To(Equal(former))
+		Expect(w.clusterState.catalog()).To(BeIdenticalTo(catalog))
+		s.set("server/c", "x")
+		Expect(step()).To(Succeed())
+		Expect(changes).To(Equal(former + 1))
+		Expect(known()).To(ConsistOf("a", "b", "c"))
+	})
+
+	It("confirms a server that is missing by a registration that says the same again", func() {
+		outage()
+		s.remove("server/a")
+		Expect(step()).To(Succeed())
+		s.set("server/a", "x")
+		former := changes
+		Expect(step()).To(Succeed())
+		a, _ := w.clusterState.catalog().Get("a")
+		Expect(a.Unconfirmed).To(BeFalse())
+		Expect(changes).To(Equal(former + 1))
+	})
+
+	It("has requests that wait for an owner admitted with the table that names one", func() {
+		service := &fairway.Service{Name: "readings", Divided: true}
+		server := fairway.Endpoint{ID: "a", Service: "readings", Address: "10.0.0.1:80", Incarnation: 1, Slots: 4}
+		a := w.admissions.get(service, fairway.NewCatalog([]fairway.Endpoint{server}))
+		table := mooring.NewTable("readings")
+		set := func(revision ledger.Revision) {
+			data, err := table.Encode()
+			Expect(err).NotTo(HaveOccurred())
+			w.apply([]ledger.Change{{Entry: ledger.Entry{Key: tableKey("readings"), Value: data, Revision: revision}}})
+		}
+		set(100)
+		key := mooring.Key(7)
+		decided := make(chan sluice.Decision, 1)
+		go func() {
+			decided <- a.acquire(context.Background(), &sluice.Request{ID: 1, Key: &key, Deadline: monotonicNow().Add(time.Minute)})
+		}()
+		Eventually(func() int {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return a.controller.Waiting()
+		}).Should(Equal(1))
+		table.Assignments[0].Owner = mooring.ServerInstance{Server: "a", Incarnation: 1, Address: "10.0.0.1:80"}
+		table.Assignments[0].Token, table.NextToken = 1, 2
+		set(101)
+		Eventually(decided).Should(Receive(BeAssignableToTypeOf(sluice.Dispatch{})))
+	})
+
 	It("follows the placer and the tables, never back", func() {
 		s.set(placerKey, "10.0.0.1:1")
 		table, err := mooring.NewTable("readings").Encode()
