--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -147,8 +147,7 @@
 		case <-ctx.Done():
 			return
 		case event := <-r.events:
-			r.recordOrder(event.event)
-			r.step(event.service, event.event)
+			r.handle(event)
 		case <-r.wake:
 			r.updateServers()
 		case at := <-r.predecessorsEnded:
@@ -166,6 +165,37 @@
 	}
 }
 
+// maxEvents is the number of events that are planned for at once.
+const maxEvents = 4 * actionWorkers
+
+// handle passes an event on to its assigner, together with those of the same service that
+// have arrived after it. They stay in order, also with a change of the path to the servers.
+func (r *termRunner) handle(next assignerEvent) {
+	service := next.service
+	var events []mooring.Event
+	for {
+		pathChanged := r.recordOrder(next.event)
+		if len(events) > 0 && (pathChanged || next.service != service) {
+			r.step(service, events...)
+			events = events[:0]
+		}
+		if pathChanged {
+			r.updatePathLost()
+		}
+		service, events = next.service, append(events, next.event)
+		if len(events) == maxEvents {
+			break
+		}
+		select {
+		case next = <-r.events:
+			continue
+		default:
+		}
+		break
+	}
+	r.step(service, events...)
+}
+
 // goRecovered starts a part of the term, which ends with the term, and ends it if it panics.
 func (r *termRunner) goRecovered(ctx context.Context, run func(context.Context)) {
 	r.workers.Go(func() {
@@ -215,11 +245,13 @@
 }
 
 // recordOrder takes a completed order as evidence of the path to the servers.
-func (r *termRunner) recordOrder(e mooring.Event) {
-	if completed, ok := e.(mooring.OrderCompleted); ok {
-		r.path.record(completed)
-		r.updatePathLost()
+func (r *termRunner) recordOrder(e mooring.Event) (pathChanged bool) {
+	completed, ok := e.(mooring.OrderCompleted)
+	if !ok {
+		return false
 	}
+	r.path.record(completed)
+	return r.path.lost(bootTimeNow(), r.election.clusterState.catalog()) != r.pathLost
 }
 
 // updatePathLost notifies the assigners when the path to the servers is lost or there
@@ -395,13 +427,13 @@
 	return old + weight*(fresh-old)
 }
 
-// step passes an event to an assigner and its actions to the workers.
-func (r *termRunner) step(service fairway.ServiceName, e mooring.Event) {
+// step passes events to an assigner and its actions to the workers.
+func (r *termRunner) step(service fairway.ServiceName, events ...mooring.Event) {
 	assigner := r.assigners[service]
 	if assigner == nil {
 		return
 	}
-	actions := assigner.Step(bootTimeNow(), e)
+	actions := assigner.Step(bootTimeNow(), events...)
 	r.election.loadCollector.setGranted(service, assigner.UnrecordedGrants())
 	for _, action := range actions {
 		r.actions.add(assignerAction{service: service, action: action})
--- a/jetty/watcher_test.go
+++ b/jetty/watcher_test.go
@@ -240,4 +240,30 @@
 			Expect(next.action).NotTo(BeAssignableToTypeOf(mooring.WriteTable{}), "the former owner was cleared")
 		}
 	})
+	It("plan once for results that have arrived together, and lose none of them", func() {
+		config, err := fairway.NewConfig(1, fairway.Limits{}, nil, []*fairway.Service{{Name: "meters", Divided: true}, {Name: "readings", Divided: true}})
+		Expect(err).NotTo(HaveOccurred())
+		e := &election{
+			clusterState: newClusterState(fairway.NewActiveConfig()), admissions: newAdmissionSet(admissionSetConfig{}),
+			loadCollector: newLoadCollector(), maxHold: grantHold, logs: quietLogs(),
+		}
+		e.clusterState.activeConfig.SetIfNewer(config)
+		for _, services := range [][]fairway.ServiceName{{"readings"}, {"readings", "meters"}} {
+			r := &termRunner{
+				election: e, term: &term{began: bootTimeNow()}, actions: newActionQueue(), path: newPathEvidence(bootTimeNow()),
+				assigners: make(map[fairway.ServiceName]*mooring.Assigner), events: make(chan assignerEvent, 2*maxEvents),
+			}
+			r.updateServers()
+			const results = 2*maxEvents - 7
+			for n := range results {
+				r.events <- assignerEvent{service: services[n%len(services)], event: mooring.OrderCompleted{
+					Order: mooring.Order{To: mooring.ServerInstance{Server: "a"}}, Result: mooring.ResultNoResponse, Ended: bootTimeNow(),
+				}}
+			}
+			for len(r.events) > 0 {
+				r.handle(<-r.events)
+			}
+			Expect(r.path.servers["a"].failures).To(Equal(results))
+		}
+	})
 })
--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -120,10 +120,21 @@
 	return granted
 }
 
-// Step processes an event and returns the actions to execute.
-func (a *Assigner) Step(now Instant, e Event) []Action {
+// Step processes events and returns the actions to execute. What follows from several
+// events is planned once: where hundreds of servers answer orders, planning costs more than
+// the events.
+func (a *Assigner) Step(now Instant, events ...Event) []Action {
 	a.now = now
 	a.actions = nil
+	for _, e := range events {
+		a.process(e)
+	}
+	a.plan()
+	return a.actions
+}
+
+// process takes account of an event.
+func (a *Assigner) process(e Event) {
 	switch e := e.(type) {
 	case TableLoaded:
 		a.tableLoaded(e)
@@ -140,12 +151,12 @@
 		a.catalog = e.Catalog
 		if n := len(e.Catalog.ByService(a.cfg.Service)); n > a.knownServers {
 			a.knownServers = n
-			a.assignAfter = min(now.Add(a.cfg.Timing.InitialDelay), a.cfg.Now.Add(a.cfg.Timing.MaxInitialDelay))
+			a.assignAfter = min(a.now.Add(a.cfg.Timing.InitialDelay), a.cfg.Now.Add(a.cfg.Timing.MaxInitialDelay))
 		}
 	case OrderCompleted:
 		a.orderCompleted(e)
 	case LoadReported:
-		a.load.observe(now, e)
+		a.load.observe(a.now, e)
 		a.clearSuspicion(e)
 	case WritesAllowed:
 		a.writesBlocked = !e.Allowed
@@ -156,8 +167,6 @@
 		a.clearFailures()
 	case Tick:
 	}
-	a.plan()
-	return a.actions
 }
 
 func (a *Assigner) reload() {
--- a/mooring/assigner_test.go
+++ b/mooring/assigner_test.go
@@ -345,22 +345,25 @@
 		})
 	}
 
-	It("holds under several faults at random", func() {
-		for seed := range uint64(150) {
-			rng := rand.New(rand.NewPCG(20261204, seed))
-			sim := newSimulation(9 + rng.IntN(4))
-			injected := ""
-			for range 2 + rng.IntN(4) {
-				n, f := rng.IntN(total), faults[rng.IntN(len(faults))]
-				sim.faultAt[n] = f
-				injected += fmt.Sprintf(" %d:%s", n, f)
+	for _, together := range []time.Duration{0, 30 * time.Millisecond} {
+		It(fmt.Sprintf("holds under several faults at random (results collected for %v)", together), func() {
+			for seed := range uint64(150) {
+				rng := rand.New(rand.NewPCG(20261204, seed))
+				sim := newSimulation(9 + rng.IntN(4))
+				sim.together = together
+				injected := ""
+				for range 2 + rng.IntN(4) {
+					n, f := rng.IntN(total), faults[rng.IntN(len(faults))]
+					sim.faultAt[n] = f
+					injected += fmt.Sprintf(" %d:%s", n, f)
+				}
+				causeMoves(sim)
+				sim.run(recoveryTime)
+				Expect(sim.violations).To(BeEmpty(), "seed %d:%s", seed, injected)
+				Expect(sim.unheldKeys()).To(BeEmpty(), "seed %d:%s", seed, injected)
 			}
-			causeMoves(sim)
-			sim.run(recoveryTime)
-			Expect(sim.violations).To(BeEmpty(), "seed %d:%s", seed, injected)
-			Expect(sim.unheldKeys()).To(BeEmpty(), "seed %d:%s", seed, injected)
-		}
-	})
+		})
+	}
 })
 
 // assignerDriver executes the actions of an assigner except its orders, which it
--- a/mooring/simulation_test.go
+++ b/mooring/simulation_test.go
@@ -196,6 +196,10 @@
 	// storeOutUntil.
 	storeCalls    int
 	storeOutUntil mooring.Instant
+	// together is the time for which a placer collects the results of its actions before
+	// it takes account of them, and collected has them by term.
+	together  time.Duration
+	collected map[int][]mooring.Event
 	// losesWrites is set while the store executes no write and answers none.
 	losesWrites bool
 	// The placer of the term lostPathTerm reaches no server until lostPathUntil. If
@@ -588,11 +592,44 @@
 	if assigner == nil {
 		return
 	}
+	if sim.together > 0 && isResult(e) {
+		sim.collect(term, e)
+		return
+	}
 	for _, action := range assigner.Step(sim.now, e) {
 		sim.execute(term, action)
 	}
 }
 
+// isResult reports whether an event is the result of an action.
+func isResult(e mooring.Event) bool {
+	switch e.(type) {
+	case mooring.TableLoaded, mooring.WriteSucceeded, mooring.WriteFailed, mooring.OrderCompleted:
+		return true
+	default:
+		return false
+	}
+}
+
+// collect keeps the result of an action for a placer that is busy.
+func (sim *simulation) collect(term int, e mooring.Event) {
+	if sim.collected == nil {
+		sim.collected = make(map[int][]mooring.Event)
+	}
+	if len(sim.collected[term]) == 0 {
+		sim.schedule(sim.together, func() {
+			events := sim.collected[term]
+			sim.collected[term] = nil
+			if assigner := sim.assignerOf(term); assigner != nil {
+				for _, action := range assigner.Step(sim.now, events...) {
+					sim.execute(term, action)
+				}
+			}
+		})
+	}
+	sim.collected[term] = append(sim.collected[term], e)
+}
+
 func (sim *simulation) execute(term int, action mooring.Action) {
 	n := sim.interactions
 	sim.interactions++
