--- a/mooring/codec.go
+++ b/mooring/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 
 	"github.com/mailru/easyjson"
 
@@ -70,10 +71,16 @@
 	return data, nil
 }
 
+// storedTables has stored forms that are not in use, whose slices have grown to the size of
+// tables.
+var storedTables = sync.Pool{New: func() any { return new(storedTable) }}
+
 // Decode parses and validates a table encoded by [Table.Encode].
 func Decode(data []byte) (*Table, error) {
-	var s storedTable
-	if err := easyjson.Unmarshal(data, &s); err != nil {
+	s := storedTables.Get().(*storedTable)
+	defer storedTables.Put(s)
+	*s = storedTable{Instances: s.Instances[:0], Assignments: s.Assignments[:0]}
+	if err := easyjson.Unmarshal(data, s); err != nil {
 		return nil, &Error{Op: "decode table", Kind: KindCorrupt, Err: err}
 	}
 	t := &Table{Service: s.Service, NextToken: s.NextToken, Assignments: make([]Assignment, 0, len(s.Assignments))}
--- a/mooring/codec_test.go
+++ b/mooring/codec_test.go
@@ -46,6 +46,19 @@
 		}
 	})
 
+	It("has nothing of the table that was read before", func() {
+		for _, next := range []string{"{}", `{"rows":null,"holders":null}`, `{"service":"readings","next_fence":9,"holders":[],"rows":[{"from":0,"to":65535,"owner":-1,"fence":1}]}`} {
+			_, err := mooring.Decode([]byte(storedTable))
+			Expect(err).NotTo(HaveOccurred())
+			t, err := mooring.Decode([]byte(next))
+			if err == nil {
+				Expect(t).To(Equal(&mooring.Table{Service: "readings", NextToken: 9, Assignments: []mooring.Assignment{{KeyRange: mooring.KeyRange{From: 0, To: 65535}, Token: 1}}}))
+			} else {
+				Expect(err).To(MatchError(ContainSubstring("keys from 0 on are not assigned")))
+			}
+		}
+	})
+
 	It("is read if a later build has added fields, and strings are escaped", func() {
 		t, err := mooring.Decode([]byte(strings.NewReplacer(`"born":7`, `"born":7,"added":{"a":[1,"}"],"b":null}`, `"handover":"x"`, `"handover":"\u0078"`).Replace(storedTable)))
 		Expect(err).NotTo(HaveOccurred())
