--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -82,6 +82,9 @@
 	idleTimeoutStated bool
 	// broken connections must not be used again.
 	broken bool
+	// answered is set once the connection has carried a response. What follows without
+	// an id may be another copy of that one.
+	answered bool
 }
 
 // Write implements io.Writer and counts the bytes.
@@ -286,9 +289,9 @@
 	maxHead int
 }
 
-// readResponse reads responses until one names the request id, or names none;
-// the caller decides whether that is acceptable. Orders have an empty id, so
-// that any response with an id is skipped.
+// readResponse reads responses until one names the request id. The first one on a
+// connection may name none; the caller decides whether that is acceptable. Orders have an
+// empty id, so that any response with an id is skipped.
 func (c *connection) readResponse(opts responseOptions) (*http.Response, error) {
 	r := &http.Request{Method: opts.method}
 	for mismatched := 0; ; {
@@ -296,10 +299,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if echo := resp.Header.Get(opts.idHeader); echo == opts.id || echo == "" {
+		echo := resp.Header.Get(opts.idHeader)
+		if echo == opts.id || echo == "" && !c.answered {
+			c.answered = true
 			return resp, nil
 		}
-		if mismatched++; mismatched > maxMismatched || resp.ContentLength < 0 || resp.ContentLength > maxMismatchedBytes {
+		if mismatched++; echo == "" || mismatched > maxMismatched || resp.ContentLength < 0 || resp.ContentLength > maxMismatchedBytes {
 			return nil, errMismatchedResponse
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
