--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -396,6 +396,7 @@
 
 var (
 	errNoRequestID        = errors.New("response has no request id")
+	errNoLength           = errors.New("response has a body without a length, so its end cannot be told from a break")
 	errUnexpectedEncoding = errors.New("response has a content encoding that was not requested")
 )
 
@@ -409,6 +410,9 @@
 	if httpResp.Header.Get(f.headers.RequestID) != r.id && !f.notRun(resp) {
 		return invalid(errNoRequestID)
 	}
+	if httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 && httpResp.Body != http.NoBody && !f.notRun(resp) {
+		return invalid(errNoLength)
+	}
 	if httpResp.Header.Get("Content-Encoding") != "" {
 		return invalid(errUnexpectedEncoding)
 	}
