--- a/jetty/carrierplan.go
+++ b/jetty/carrierplan.go
@@ -76,7 +76,7 @@
 func (l *loadCollector) decideCarriers(loads map[fairway.ServiceName]serviceLoad, interval time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	smallest := l.smallestDomain()
+	domains := l.domains()
 	for service, load := range loads {
 		rate := l.plan.rates[service]
 		if rate == nil {
@@ -85,7 +85,7 @@
 		}
 		rate.add(load.requests, interval)
 		l.plan.carried[service] = sluice.CarriersPay(sluice.CarrierLoad{
-			Hosts: smallest, Fleet: len(l.reportingHosts), Servers: load.servers, Rate: rate.rate(), KeepTime: load.keepTime,
+			Domains: domains, Fleet: len(l.reportingHosts), Servers: load.servers, Rate: rate.rate(), KeepTime: load.keepTime,
 		}, l.plan.carried[service])
 	}
 	for service := range l.plan.carried {
@@ -95,19 +95,13 @@
 	}
 }
 
-// smallestDomain returns the number of hosts in the failure domain with the fewest.
-func (l *loadCollector) smallestDomain() int {
-	hosts := make(map[fairway.Domain]int)
+// domains returns the number of failure domains with hosts that report.
+func (l *loadCollector) domains() int {
+	hosts := make(map[fairway.Domain]bool)
 	for _, h := range l.reportingHosts {
-		hosts[h.domain]++
+		hosts[h.domain] = true
 	}
-	smallest := 0
-	for _, n := range hosts {
-		if smallest == 0 || n < smallest {
-			smallest = n
-		}
-	}
-	return smallest
+	return len(hosts)
 }
 
 // carriersOf returns the carriers of a failure domain, or nil if there are none. Hosts that
--- a/jetty/carriers_test.go
+++ b/jetty/carriers_test.go
@@ -262,9 +262,19 @@
 		Expect(summary.carriersVersion).To(BeZero())
 	},
 		Entry("terminal", 12, 3, 21, 411), Entry("Hilo Chapín", 9, 4, 16, 269), Entry("Stallkeep", 8, 3, 10, 179), Entry("Stallkeep grown", 66, 3, 126, 1535),
-		Entry("terminal with 195 hosts", 195, 5, 322, 1626),
 	)
 
+	It("are those of the own failure domain at the terminal with 195 hosts, also while half of the hosts are lost", func() {
+		fleet(195, 5, 0)
+		decide(1626, 322)
+		Expect(report("host-000", "domain-0", 16).carriers.Carriers).To(HaveLen(39))
+		l = newLoadCollector()
+		l.continueCarriers(map[fairway.ServiceName]bool{"readings": true})
+		fleet(98, 5, 0)
+		decide(1626, 322)
+		Expect(report("host-000", "domain-0", 16).carriers.Carriers).To(HaveLen(20))
+	})
+
 	It("are the hosts of the own failure domain that can carry, under one version from all placers", func() {
 		fleet(400, 5, 0)
 		decide(3300, 660)
--- a/sluice/carrier.go
+++ b/sluice/carrier.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// minCarriedHosts is the number of hosts of a failure domain from which carriers may
-	// pay. With fewer, the connections that are saved cost less than the processor time of
-	// the hops.
-	minCarriedHosts = 64
+	// carriedHosts is the number of hosts of a failure domain, on average, from which carriers
+	// begin to pay, and directHosts the one below which they no longer do. With fewer, the
+	// connections that are saved cost less than the processor time of the hops.
+	carriedHosts = 32
+	directHosts  = 16
 	// carriedMeetings and directMeetings are how often a host has a request for a server in
 	// the time for which the server keeps an unused connection: below the first carriers
 	// begin to pay, above the second they no longer do.
@@ -36,9 +37,9 @@
 // failure domain, the carrier of the server, sends the requests of all, connections are
 // reused and windows follow the load.
 type CarrierLoad struct {
-	// Hosts is the number of hosts of a failure domain, and Fleet that of all.
-	Hosts int
-	Fleet int
+	// Domains is the number of failure domains with hosts, and Fleet that of the hosts.
+	Domains int
+	Fleet   int
 	// Servers is the number of servers of the service.
 	Servers int
 	// Rate is the number of requests of all hosts a second.
@@ -50,7 +51,11 @@
 // CarriersPay reports whether carriers are to send the requests of a service, and if they
 // already do whether that is to remain so.
 func CarriersPay(l CarrierLoad, carried bool) bool {
-	if l.Hosts < minCarriedHosts || l.Servers == 0 || l.Fleet == 0 {
+	least := carriedHosts
+	if carried {
+		least = directHosts
+	}
+	if l.Servers == 0 || l.Fleet == 0 || l.Fleet < least*l.Domains {
 		return false
 	}
 	rate, keepTime := l.Rate/float64(l.Servers), l.KeepTime
--- a/sluice/carrier_test.go
+++ b/sluice/carrier_test.go
@@ -17,7 +17,7 @@
 	DescribeTable("pay where a host seldom has two requests for a server while a connection is kept",
 		func(domains, fleet, servers int, rate float64, pay bool) {
 			load := sluice.CarrierLoad{
-				Hosts: fleet / domains, Fleet: fleet, Servers: servers, Rate: rate, KeepTime: 8500 * time.Millisecond,
+				Domains: domains, Fleet: fleet, Servers: servers, Rate: rate, KeepTime: 8500 * time.Millisecond,
 			}
 			Expect(sluice.CarriersPay(load, false)).To(Equal(pay))
 		},
@@ -25,7 +25,7 @@
 		Entry("Hilo Chapín, 9 hosts", 4, 9, 16, 269.0, false),
 		Entry("Stallkeep, 8 hosts", 3, 8, 10, 179.0, false),
 		Entry("Stallkeep grown, 66 hosts", 3, 66, 126, 1535.0, false),
-		Entry("terminal, 195 hosts", 5, 195, 322, 1626.0, false),
+		Entry("terminal, 195 hosts", 5, 195, 322, 1626.0, true),
 		Entry("400 hosts", 5, 400, 660, 3300.0, true),
 		Entry("400 hosts, in a burst", 5, 400, 660, 5610.0, true),
 		Entry("940 hosts", 4, 940, 3760, 18800.0, true),
@@ -35,7 +35,7 @@
 	)
 
 	It("do not begin and end by turns where the load is near the limit", func() {
-		load := sluice.CarrierLoad{Hosts: 80, Fleet: 400, Servers: 600, KeepTime: 10 * time.Second}
+		load := sluice.CarrierLoad{Domains: 5, Fleet: 400, Servers: 600, KeepTime: 10 * time.Second}
 		carried, changes := false, 0
 		for i := range 1000 {
 			load.Rate = 24000 * (1 + 0.3*float64(i%7-3)/3)
@@ -47,6 +47,19 @@
 		Expect(changes).To(BeNumerically("<=", 1))
 	})
 
+	It("do not begin and end by turns while the hosts of a failure domain start or are lost", func() {
+		load := sluice.CarrierLoad{Domains: 5, Fleet: 195, Servers: 322, Rate: 1626, KeepTime: 8500 * time.Millisecond}
+		Expect(sluice.CarriersPay(load, false)).To(BeTrue())
+		for lost := range 40 {
+			load.Fleet = 195 - lost
+			Expect(sluice.CarriersPay(load, true)).To(BeTrue(), "%d lost", lost)
+		}
+		load.Domains, load.Fleet = 4, 155
+		Expect(sluice.CarriersPay(load, true)).To(BeTrue())
+		load.Domains, load.Fleet = 5, 5
+		Expect(sluice.CarriersPay(load, true)).To(BeFalse(), "a fleet that has just begun to start")
+	})
+
 	fleet := func(n int) []sluice.Carrier {
 		var carriers []sluice.Carrier
 		for i := range n {
