--- a/cmd/hornbeamwinchd/signal_test.go
+++ b/cmd/hornbeamwinchd/signal_test.go
@@ -145,6 +145,22 @@
 	return string(d.Out.Contents()) + string(d.Err.Contents())
 }
 
+var _ = Describe("A daemon that cannot start", func() {
+	It("says which of its addresses is in use, and ends with exitFailed", func() {
+		binary, err := gexec.Build("hornbeamwinch.example/cmd/hornbeamwinchd")
+		Expect(err).NotTo(HaveOccurred())
+		address, text := platformSettings("127.0.0.1:1")
+		l, err := net.Listen("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		file := filepath.Join(GinkgoT().TempDir(), "settings.yaml")
+		Expect(os.WriteFile(file, text, 0o600)).To(Succeed())
+		d := startProcess(binary, "--platform", "--settings", file)
+		Eventually(d).WithTimeout(endTimeout).Should(gexec.Exit(exitFailed))
+		Expect(string(d.Err.Contents())).To(And(ContainSubstring(address), ContainSubstring("address already in use")))
+	})
+})
+
 var _ = Describe("A signal to the daemon", Ordered, ContinueOnFailure, func() {
 	// daemons is how many daemons a test starts, to hit a short moment.
 	const daemons = 8
--- a/cmd/hornbeamwinchd/signals.go
+++ b/cmd/hornbeamwinchd/signals.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -33,12 +34,14 @@
 	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(start); err != nil {
+		fmt.Fprintln(os.Stderr, "start:", err)
 		return exitFailed
 	}
 	<-s.stop
 	stop, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	if err := app.Stop(stop); err != nil {
+		fmt.Fprintln(os.Stderr, "stop:", err)
 		return exitFailed
 	}
 	return 0
