--- a/jetty/carriers_test.go
+++ b/jetty/carriers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -183,6 +184,30 @@
 		}
 	})
 
+	It("is waited for, and sent nowhere else, while the carrier that has it is only silent", func() {
+		silence := 4 * hopTimeout
+		peer := &scriptedPeer{handle: func(stream relayServerStream) error {
+			time.Sleep(silence)
+			err := stream.Send(&signal.RelayReply{Part: &signal.RelayReply_Head{Head: &signal.RelayHead{
+				Status: http.StatusOK, Server: "s", Headers: []*signal.RelayHeader{
+					{Name: "Signed", Value: []byte("y")}, {Name: "Id", Value: []byte("request-1")},
+				},
+			}}})
+			_, writeErr := (&relayWriter{stream: stream}).Write([]byte("late"))
+			return errors.Join(err, writeErr, stream.Send(&signal.RelayReply{Part: &signal.RelayReply_End{End: &signal.RelayEnd{Bytes: 4}}}))
+		}}
+		address, _ := serveRelay(peer)
+		p := newExchangeBench(0)
+		s := p.serve("s", 20, work(0))
+		b, _ := host(p, address)
+		res := <-b.send(context.Background(), keyed(b, 3, 3*time.Second))
+		Expect(res.result).To(BeAssignableToTypeOf(backendResponse{}))
+		Expect(string(res.result.(backendResponse).body)).To(Equal("late"))
+		Expect(res.after).To(BeNumerically(">=", silence))
+		Expect(peer.offers.Load()).To(Equal(int64(1)))
+		Expect(s.arrived.Load()).To(BeZero())
+	})
+
 	It("takes no carrier if it must not be repeated", func() {
 		p := newRelayPeer()
 		serve(p, work(0))
