--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -220,14 +220,6 @@
 	return slices.DeleteFunc(slices.Clone(h.processes), func(p *process) bool { return p.exitedAt.IsZero() })
 }
 
-// processExited returns a channel that is closed when the current process has
-// exited.
-func (h *host) processExited() <-chan struct{} {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.processes[len(h.processes)-1].exited
-}
-
 // incarnation returns the number of the current process of the host.
 func (h *host) incarnation() int {
 	h.mu.Lock()
--- a/mooring/codec.go
+++ b/mooring/codec.go
@@ -5,11 +5,14 @@
 	"sync"
 
 	"github.com/mailru/easyjson"
+	"github.com/mailru/easyjson/jlexer"
+	"github.com/mailru/easyjson/jwriter"
 
 	"hornbeamwinch.example/fairway"
 )
 
 //go:generate go run github.com/mailru/easyjson/easyjson@v0.9.1 -output_filename codec_easyjson.go codec.go
+//go:generate sh -c "gofumpt -w codec_easyjson.go && goimports -local hornbeamwinch.example -w codec_easyjson.go"
 
 // storedTable is the stored form of a [Table]. Assignments refer to server
 // instances by index, since an instance usually owns several ranges. Each host decodes it
@@ -24,9 +27,30 @@
 }
 
 type storedInstance struct {
-	Server      fairway.ServerID    `json:"server,intern"`
+	Server      internedString      `json:"server"`
 	Incarnation fairway.Incarnation `json:"born"`
-	Address     string              `json:"address,intern"`
+	Address     internedString      `json:"address"`
+}
+
+// internedString is a string that the tables which are read one after the other share.
+type internedString string
+
+// UnmarshalEasyJSON implements easyjson.Unmarshaler.
+func (s *internedString) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	*s = internedString(l.StringIntern())
+}
+
+// MarshalEasyJSON implements easyjson.Marshaler.
+func (s internedString) MarshalEasyJSON(w *jwriter.Writer) {
+	w.String(string(s))
+}
+
+func storedForm(i ServerInstance) storedInstance {
+	return storedInstance{Server: internedString(i.Server), Incarnation: i.Incarnation, Address: internedString(i.Address)}
+}
+
+func (i *storedInstance) instance() ServerInstance {
+	return ServerInstance{Server: fairway.ServerID(i.Server), Incarnation: i.Incarnation, Address: string(i.Address)}
 }
 
 type storedAssignment struct {
@@ -49,7 +73,7 @@
 		if !ok {
 			at = len(s.Instances)
 			index[instance] = at
-			s.Instances = append(s.Instances, storedInstance(instance))
+			s.Instances = append(s.Instances, storedForm(instance))
 		}
 		return at
 	}
@@ -90,13 +114,13 @@
 			return nil, &Error{Op: "decode table", Kind: KindCorrupt, Err: fmt.Errorf("assignment %d: owner index %d is out of range", i, stored.Owner)}
 		}
 		if stored.Owner >= 0 {
-			r.Owner = ServerInstance(s.Instances[stored.Owner])
+			r.Owner = s.Instances[stored.Owner].instance()
 		}
 		for _, at := range stored.FormerOwners {
 			if at < 0 || at >= len(s.Instances) {
 				return nil, &Error{Op: "decode table", Kind: KindCorrupt, Err: fmt.Errorf("assignment %d: former owner index %d is out of range", i, at)}
 			}
-			r.FormerOwners = append(r.FormerOwners, ServerInstance(s.Instances[at]))
+			r.FormerOwners = append(r.FormerOwners, s.Instances[at].instance())
 		}
 		t.Assignments = append(t.Assignments, r)
 	}
--- a/mooring/codec_easyjson.go
+++ b/mooring/codec_easyjson.go
@@ -4,9 +4,11 @@
 
 import (
 	json "encoding/json"
+
 	easyjson "github.com/mailru/easyjson"
 	jlexer "github.com/mailru/easyjson/jlexer"
 	jwriter "github.com/mailru/easyjson/jwriter"
+
 	fairway "hornbeamwinch.example/fairway"
 )
 
@@ -57,7 +59,7 @@
 						out.Instances = []storedInstance{}
 					}
 				} else {
-					out.Instances = (out.Instances)[:0]
+					out.Instances = out.Instances[:0]
 				}
 				for !in.IsDelim(']') {
 					var v1 storedInstance
@@ -80,7 +82,7 @@
 						out.Assignments = []storedAssignment{}
 					}
 				} else {
-					out.Assignments = (out.Assignments)[:0]
+					out.Assignments = out.Assignments[:0]
 				}
 				for !in.IsDelim(']') {
 					var v2 storedAssignment
@@ -100,6 +102,7 @@
 		in.Consumed()
 	}
 }
+
 func easyjson38c57360EncodeHornbeamwinchExampleMooring(out *jwriter.Writer, in storedTable) {
 	out.RawByte('{')
 	first := true
@@ -172,6 +175,7 @@
 func (v *storedTable) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson38c57360DecodeHornbeamwinchExampleMooring(l, v)
 }
+
 func easyjson38c57360DecodeHornbeamwinchExampleMooring2(in *jlexer.Lexer, out *storedAssignment) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
@@ -223,7 +227,7 @@
 						out.FormerOwners = []int{}
 					}
 				} else {
-					out.FormerOwners = (out.FormerOwners)[:0]
+					out.FormerOwners = out.FormerOwners[:0]
 				}
 				for !in.IsDelim(']') {
 					var v7 int
@@ -253,6 +257,7 @@
 		in.Consumed()
 	}
 }
+
 func easyjson38c57360EncodeHornbeamwinchExampleMooring2(out *jwriter.Writer, in storedAssignment) {
 	out.RawByte('{')
 	first := true
@@ -298,6 +303,7 @@
 	}
 	out.RawByte('}')
 }
+
 func easyjson38c57360DecodeHornbeamwinchExampleMooring1(in *jlexer.Lexer, out *storedInstance) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
@@ -316,7 +322,7 @@
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Server = fairway.ServerID(in.StringIntern())
+				out.Server.UnmarshalEasyJSON(in)
 			}
 		case "born":
 			if in.IsNull() {
@@ -328,7 +334,7 @@
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Address = string(in.StringIntern())
+				out.Address.UnmarshalEasyJSON(in)
 			}
 		default:
 			in.SkipRecursive()
@@ -340,6 +346,7 @@
 		in.Consumed()
 	}
 }
+
 func easyjson38c57360EncodeHornbeamwinchExampleMooring1(out *jwriter.Writer, in storedInstance) {
 	out.RawByte('{')
 	first := true
@@ -347,7 +354,7 @@
 	{
 		const prefix string = ",\"server\":"
 		out.RawString(prefix[1:])
-		out.String(string(in.Server))
+		in.Server.MarshalEasyJSON(out)
 	}
 	{
 		const prefix string = ",\"born\":"
@@ -357,7 +364,7 @@
 	{
 		const prefix string = ",\"address\":"
 		out.RawString(prefix)
-		out.String(string(in.Address))
+		in.Address.MarshalEasyJSON(out)
 	}
 	out.RawByte('}')
 }
