--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -45,6 +45,7 @@
 var cases = map[string]func(*play) (bool, error){
 	"late_rejection": (*play).lateRejection,
 	"large_bodies":   (*play).largeBodies,
+	"stop_uploads":   (*play).stopWithUploads,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -25,6 +25,9 @@
 	Sharded bool
 	// Work is how long a request takes.
 	Work time.Duration
+	// ImportWork is how long the work on the first piece of a body takes, for requests
+	// below importPath.
+	ImportWork time.Duration
 	// Queue is how many requests may wait for a slot.
 	Queue int
 	// LateCopies returns the share of the answers of which the worker now sends a second
@@ -58,6 +61,8 @@
 	sequence int
 	// runs counts how often each request has run.
 	runs map[string]int
+	// ended has when a request has last stopped running.
+	ended map[string]time.Time
 }
 
 func startWorker(cfg workerConfig) (*worker, error) {
@@ -66,7 +71,7 @@
 		return nil, err
 	}
 	w := &worker{
-		cfg: cfg, born: time.Now(), listener: l, fences: make(map[int]uint64), runs: make(map[string]int),
+		cfg: cfg, born: time.Now(), listener: l, fences: make(map[int]uint64), runs: make(map[string]int), ended: make(map[string]time.Time),
 		slots: make(chan struct{}, cfg.Slots), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 	go w.acceptLoop()
@@ -117,6 +122,16 @@
 			return
 		}
 		_ = c.SetReadDeadline(time.Time{})
+		if strings.HasPrefix(r.URL.Path, importPath) {
+			answer, err := w.run(r, func() ([]byte, error) { return w.readInPieces(r.Body) })
+			if err != nil {
+				return
+			}
+			if _, err := io.WriteString(c, answer); err != nil {
+				return
+			}
+			continue
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -134,7 +149,13 @@
 				return
 			}
 		}
-		answer := w.answer(r, body)
+		answer, err := w.run(r, func() ([]byte, error) {
+			time.Sleep(w.cfg.Work)
+			return body, nil
+		})
+		if err != nil {
+			return
+		}
 		if _, err := io.WriteString(c, answer); err != nil {
 			return
 		}
@@ -152,13 +173,32 @@
 	return w.cfg.LateCopies != nil && w.rng.Float64() < w.cfg.LateCopies()
 }
 
-// answer runs a request, or rejects it, and returns the answer.
-func (w *worker) answer(r *http.Request, body []byte) string {
+// importPath begins the paths of requests whose bodies a worker reads while it runs them:
+// the first piece, on which it works for a while, and then the rest.
+const importPath = "/import/"
+
+const firstPieceBytes = 64 << 10
+
+// readInPieces reads a body as the work on it goes on.
+func (w *worker) readInPieces(body io.Reader) ([]byte, error) {
+	first := make([]byte, firstPieceBytes)
+	n, err := io.ReadFull(body, first)
+	if err != nil {
+		return first[:n], err
+	}
+	time.Sleep(w.cfg.ImportWork)
+	rest, err := io.ReadAll(body)
+	return append(first, rest...), err
+}
+
+// run runs a request, or rejects it, and returns the answer. The function work does the work
+// and returns the body.
+func (w *worker) run(r *http.Request, work func() ([]byte, error)) (string, error) {
 	id := r.Header.Get("Hornbeamwinch-Request-Id")
-	reject := func(status int, reason string) string {
+	reject := func(status int, reason string) (string, error) {
 		w.cfg.Record.add("worker %s rejects %s with %d as not run: %s", w.cfg.ID, id, status, reason)
 		return fmt.Sprintf("HTTP/1.1 %d %s\r\nHornbeamwinch-Request-Id: %s\r\nHornbeamwinch-Not-Executed: 1\r\nKeep-Alive: timeout=%d\r\nContent-Length: 0\r\n\r\n",
-			status, http.StatusText(status), id, idleTimeoutS)
+			status, http.StatusText(status), id, idleTimeoutS), nil
 	}
 	if expected := r.Header.Get("Hornbeamwinch-Expected-Instance"); expected != "" && expected != w.cfg.ID {
 		return reject(http.StatusMisdirectedRequest, "another worker is expected")
@@ -179,16 +219,21 @@
 	w.runs[id]++
 	n := w.runs[id]
 	w.mu.Unlock()
-	w.cfg.Record.add("worker %s runs %s (%s %s, %d bytes), run %d of it here", w.cfg.ID, id, r.Method, r.URL.Path, len(body), n)
-	time.Sleep(w.cfg.Work)
+	w.cfg.Record.add("worker %s runs %s (%s %s, a body of %d bytes), run %d of it here", w.cfg.ID, id, r.Method, r.URL.Path, r.ContentLength, n)
+	body, err := work()
 	<-w.slots
 	w.mu.Lock()
 	w.present--
+	w.ended[id] = time.Now()
 	w.mu.Unlock()
+	if err != nil {
+		w.cfg.Record.add("worker %s is at work on %s and has %d bytes of its body, when the connection ends: %v", w.cfg.ID, id, len(body), err)
+		return "", err
+	}
 	w.cfg.Record.add("worker %s has run %s, answers 200", w.cfg.ID, id)
 	text := "done " + id
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nHornbeamwinch-Request-Id: %s\r\nHornbeamwinch-Server-Signature: signed-by-%s\r\nKeep-Alive: timeout=%d\r\nContent-Length: %d\r\n\r\n%s",
-		id, w.cfg.ID, idleTimeoutS, len(text), text)
+		id, w.cfg.ID, idleTimeoutS, len(text), text), nil
 }
 
 func (w *worker) holds(key int) bool {
@@ -260,6 +305,14 @@
 	w.held = kept
 }
 
+// endedAt returns when a request stopped running, if it ran at this worker.
+func (w *worker) endedAt(id string) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, ok := w.ended[id]
+	return at, ok
+}
+
 // countRuns returns how often a request has run at this worker.
 func (w *worker) countRuns(id string) int {
 	w.mu.Lock()
