--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -46,6 +46,7 @@
 	"late_rejection": (*play).lateRejection,
 	"large_bodies":   (*play).largeBodies,
 	"stop_uploads":   (*play).stopWithUploads,
+	"stop_reports":   (*play).stopWithReports,
 }
 
 func main() {
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -9,22 +9,33 @@
 	"time"
 )
 
-// stopWithUploads has a machine stop, as the platform stops one, while workers are at work on
-// requests whose bodies they read as the work goes on.
+// stopWithUploads has a machine stop while workers are at work on requests whose bodies they
+// read as the work goes on.
 func (p *play) stopWithUploads() (bool, error) {
+	return p.stop(importPath, 20_000_000)
+}
+
+// stopWithReports has a machine stop while workers are at work on requests that they answer as
+// the work goes on, without a length.
+func (p *play) stopWithReports() (bool, error) {
+	return p.stop(reportPath, 8)
+}
+
+// stop has a machine stop, as the platform stops one, soon before it gets requests that take
+// about two seconds, below a path and with a body of some bytes.
+func (p *play) stop(path string, bodyBytes int) (bool, error) {
 	const (
-		uploads     = 3
-		uploadBytes = 20_000_000
-		uploadRate  = 28_000_000
-		clients     = 20
-		playTime    = 14 * time.Second
-		stopAt      = 4 * time.Second
-		uploadAt    = 500 * time.Millisecond
-		deadline    = 4 * time.Second
-		grace       = graceS * time.Second
+		uploads    = 3
+		uploadRate = 28_000_000
+		clients    = 20
+		playTime   = 14 * time.Second
+		stopAt     = 4 * time.Second
+		uploadAt   = 500 * time.Millisecond
+		deadline   = 4 * time.Second
+		grace      = graceS * time.Second
 	)
 	p.store.set("op/config", configuration("desk", false, 67_108_864,
-		rule("r-order", "unsafe", "/order/", "desk", 2, 2), rule("r-import", "unsafe", importPath, "desk", 5, 2)))
+		rule("r-order", "unsafe", "/order/", "desk", 2, 2), rule("r-long", "unsafe", path, "desk", 5, 2)))
 	workers, err := p.startWorkers(6, workerConfig{Service: "desk", Slots: 6, Queue: 24, Work: 100 * time.Millisecond, ImportWork: 1800 * time.Millisecond})
 	if err != nil {
 		return false, err
@@ -63,16 +74,16 @@
 			time.Sleep(time.Until(begin.Add(stopAt - time.Second)))
 			// A request before, so that the connection is a kept one when the stop begins.
 			o := c.send(clientRequest{id: fmt.Sprintf("k%d", n), method: http.MethodPost, host: "one.example", path: "/order/k", body: []byte("amount=7"), deadline: 2 * time.Second})
-			p.rec.add("uploading client %d: %v", n, o)
+			p.rec.add("client of request u%d: %v", n, o)
 			time.Sleep(time.Until(begin.Add(stopAt + uploadAt)))
 			u := uploaded{sentAt: time.Now(), outcome: outcome{id: fmt.Sprintf("u%d", n)}}
-			p.rec.add("upload %d begins at %s: %d bytes, deadline %v", n, first.cfg.Name, uploadBytes, deadline)
+			p.rec.add("request u%d begins at %s: %d bytes, deadline %v", n, first.cfg.Name, bodyBytes, deadline)
 			u.outcome = c.send(clientRequest{
-				id: u.outcome.id, method: http.MethodPost, host: "one.example", path: importPath + "x",
-				body: make([]byte, uploadBytes), deadline: deadline, bytesPerSecond: uploadRate,
+				id: u.outcome.id, method: http.MethodPost, host: "one.example", path: path + "x",
+				body: make([]byte, bodyBytes), deadline: deadline, bytesPerSecond: uploadRate,
 			})
 			u.endedAt = time.Now()
-			p.rec.add("upload %d: %v", n, u.outcome)
+			p.rec.add("request u%d: %v", n, u.outcome)
 			mu.Lock()
 			sent = append(sent, u)
 			mu.Unlock()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -132,6 +132,10 @@
 			}
 			continue
 		}
+		if strings.HasPrefix(r.URL.Path, reportPath) {
+			w.report(c, r)
+			return
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -191,6 +195,43 @@
 	return append(first, rest...), err
 }
 
+// reportPath begins the paths of requests that a worker answers as the work goes on, with a
+// body that has no length and ends with the connection.
+const reportPath = "/report/"
+
+// Pieces of such an answer.
+const (
+	reportPieces = 10
+	reportPause  = 150 * time.Millisecond
+)
+
+// report runs a request and writes its answer as the work goes on.
+func (w *worker) report(c net.Conn, r *http.Request) {
+	id := r.Header.Get("Hornbeamwinch-Request-Id")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	w.runs[id]++
+	n := w.runs[id]
+	w.mu.Unlock()
+	w.cfg.Record.add("worker %s runs %s (%s %s, a body of %d bytes), run %d of it here", w.cfg.ID, id, r.Method, r.URL.Path, len(body), n)
+	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nHornbeamwinch-Request-Id: %s\r\nHornbeamwinch-Server-Signature: signed-by-%s\r\nConnection: close\r\n\r\n", id, w.cfg.ID)
+	for piece := 0; piece < reportPieces && err == nil; piece++ {
+		time.Sleep(reportPause)
+		_, err = fmt.Fprintf(c, "piece %d of %s\n", piece, id)
+	}
+	w.mu.Lock()
+	w.ended[id] = time.Now()
+	w.mu.Unlock()
+	if err != nil {
+		w.cfg.Record.add("worker %s is at work on %s, when the connection ends: %v", w.cfg.ID, id, err)
+		return
+	}
+	w.cfg.Record.add("worker %s has run %s and ends its answer", w.cfg.ID, id)
+}
+
 // run runs a request, or rejects it, and returns the answer. The function work does the work
 // and returns the body.
 func (w *worker) run(r *http.Request, work func() ([]byte, error)) (string, error) {
