--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -84,22 +84,24 @@
 	const (
 		workerCount = 20
 		clients     = 150
-		playTime    = 50 * time.Second
+		playTime    = 100 * time.Second
 		// The largest dose of garble with extra late on ctp-gateway: the share 0.6 of
 		// the workers, 0.03 of their answers, 5 s. It comes again and again.
 		lateShare   = 0.03
-		lateTime    = 5 * time.Second
+		lateTime    = 4900 * time.Millisecond
 		lateRepeats = 7 * time.Second
 	)
 	p.store.set("op/config", configuration("desk", true, 1<<20, rule("r-order", "unsafe", "/order/", "desk", 3, 2)))
 	cfg := workerConfig{Service: "desk", Slots: 2, Queue: 2, Sharded: true, Work: 20 * time.Millisecond}
 	if p.trouble {
 		began := time.Now()
-		cfg.LateCopies = func() float64 {
-			if time.Since(began)%lateRepeats < lateTime {
-				return lateShare
+		cfg.LateCopies = func() (float64, int) {
+			elapsed := time.Since(began)
+			span := int(elapsed/lateRepeats) + 1
+			if elapsed%lateRepeats < lateTime {
+				return lateShare, span
 			}
-			return 0
+			return 0, span
 		}
 	}
 	workers, err := p.startWorkers(workerCount, cfg)
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -105,26 +105,27 @@
 		})
 	}
 	loops.Wait()
-	if !p.trouble {
-		p.rec.add("no SIGTERM: answers that break off a request are no matter of this rule")
-		return false, nil
-	}
-	broken := false
+	broken, cut := false, 0
 	for _, u := range sent {
 		for _, w := range workers {
 			ended, ran := w.endedAt(u.outcome.id)
 			if !ran || u.outcome.signed || u.outcome.connectErr {
 				continue
 			}
-			sinceStop := u.endedAt.Sub(stoppedAt)
-			// Not counted by the rule: the last sixth of grace_s, and the deadline.
-			if sinceStop < grace*5/6 && u.outcome.took < deadline && ended.After(u.sentAt) {
+			if u.outcome.took >= deadline || !ended.After(u.sentAt) {
+				continue
+			}
+			cut++
+			p.rec.add("worker %s was at work on %s, which the machine broke off", w.cfg.ID, u.outcome.id)
+			// The rule binds after a SIGTERM only, and not in the last sixth of grace_s.
+			if sinceStop := u.endedAt.Sub(stoppedAt); p.trouble && sinceStop < grace*5/6 {
 				broken = true
 				p.rec.add("LOST: worker %s was at work on %s; its answer %d is the machine's own, %.3f s after SIGTERM, %.3f s after it was sent",
 					w.cfg.ID, u.outcome.id, u.outcome.status, sinceStop.Seconds(), u.outcome.took.Seconds())
 			}
 		}
 	}
+	p.rec.add("%d requests were broken off while their workers were at work, SIGTERM: %v", cut, p.trouble)
 	return broken, nil
 }
 
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -30,10 +30,11 @@
 	ImportWork time.Duration
 	// Queue is how many requests may wait for a slot.
 	Queue int
-	// LateCopies returns the share of the answers of which the worker now sends a second
-	// copy late, where the answer to the next request on the connection is expected. Nil
+	// LateCopies returns the share of the answers of which the worker at most sends a second
+	// copy late, where the answer to the next request on the connection is expected, and the
+	// number of the present span of this disruption. The share is 0 between two spans. Nil
 	// means none.
-	LateCopies func() float64
+	LateCopies func() (share float64, span int)
 	Seed       uint64
 }
 
@@ -52,10 +53,12 @@
 
 	slots chan struct{}
 
-	mu      sync.Mutex
-	rng     *rand.Rand
-	present int
-	held    []keyRange
+	mu sync.Mutex
+	// span is the one that answers and copies are counted in.
+	span, answers, copies int
+	rng                   *rand.Rand
+	present               int
+	held                  []keyRange
 	// fences has the highest fencing token that was seen for each key.
 	fences   map[int]uint64
 	sequence int
@@ -114,7 +117,7 @@
 func (w *worker) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
-	copyOfLast := ""
+	copyOfLast, copySpan := "", 0
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(idleTimeoutS * time.Second))
 		r, err := http.ReadRequest(reader)
@@ -146,7 +149,7 @@
 			}
 			continue
 		}
-		if copyOfLast != "" {
+		if share, span := w.lateCopies(); copyOfLast != "" && share > 0 && span == copySpan {
 			w.cfg.Record.add("worker %s sends a second copy of the answer before, as an answer is expected to %s: %s",
 				w.cfg.ID, r.Header.Get("Hornbeamwinch-Request-Id"), strings.ReplaceAll(copyOfLast, "\r\n", " | "))
 			if _, err := io.WriteString(c, copyOfLast); err != nil {
@@ -164,17 +167,35 @@
 			return
 		}
 		copyOfLast = ""
-		if w.copiesLate() {
-			copyOfLast = answer
+		if _, span := w.lateCopies(); w.copiesLate() {
+			copyOfLast, copySpan = answer, span
 		}
 	}
 }
 
-// copiesLate decides whether an answer gets a second copy.
+// copiesLate decides whether an answer may get a second copy. It keeps to the share in each
+// span: a copy that has been decided on counts, whether it is sent or not.
 func (w *worker) copiesLate() bool {
+	share, span := w.lateCopies()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.cfg.LateCopies != nil && w.rng.Float64() < w.cfg.LateCopies()
+	if span != w.span {
+		w.span, w.answers, w.copies = span, 0, 0
+	}
+	w.answers++
+	if share == 0 || w.rng.Float64() >= 2*share || float64(w.copies+1) > share*float64(w.answers) {
+		return false
+	}
+	w.copies++
+	return true
+}
+
+// lateCopies returns the present share and span of late copies.
+func (w *worker) lateCopies() (share float64, span int) {
+	if w.cfg.LateCopies == nil {
+		return 0, 0
+	}
+	return w.cfg.LateCopies()
 }
 
 // importPath begins the paths of requests whose bodies a worker reads while it runs them:
