Add a case of downloads that a planned stop cuts

Case 3 is new: a stopping host takes requests whose deadlines lie after its end and exits in the middle of answers that are ready. The former cases 3 and 4 are 4 and 5. Without its trouble, case 2 now sends the same uploads one after the other.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 )
 
@@ -16,6 +18,8 @@
 	status int
 	signed bool
 	body   string
+	// received is the number of bytes of the body that have come.
+	received int
 	// err is set if the connection ended without a complete answer, and connectErr if it
 	// could not be opened.
 	err        error
@@ -31,14 +35,37 @@
 	deadline               time.Duration
 	// bytesPerSecond bounds how fast the body is sent; 0 means no bound.
 	bytesPerSecond int
+	// readBytesPerSecond bounds how fast the body of the answer is read; 0 means no bound.
+	readBytesPerSecond int
 }
 
 // client sends requests one after the other on a kept connection, and opens a new one when
 // the machine has closed it.
 type client struct {
 	address string
-	conn    net.Conn
-	reader  *bufio.Reader
+	// window bounds the bytes that are under way to the client, as a network does; 0 means
+	// that the loopback interface takes what it can.
+	window int
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// segmentBytes is the largest segment on a network other than the loopback interface.
+const segmentBytes = 1400
+
+// limitWindow sets the window of a connection that is to be opened.
+func (c *client) limitWindow(_, _ string, raw syscall.RawConn) error {
+	if c.window == 0 {
+		return nil
+	}
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, c.window),
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes),
+		)
+	})
+	return errors.Join(err, setErr)
 }
 
 const connectTimeout = time.Second
@@ -47,7 +74,8 @@
 	began := time.Now()
 	o := outcome{id: r.id}
 	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", c.address, connectTimeout)
+		dialer := net.Dialer{Timeout: connectTimeout, Control: c.limitWindow}
+		conn, err := dialer.Dial("tcp", c.address)
 		if err != nil {
 			o.err, o.connectErr = err, true
 			return o
@@ -70,7 +98,8 @@
 	}
 	if err == nil {
 		var body []byte
-		body, err = io.ReadAll(resp.Body)
+		body, err = readBody(resp.Body, r.readBytesPerSecond)
+		o.received = len(body)
 		o.status, o.body, o.signed = resp.StatusCode, string(body), resp.Header.Get("Hornbeamwinch-Server-Signature") != ""
 	}
 	o.err, o.took = err, time.Since(began)
@@ -80,6 +109,27 @@
 	return o
 }
 
+// readBody reads the body of an answer, no faster than bytesPerSecond unless that is 0. It
+// returns what has come.
+func readBody(body io.Reader, bytesPerSecond int) ([]byte, error) {
+	if bytesPerSecond == 0 {
+		return io.ReadAll(body)
+	}
+	const chunkBytes = 16 << 10
+	began, read, chunk := time.Now(), []byte(nil), make([]byte, chunkBytes)
+	for {
+		n, err := body.Read(chunk)
+		read = append(read, chunk[:n]...)
+		switch {
+		case errors.Is(err, io.EOF):
+			return read, nil
+		case err != nil:
+			return read, err
+		}
+		time.Sleep(time.Until(began.Add(time.Duration(float64(len(read)) / float64(bytesPerSecond) * float64(time.Second)))))
+	}
+}
+
 // sendBody sends the body of a request, no faster than the request says.
 func (c *client) sendBody(r clientRequest) error {
 	const chunkBytes = 256 << 10
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,7 +20,9 @@
 
 // hostConfig holds the parameters of a [host].
 type hostConfig struct {
-	Name         string
+	Name string
+	// Number tells the machines apart.
+	Number       int
 	Zone         string
 	StoreAddress string
 	// Dir is a temporary folder.
@@ -43,30 +43,25 @@
 	exited chan struct{}
 }
 
-// freePorts returns a number of consecutive free ports.
-func freePorts(count int) (int, error) {
-	for first := 21000 + os.Getpid()%500*16; first < 32000; first += count {
-		free := true
-		for p := first; p < first+count && free; p++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
-			if free = err == nil; free {
-				_ = l.Close()
-			}
-		}
-		if free {
-			return first, nil
-		}
-	}
-	return 0, errors.New("no free ports")
+// Ports of each machine, which has an address of its own.
+const (
+	frontPort     = 8641
+	readyPort     = 8640
+	firstPeerPort = 7620
+	lastPeerPort  = 7623
+)
+
+// loopbackIP returns the address of a machine. It depends on the id of this process, so that
+// plays beside each other do not take each other's ports.
+func loopbackIP(machine int) string {
+	const values = 250
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()/values%values, 1+os.Getpid()%values, 1+machine)
 }
 
 func newHost(cfg hostConfig) (*host, error) {
-	first, err := freePorts(6)
-	if err != nil {
-		return nil, err
-	}
+	ip := loopbackIP(cfg.Number)
 	h := &host{
-		cfg: cfg, front: fmt.Sprintf("127.0.0.1:%d", first), ready: fmt.Sprintf("127.0.0.1:%d", first+1),
+		cfg: cfg, front: fmt.Sprintf("%s:%d", ip, frontPort), ready: fmt.Sprintf("%s:%d", ip, readyPort),
 		settings: filepath.Join(cfg.Dir, cfg.Name+".yaml"),
 	}
 	text := fmt.Sprintf(`node_name: %q
@@ -74,7 +69,7 @@
 machine_class: "front"
 serves:
   - "front"
-ip: "127.0.0.1"
+ip: %q
 zone: %q
 region: "region-1"
 zones:
@@ -124,7 +119,7 @@
   history_s: 20
   max_value_bytes: 1048576
   min_ttl_s: 1
-`, cfg.Name, cfg.Zone, h.front, h.ready, first+2, first+5, memoryMB, graceS, cfg.StoreAddress)
+`, cfg.Name, ip, cfg.Zone, h.front, h.ready, firstPeerPort, lastPeerPort, memoryMB, graceS, cfg.StoreAddress)
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
--- a/review/standin/large.go
+++ b/review/standin/large.go
@@ -14,12 +14,12 @@
 
 // largeBodies has a few clients upload bodies within max_body_bytes at one machine, beside
 // other clients with small requests. The platform kills a process that exceeds memory_mb.
+// Without the trouble the clients upload the same bodies one after the other.
 func (p *play) largeBodies() (bool, error) {
 	const (
 		maxBodyBytes = 67_108_864
 		uploads      = 4
 		uploadBytes  = 60_000_000
-		smallBytes   = 60_000
 		// All uploads together stay below the machine's link_mbps of 1000.
 		uploadRate = 28_000_000
 		clients    = 40
@@ -67,19 +67,25 @@
 			}
 		})
 	}
-	size := uploadBytes
-	if !p.trouble {
-		size = smallBytes
+	turn := make(chan struct{}, uploads)
+	if p.trouble {
+		turn = nil
+	} else {
+		turn <- struct{}{}
 	}
 	for n := range uploads {
 		loops.Go(func() {
 			time.Sleep(time.Until(begin.Add(uploadAt)))
+			if turn != nil {
+				<-turn
+				defer func() { turn <- struct{}{} }()
+			}
 			c := &client{address: first.front}
 			defer c.close()
-			p.rec.add("upload %d begins: %d bytes, at most %d are allowed", n, size, maxBodyBytes)
+			p.rec.add("upload %d begins: %d bytes, at most %d are allowed", n, uploadBytes, maxBodyBytes)
 			o := c.send(clientRequest{
 				id: fmt.Sprintf("u%d", n), method: http.MethodPost, host: "one.example", path: "/upload/x",
-				body: make([]byte, size), deadline: 14 * time.Second, bytesPerSecond: uploadRate,
+				body: make([]byte, uploadBytes), deadline: 14 * time.Second, bytesPerSecond: uploadRate,
 			})
 			p.rec.add("upload %d: %v", n, o)
 		})
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -45,6 +45,7 @@
 var cases = map[string]func(*play) (bool, error){
 	"late_rejection": (*play).lateRejection,
 	"large_bodies":   (*play).largeBodies,
+	"stop_downloads": (*play).stopWithDownloads,
 	"stop_uploads":   (*play).stopWithUploads,
 	"stop_reports":   (*play).stopWithReports,
 }
@@ -135,7 +136,7 @@
 // startHosts starts machines and waits until they are ready.
 func (p *play) startHosts(count int) error {
 	for i := range count {
-		h, err := newHost(hostConfig{Name: fmt.Sprintf("front-%d", i+1), Zone: "zone-a", StoreAddress: p.store.address(), Dir: p.dir, Out: p.out})
+		h, err := newHost(hostConfig{Name: fmt.Sprintf("front-%d", i+1), Number: i, Zone: "zone-a", StoreAddress: p.store.address(), Dir: p.dir, Out: p.out})
 		if err != nil {
 			return err
 		}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -135,6 +135,12 @@
 			}
 			continue
 		}
+		if strings.HasPrefix(r.URL.Path, exportPath) {
+			if err := w.export(c, r); err != nil {
+				return
+			}
+			continue
+		}
 		if strings.HasPrefix(r.URL.Path, reportPath) {
 			w.report(c, r)
 			return
@@ -216,6 +222,35 @@
 	return append(first, rest...), err
 }
 
+// exportPath begins the paths of downloads, whose answers have exportBytes.
+const (
+	exportPath  = "/export/"
+	exportBytes = 1_000_000
+)
+
+// export runs a download and writes its answer with a length.
+func (w *worker) export(c net.Conn, r *http.Request) error {
+	answer, err := w.run(r, func() ([]byte, error) {
+		time.Sleep(w.cfg.Work)
+		return nil, nil
+	})
+	if err != nil {
+		return err
+	}
+	if !strings.HasPrefix(answer, "HTTP/1.1 200 ") {
+		_, err = io.WriteString(c, answer)
+		return err
+	}
+	id := r.Header.Get("Hornbeamwinch-Request-Id")
+	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nHornbeamwinch-Request-Id: %s\r\nHornbeamwinch-Server-Signature: signed-by-%s\r\nKeep-Alive: timeout=%d\r\nContent-Length: %d\r\n\r\n%s",
+		id, w.cfg.ID, idleTimeoutS, exportBytes, strings.Repeat("x", exportBytes))
+	w.mu.Lock()
+	w.ended[id] = time.Now()
+	w.mu.Unlock()
+	w.cfg.Record.add("worker %s has written its whole answer to %s: %v", w.cfg.ID, id, err == nil)
+	return err
+}
+
 // reportPath begins the paths of requests that a worker answers as the work goes on, with a
 // body that has no length and ends with the connection.
 const reportPath = "/report/"
