--- a/review/standin/downloads.go
+++ b/review/standin/downloads.go
@@ -17,14 +17,18 @@
 		clients   = 20
 		playTime  = 18 * time.Second
 		stopAt    = 4 * time.Second
-		deadline  = 10 * time.Second
-		grace     = graceS * time.Second
-		// A download takes about 8 s at this rate, in bytes a second.
-		readRate = 120_000
-		window   = 8 << 10
+		// The first download is asked for so long after the stop began, and each further one
+		// askGap later.
+		askAfter = 1900 * time.Millisecond
+		askGap   = 120 * time.Millisecond
+		deadline = 6 * time.Second
+		grace    = graceS * time.Second
+		// A download takes 5.6 s at this rate, in bytes a second.
+		readRate = 180_000
+		window   = 2 << 10
 	)
 	p.store.set("op/config", configuration("desk", false, 1<<20,
-		rule("r-order", "unsafe", "/order/", "desk", 2, 2), rule("r-export", "download", exportPath, "desk", 10, 2)))
+		rule("r-order", "unsafe", "/order/", "desk", 2, 2), rule("r-export", "download", exportPath, "desk", 6, 2)))
 	workers, err := p.startWorkers(6, workerConfig{Service: "desk", Slots: 6, Queue: 24, Work: 100 * time.Millisecond})
 	if err != nil {
 		return false, err
@@ -64,7 +68,7 @@
 			// A request before, so that the connection is a kept one when the stop begins.
 			o := c.send(clientRequest{id: fmt.Sprintf("k%d", n), method: http.MethodPost, host: "one.example", path: "/order/k", body: []byte("amount=7"), deadline: 2 * time.Second})
 			p.rec.add("client of download d%d: %v", n, o)
-			time.Sleep(time.Until(begin.Add(stopAt + time.Duration(n+1)*300*time.Millisecond)))
+			time.Sleep(time.Until(begin.Add(stopAt + askAfter + time.Duration(n)*askGap)))
 			u := uploaded{sentAt: time.Now()}
 			p.rec.add("download d%d is asked for at %s, deadline %v", n, first.cfg.Name, deadline)
 			u.outcome = c.send(clientRequest{
