--- a/review/standin/downloads.go
+++ b/review/standin/downloads.go
@@ -24,7 +24,7 @@
 		deadline = 6 * time.Second
 		grace    = graceS * time.Second
 		// A download takes 5.6 s at this rate, in bytes a second.
-		readRate = 180_000
+		readRate = 97_000
 		window   = 2 << 10
 	)
 	p.store.set("op/config", configuration("desk", false, 1<<20,
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -225,7 +225,7 @@
 // exportPath begins the paths of downloads, whose answers have exportBytes.
 const (
 	exportPath  = "/export/"
-	exportBytes = 1_000_000
+	exportBytes = 540_000
 )
 
 // export runs a download and writes its answer with a length.
