--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -279,6 +279,15 @@
 	withRevision(l.newLine(&l.system, false).Str("event", event), revision).Msg(string(eventPlacerTerm))
 }
 
+// placerTermBegan logs the begin of a term, and what it waits for.
+func (l *logs) placerTermBegan(t *term) {
+	withRevision(l.newLine(&l.system, false).Str("event", "began"), t.revision).
+		Bool("continued", t.continued != nil).
+		Strs("earlier", t.predecessors.Addresses).
+		Bool("earlier_incomplete", t.predecessors.Incomplete).
+		Msg(string(eventPlacerTerm))
+}
+
 // earlierPlacersEnded logs that the terms of the earlier placers have ended.
 func (l *logs) earlierPlacersEnded(earlier []string, after time.Duration) {
 	l.newLine(&l.system, false).Strs("earlier", earlier).Dur("after", after).Msg(string(eventEarlierPlacersEnded))
--- a/jetty/logs_test.go
+++ b/jetty/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -52,6 +53,23 @@
 		Expect(b.String()).To(ContainSubstring("host_stopping"))
 	})
 
+	It("says at the begin of a term whether it is continued and which earlier placers it waits for", func() {
+		for _, continued := range []bool{true, false} {
+			var b bytes.Buffer
+			l := newLogs(&b, &Settings{Host: "h"})
+			t := &term{predecessors: placerList{Addresses: []string{"10.0.0.9:1"}, Incomplete: !continued}}
+			if continued {
+				t.continued = &formerTerm{}
+			}
+			l.placerTermBegan(t)
+			l.close()
+			Expect(b.String()).To(ContainSubstring(`"event":"began"`))
+			Expect(b.String()).To(ContainSubstring(fmt.Sprintf(`"continued":%v`, continued)))
+			Expect(b.String()).To(ContainSubstring(`"earlier":["10.0.0.9:1"]`))
+			Expect(b.String()).To(ContainSubstring(fmt.Sprintf(`"earlier_incomplete":%v`, !continued)))
+		}
+	})
+
 	It("names the proof that a former owner holds none of the keys", func() {
 		var b bytes.Buffer
 		l := newLogs(&b, &Settings{Host: "h"})
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -112,7 +112,7 @@
 // run passes events to the assigners until the term ends or another placer is
 // known.
 func (r *termRunner) run(ctx context.Context) {
-	r.election.logs.placerTerm("began", r.term.revision)
+	r.election.logs.placerTermBegan(r.term)
 	defer func() {
 		r.cancel()
 		r.workers.Wait()
