--- a/jetty/clusterstate.go
+++ b/jetty/clusterstate.go
@@ -27,6 +27,8 @@
 	// restoredAt is when this host read the store for the first time after it had come
 	// back from an older copy, or 0 if it has not.
 	restoredAt mooring.Instant
+	// lastPlacer is the address of the placer that this host knew before that.
+	lastPlacer string
 	// feed is where this host gets the store's changes.
 	feed feedPlan
 }
@@ -103,7 +105,15 @@
 func (s *clusterState) setRestored(at mooring.Instant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.restoredAt = at
+	s.restoredAt, s.lastPlacer = at, s.placer.address
+}
+
+// placerBeforeRestore returns the placer that this host knew when the store last came back
+// from an older copy, and when that was.
+func (s *clusterState) placerBeforeRestore() (address string, at mooring.Instant, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastPlacer, s.restoredAt, s.restoredAt != 0
 }
 
 // restored reports whether the store has come back from an older copy while this host
--- a/jetty/election.go
+++ b/jetty/election.go
@@ -25,6 +25,9 @@
 	// claimInterval is the time between two checks whether there is a placer, in
 	// addition to those after each change of the cluster state.
 	claimInterval = 400 * time.Millisecond
+	// lastPlacerPrecedence is how long after a restore the term is left to the last placer
+	// of the era before.
+	lastPlacerPrecedence = 700 * time.Millisecond
 )
 
 // election elects the placer through the store. It runs on every host, claims a
@@ -188,12 +191,28 @@
 	return e.scanned() && (placer.address == "" || e.isRestoredRecord(placer)) && e.clusterState.activeConfig.Current() != nil
 }
 
-// isRestoredRecord reports whether a placer's record is that of an ended term of this
-// host, which the store has brought back from an older copy.
+// isRestoredRecord reports whether a placer's record may be one that the store has brought
+// back from an older copy and that this host replaces: its own, or that of an earlier placer
+// if this host was the last one of the era before.
 func (e *election) isRestoredRecord(p placerRecord) bool {
+	yields := e.yieldsToLastPlacer()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.current == nil && p.address == e.address && e.former.endedBefore(p.revision)
+	switch {
+	case e.current != nil || !e.former.endedBefore(p.revision) || p.address == "":
+		return false
+	case e.former.outlivedBefore(p.revision):
+		return true
+	default:
+		return p.address == e.address && !yields
+	}
+}
+
+// yieldsToLastPlacer reports whether the store has just come back and another host was the
+// placer before. Only that one knows all owners of keys.
+func (e *election) yieldsToLastPlacer() bool {
+	last, at, ok := e.clusterState.placerBeforeRestore()
+	return ok && last != "" && last != e.address && bootTimeNow() < at.Add(lastPlacerPrecedence)
 }
 
 // claimConfig returns the parameters of the next claim.
@@ -201,7 +220,7 @@
 	placer := e.clusterState.currentPlacer()
 	cfg := termConfig{Store: e.store, TTL: e.ttl, Address: e.address, Logs: e.logs, Era: placer.revision.Era()}
 	if e.isRestoredRecord(placer) {
-		cfg.Replaces = placer.revision
+		cfg.Replaces, cfg.ReplacesOther = placer.revision, placer.address != e.address
 	}
 	_, cfg.Restored = e.clusterState.restored()
 	e.mu.Lock()
--- a/jetty/restore_test.go
+++ b/jetty/restore_test.go
@@ -204,6 +204,77 @@
 		}
 	})
 
+	It("has its host replace the record of an earlier placer, if the store came back within its lease", func() {
+		for _, ttl := range []time.Duration{time.Second, -time.Second} {
+			e, _ := newTestElection(newFakeStore())
+			e.former = &formerTerm{term: termOf(1, 50, ttl)}
+			e.former.term.recordRestore()
+			record(e, 1, 50, e.address)
+			record(e, 2, 10, "10.0.0.9:1")
+			Expect(e.vacant()).To(Equal(ttl > 0))
+			if ttl > 0 {
+				Expect(e.claimConfig().ReplacesOther).To(BeTrue())
+			}
+			record(e, 3, 10, "10.0.0.9:1")
+			Expect(e.vacant()).To(BeFalse(), "after another restore")
+		}
+	})
+
+	It("leaves the claim to the last placer for a while if that was another host", func() {
+		e, _ := newTestElection(newFakeStore())
+		e.former = &formerTerm{term: termOf(1, 50, -time.Second)}
+		record(e, 1, 60, "10.0.0.9:1")
+		e.clusterState.setRestored(bootTimeNow())
+		record(e, 2, 10, e.address)
+		Expect(e.vacant()).To(BeFalse())
+		e.clusterState.restoredAt = bootTimeNow().Add(-lastPlacerPrecedence)
+		Expect(e.vacant()).To(BeTrue())
+	})
+
+	// claimAfter has a host whose term the store has outlived claim in the next era, with a
+	// record of a placer that is written before the store is copied or after it has come back.
+	claimAfter := func(beforeCopy bool) (*term, *formerTerm, error) {
+		GinkgoHelper()
+		ctx := context.Background()
+		s := newEraStore()
+		claimed := func() ledger.Revision {
+			_, err := raiseEraFence(ctx, s)
+			Expect(err).NotTo(HaveOccurred())
+			r, err := s.Commit(ctx, ledger.Txn{Put: []ledger.Write{
+				{Key: placerListKey, Value: []byte(`{"addresses":["10.0.0.9:1"]}`)}, {Key: placerKey, Value: []byte("10.0.0.9:1")},
+			}})
+			Expect(err).NotTo(HaveOccurred())
+			return r
+		}
+		claimed()
+		copied := s.number
+		former := &formerTerm{term: termOf(1, copied+1, time.Second)}
+		former.term.recordRestore()
+		former.term.leaseUntil.Store(0)
+		s.restore(copied)
+		if !beforeCopy {
+			claimed()
+		}
+		t, err := claimTerm(ctx, termConfig{
+			Store: s, TTL: time.Second, Address: "10.0.0.1:1", Logs: quietLogs(), Era: 2, Restored: true, Former: former,
+			Replaces: s.items[placerKey].Revision, ReplacesOther: true,
+		})
+		return t, former, err
+	}
+
+	It("is continued over the record of an earlier placer after its lease has ended", func() {
+		t, former, err := claimAfter(true)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.continued).To(Equal(former))
+		Expect(t.predecessorUntil()).To(BeNumerically("<=", max(t.began, former.term.began.Add(orderGracePeriod))))
+	})
+
+	It("is not continued, and replaces nothing, once another host has claimed in the next era", func() {
+		_, former, err := claimAfter(false)
+		Expect(ledger.IsKind(err, ledger.KindConflict)).To(BeTrue())
+		Expect(former.continues(2)).To(BeFalse())
+	})
+
 	It("is continued only within its lease and into the next era", func() {
 		former := &formerTerm{term: termOf(1, 50, time.Second)}
 		Expect(former.continues(2)).To(BeTrue())
--- a/jetty/term.go
+++ b/jetty/term.go
@@ -56,6 +56,9 @@
 
 	// leaseUntil is the instant until which no other host can have been the placer.
 	leaseUntil atomic.Int64
+	// outlivedEra is set once the store has come back from an older copy within the lease:
+	// no other host was the placer in the rest of the term's era.
+	outlivedEra atomic.Bool
 	// writesUntil and ordersUntil are the instants from which the term must not
 	// send any write or order, in nanoseconds of the clock of bootTimeNow.
 	writesUntil atomic.Int64
@@ -70,9 +73,12 @@
 	Logs    *logs
 	// Era is the store's era as far as this host knows, or 0 if the store states none.
 	Era ledger.Era
-	// Replaces is the revision of the record to replace, or 0 if there is none: one of
-	// this host's earlier term that the store has brought back from an older copy.
+	// Replaces is the revision of the record to replace, or 0 if there is none: one that
+	// the store has brought back from an older copy.
 	Replaces ledger.Revision
+	// ReplacesOther reports whether that record is another host's. Then it is only replaced
+	// if it was written before the era was recorded.
+	ReplacesOther bool
 	// Restored reports whether this host has seen the store come back.
 	Restored bool
 	// Former is the host's own former term, or nil.
@@ -88,12 +94,18 @@
 			return nil, err
 		}
 	}
+	if cfg.ReplacesOther && cfg.Replaces > fence.record.Revision {
+		cfg.Former.supersede()
+		return nil, &ledger.Error{Op: "claim term", Kind: ledger.KindConflict, Key: placerKey, Err: errTermEnded}
+	}
 	predecessors, listRevision, err := readPlacers(ctx, cfg.Store, cfg.Logs)
 	if err != nil {
 		return nil, err
 	}
 	predecessors = predecessors.without(cfg.Address)
-	continued := cfg.Former.continues(fence.record.Revision.Era())
+	// Each claim writes the list, after its host has recorded the era.
+	first := listRevision < fence.record.Revision
+	continued := first && cfg.Former.continues(fence.record.Revision.Era())
 	switch {
 	case continued:
 		predecessors = predecessors.merge(cfg.Former.term.predecessors)
@@ -159,10 +171,22 @@
 // predecessorUntil returns the latest instant at which an order of an earlier
 // placer may arrive if none of them can be reached.
 func (t *term) predecessorUntil() mooring.Instant {
-	if t.predecessors.empty() {
+	switch {
+	case t.predecessors.empty():
 		return t.began
+	case t.continued != nil:
+		// All of them were placers before this host's former term.
+		return max(t.began, t.continued.term.predecessorUntil())
+	default:
+		return t.began.Add(orderGracePeriod)
+	}
+}
+
+// recordRestore records that the store has come back from an older copy.
+func (t *term) recordRestore() {
+	if bootTimeNow() < mooring.Instant(t.leaseUntil.Load()) {
+		t.outlivedEra.Store(true)
 	}
-	return t.began.Add(orderGracePeriod)
 }
 
 // run renews the lease until it has ended or orders are no longer allowed. If the
@@ -179,7 +203,9 @@
 			t.confirm(requestedAt)
 		case ledger.IsKind(err, ledger.KindNotFound), ledger.IsKind(err, ledger.KindConflict):
 			t.writesUntil.Store(0)
-			if !errors.Is(err, ledger.ErrEraChanged) {
+			if errors.Is(err, ledger.ErrEraChanged) {
+				t.recordRestore()
+			} else {
 				t.leaseUntil.Store(0)
 			}
 			t.logs.operationFailed("renew placer lease", err)
@@ -211,6 +237,7 @@
 // continue.
 func (t *term) resign(ctx context.Context) error {
 	t.leaseUntil.Store(0)
+	t.outlivedEra.Store(false)
 	if err := t.store.RevokeLease(ctx, t.lease); err != nil {
 		t.logs.operationFailed("revoke placer lease", err)
 		return err
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -163,6 +163,9 @@
 			r.stepAll(mooring.Tick{})
 		}
 	}
+	if r.eraEnded() {
+		r.term.recordRestore()
+	}
 }
 
 // maxEvents is the number of events that are planned for at once.
@@ -210,10 +213,12 @@
 		return true
 	}
 	placer := r.election.clusterState.currentPlacer()
-	if placer.revision.Era() > r.term.revision.Era() {
-		return true
-	}
-	return placer.address != "" && placer.revision > r.term.revision
+	return r.eraEnded() || placer.address != "" && placer.revision > r.term.revision
+}
+
+// eraEnded reports whether this host has read a record of the placer of a later era.
+func (r *termRunner) eraEnded() bool {
+	return r.election.clusterState.currentPlacer().revision.Era() > r.term.revision.Era()
 }
 
 // former returns the term and its tables, for the next term of this host. The runner must
