--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -9,11 +9,13 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -51,6 +53,9 @@
 	// maxErrorText bounds the text of an error, since net/http quotes what it has
 	// received.
 	maxErrorText = 200
+	// maxRefusedRequests is the number of requests that a connection has not answered with
+	// success after which it is closed.
+	maxRefusedRequests = 64
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
 )
@@ -85,6 +90,23 @@
 	// answered is set once the connection has carried a response. What follows without
 	// an id may be another copy of that one.
 	answered bool
+	// refused has the hashes of the ids of the requests that it has carried and that may be
+	// sent again: those without a successful response.
+	refused []uint64
+}
+
+// recordRefused records that a request that the connection has carried may be sent again.
+func (c *connection) recordRefused(id string) {
+	c.refused = append(c.refused, xxhash.Sum64String(id))
+	if len(c.refused) >= maxRefusedRequests {
+		c.broken = true
+	}
+}
+
+// mayConfuse reports whether another copy of an earlier response on this connection could
+// be taken for the response to a request.
+func (c *connection) mayConfuse(id string) bool {
+	return id == "" && c.answered || slices.Contains(c.refused, xxhash.Sum64String(id))
 }
 
 // Write implements io.Writer and counts the bytes.
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -354,7 +354,7 @@
 	if !r.repeatable() {
 		idleFraction = nonRepeatableIdleFraction
 	}
-	c, p, err := f.upstream.get(ctx, s, getOptions{config: r.config, maxIdleFraction: idleFraction})
+	c, p, err := f.upstream.get(ctx, s, getOptions{config: r.config, maxIdleFraction: idleFraction, requestID: r.id})
 	if err != nil {
 		return nil, err
 	}
@@ -422,6 +422,9 @@
 		return nil, f.checkEnd(r, s, err)
 	}
 	resp.body = body
+	if resp.status >= http.StatusBadRequest {
+		c.recordRefused(r.id)
+	}
 	if len(body) > maxBufferedBytes {
 		resp.remaining = httpResp.Body
 		_ = c.SetDeadline(r.deadline)
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -137,6 +138,9 @@
 	// maxIdleFraction is the part of its idle timeout for which a kept
 	// connection may have been unused. Zero asks for a new connection.
 	maxIdleFraction float64
+	// requestID is the id of the request that is to be sent. A connection is not used if
+	// it has carried that request.
+	requestID string
 }
 
 // get returns a connection to a server: an idle one if possible, else a new one
@@ -146,21 +150,30 @@
 	p, stale := u.poolOf(s, opts.config)
 	var found *connection
 	now := time.Now()
-	for found == nil && len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		p.idle = p.idle[:last]
+	for i := len(p.idle) - 1; found == nil && i >= 0; i-- {
+		c := p.idle[i]
 		switch {
 		case now.Sub(c.idleSince) >= time.Duration(opts.maxIdleFraction*float64(c.idleTimeout)):
 			p.lost = openIdle
 		case !c.reusable():
 			p.lost = openClosed
+		case c.mayConfuse(opts.requestID):
+			continue
 		default:
 			found = c
-			continue
 		}
-		stale = append(stale, c)
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if found == nil {
+			stale = append(stale, c)
+			p.open--
+		}
+	}
+	if found == nil && p.open >= p.limit && len(p.idle) > 0 {
+		// All that are idle have carried the request.
+		stale = append(stale, p.idle[0])
+		p.idle = slices.Delete(p.idle, 0, 1)
 		p.open--
+		p.lost = openDropped
 	}
 	full := found == nil && p.open >= p.limit
 	if found == nil && !full {
