--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -226,7 +226,7 @@
 func (l *logs) serverUpdated(r ServerRecord) {
 	e := l.newLine(&l.system, false).Str("server", string(r.ID))
 	if r.Err != nil {
-		e.Err(r.Err).Msg(string(eventServerRemoved))
+		e.Err(shortenError(r.Err)).Msg(string(eventServerRemoved))
 		return
 	}
 	e.Str("service", string(r.Endpoint.Service)).
@@ -268,7 +268,7 @@
 }
 
 func (l *logs) recordUnreadable(r UnreadableRecord) {
-	l.newLine(&l.system, true).Str("key", r.Key).Err(r.Err).Msg(string(eventEntryUnreadable))
+	l.newLine(&l.system, true).Str("key", r.Key).Err(shortenError(r.Err)).Msg(string(eventEntryUnreadable))
 }
 
 func (l *logs) placerChanged(p placerRecord) {
--- a/jetty/logs_test.go
+++ b/jetty/logs_test.go
@@ -70,6 +70,17 @@
 		}
 	})
 
+	It("shortens the error of an entry that quotes it", func() {
+		var b bytes.Buffer
+		l := newLogs(&b, &Settings{Host: "h"})
+		long := fmt.Errorf("address %q has no port", strings.Repeat("1", 700_000))
+		l.serverUpdated(ServerRecord{ID: "s", Err: long})
+		l.recordUnreadable(UnreadableRecord{Key: "op/config", Err: long})
+		l.close()
+		Expect(bytes.Count(b.Bytes(), []byte("\n"))).To(Equal(2))
+		Expect(b.Len()).To(BeNumerically("<", 4*maxErrorText))
+	})
+
 	It("names the proof that a former owner holds none of the keys", func() {
 		var b bytes.Buffer
 		l := newLogs(&b, &Settings{Host: "h"})
