--- a/jetty/election.go
+++ b/jetty/election.go
@@ -188,7 +188,8 @@
 		return false
 	}
 	placer := e.clusterState.currentPlacer()
-	return e.scanned() && (placer.address == "" || e.isRestoredRecord(placer)) && e.clusterState.activeConfig.Current() != nil
+	claimable := placer.address == "" && !e.yieldsToLastPlacer() || e.isRestoredRecord(placer)
+	return e.scanned() && claimable && e.clusterState.activeConfig.Current() != nil
 }
 
 // isRestoredRecord reports whether a placer's record may be one that the store has brought
--- a/jetty/restore_test.go
+++ b/jetty/restore_test.go
@@ -221,14 +221,20 @@
 	})
 
 	It("leaves the claim to the last placer for a while if that was another host", func() {
-		e, _ := newTestElection(newFakeStore())
-		e.former = &formerTerm{term: termOf(1, 50, -time.Second)}
-		record(e, 1, 60, "10.0.0.9:1")
-		e.clusterState.setRestored(bootTimeNow())
-		record(e, 2, 10, e.address)
-		Expect(e.vacant()).To(BeFalse())
-		e.clusterState.restoredAt = bootTimeNow().Add(-lastPlacerPrecedence)
-		Expect(e.vacant()).To(BeTrue())
+		for _, own := range []bool{true, false} {
+			e, _ := newTestElection(newFakeStore())
+			e.former = &formerTerm{term: termOf(1, 50, -time.Second)}
+			record(e, 1, 60, "10.0.0.9:1")
+			e.clusterState.setRestored(bootTimeNow())
+			if own {
+				record(e, 2, 10, e.address)
+			} else {
+				record(e, 2, 10, "")
+			}
+			Expect(e.vacant()).To(BeFalse())
+			e.clusterState.restoredAt = bootTimeNow().Add(-lastPlacerPrecedence)
+			Expect(e.vacant()).To(BeTrue())
+		}
 	})
 
 	// claimAfter has a host whose term the store has outlived claim in the next era, with a
