--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -396,11 +396,11 @@
 
 var (
 	errNoRequestID        = errors.New("response has no request id")
-	errNoLength           = errors.New("response has a body without a length, so its end cannot be told from a break")
 	errUnexpectedEncoding = errors.New("response has a content encoding that was not requested")
 )
 
-// readResponse reads the body of a response.
+// readResponse reads the body of a response. A body without a length or chunks is whole if
+// its connection ends in order, and fails with KindReset if it is reset.
 func (f *forwarder) readResponse(ctx context.Context, r *request, s fairway.Endpoint, c *connection, p *pool, httpResp *http.Response) (*backendResponse, error) {
 	invalid := func(err error) (*backendResponse, error) {
 		f.upstream.discard(p, c)
@@ -410,9 +410,6 @@
 	if httpResp.Header.Get(f.headers.RequestID) != r.id && !f.notRun(resp) {
 		return invalid(errNoRequestID)
 	}
-	if httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 && httpResp.Body != http.NoBody && !f.notRun(resp) {
-		return invalid(errNoLength)
-	}
 	if httpResp.Header.Get("Content-Encoding") != "" {
 		return invalid(errUnexpectedEncoding)
 	}
