--- a/jetty/callers.go
+++ b/jetty/callers.go
@@ -1,6 +1,7 @@
 package jetty
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -78,6 +79,31 @@
 	return len(conns)
 }
 
+// callerConnKey is the key of the connection in the context of a request.
+type callerConnKey struct{}
+
+// withCallerConn is the http.Server.ConnContext hook.
+func withCallerConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, nc)
+}
+
+// setResetOnClose sets whether the connection of a request is reset when it is closed, also
+// when the process ends.
+func setResetOnClose(ctx context.Context, reset bool) {
+	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		linger := -1
+		if reset {
+			linger = 0
+		}
+		// This fails only if the connection is closed already.
+		_ = tcp.SetLinger(linger)
+	}
+}
+
 // callerConn is one connection of a caller. Closing it while idle never loses a
 // request: closeIdle interrupts the read in progress, and net/http closes the
 // connection if that has read nothing. Otherwise a request has begun to arrive, and
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -262,14 +262,7 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryMB) * (1 << 20)))
 	}
-	callerServer := &http.Server{
-		Handler:           h.ingress,
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         h.callers.onStateChange,
-		ErrorLog:          h.logs.stdLogger(),
-	}
-	if err := h.serve(callerServer, s.CallerAddress); err != nil {
+	if err := h.serve(newCallerServer(h.ingress, h.callers, h.logs), s.CallerAddress); err != nil {
 		return err
 	}
 	if err := h.serve(&http.Server{Handler: h.readyHandler(), ErrorLog: h.logs.stdLogger()}, s.ReadyAddress); err != nil {
@@ -281,6 +274,18 @@
 	return h.servePeers(s.PeerAddress)
 }
 
+// newCallerServer returns a server whose connections callers tracks.
+func newCallerServer(handler http.Handler, callers *callerConns, logs *logs) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         callers.onStateChange,
+		ConnContext:       withCallerConn,
+		ErrorLog:          logs.stdLogger(),
+	}
+}
+
 // closeServers closes all listeners and connections of the host's servers.
 func (h *Host) closeServers() {
 	for _, server := range h.httpServers {
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -257,18 +257,28 @@
 // streamBody sends a body that is not complete yet. It ends at the deadline of the
 // request, or when the caller leaves.
 func (in *ingress) streamBody(w http.ResponseWriter, hr *http.Request, r *request, resp backendResponse) {
+	// HTTP/1.0 has no chunks, so a response without a length ends with its connection.
+	if !hr.ProtoAtLeast(1, 1) && w.Header().Get("Content-Length") == "" {
+		setResetOnClose(hr.Context(), true)
+	}
 	stop := context.AfterFunc(hr.Context(), resp.interrupt)
-	err := http.NewResponseController(w).SetWriteDeadline(r.deadline)
+	controller := http.NewResponseController(w)
+	err := controller.SetWriteDeadline(r.deadline)
 	if err == nil {
 		_, err = w.Write(resp.body)
 	}
 	if err == nil {
 		_, err = io.Copy(w, resp.remaining)
 	}
+	if err == nil {
+		// Reports what net/http has buffered and cannot send, which it ignores later.
+		err = controller.Flush()
+	}
 	// An interrupt that comes later would meet the connection's next request.
 	left := !stop()
 	resp.finish(err == nil && !left)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	setResetOnClose(hr.Context(), false)
 }
