--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -228,6 +228,12 @@
 	return resp.header.Get(f.headers.NotRun) != "" || resp.status == http.StatusMisdirectedRequest
 }
 
+// mayComeAgain reports whether a request may be sent again after a response, by this host or
+// by its caller.
+func (f *forwarder) mayComeAgain(resp *backendResponse) bool {
+	return resp.status >= http.StatusBadRequest || f.notRun(resp) || resp.header.Get(f.headers.Signature) == ""
+}
+
 // handleResponse decides whether a response is passed on. It reports true if
 // the request should be offered for admission again.
 func (f *forwarder) handleResponse(ctx context.Context, r *request, resp *backendResponse, s fairway.Endpoint) (result, bool) {
@@ -419,7 +425,7 @@
 		return nil, f.checkEnd(r, s, err)
 	}
 	resp.body = body
-	if resp.status >= http.StatusBadRequest {
+	if f.mayComeAgain(resp) {
 		c.recordRefused(r.id)
 	}
 	if len(body) > maxBufferedBytes {
--- a/jetty/repeatedrefusal_test.go
+++ b/jetty/repeatedrefusal_test.go
@@ -96,6 +96,8 @@
 	const (
 		full       = "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: y\r\nContent-Length: 0\r\n\r\n"
 		misdirects = "HTTP/1.1 421 Misdirected Request\r\nId: %s\r\nContent-Length: 0\r\n\r\n"
+		succeeds   = "HTTP/1.1 200 OK\r\nId: %s\r\nNot-Run: y\r\nContent-Length: 0\r\n\r\n"
+		unsigned   = "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n"
 	)
 	var b *exchangeBench
 	serve := func(refusal string) *repeatingServer {
@@ -122,7 +124,21 @@
 		return nil
 	}
 
-	for name, text := range map[string]string{"as full": full, "as misdirected": misdirects} {
+	It("has no request answered by it that comes again after an unsigned response", func() {
+		s := serve(unsigned)
+		for range 20 {
+			r := b.request(1, time.Second)
+			Expect((<-b.send(context.Background(), r)).result).To(Equal(gatewayError{status: http.StatusBadGateway, reason: reasonUnsigned}))
+			r.sends, r.mayHaveRun, r.deadline = 0, false, time.Now().Add(time.Second)
+			res := <-b.send(context.Background(), r)
+			Expect(res.result).To(BeAssignableToTypeOf(backendResponse{}))
+			Expect(string(res.result.(backendResponse).body)).To(Equal(r.id))
+		}
+		_, repeated, _ := s.count("")
+		Expect(repeated).To(BeZero(), "requests that came again on the connection that had carried them")
+	})
+
+	for name, text := range map[string]string{"as full": full, "as misdirected": misdirects, "with a status of success": succeeds} {
 		for _, repeat := range []fairway.Repeatability{fairway.RepeatNever, fairway.RepeatAllowed} {
 			It(fmt.Sprintf("has no request answered by it that is sent again, %s, repeatability %d", name, repeat), func() {
 				s := serve(text)
