--- a/quay/abandon_test.go
+++ b/quay/abandon_test.go
@@ -239,6 +239,41 @@
 	})
 })
 
+var _ = Describe("A rejection that the server writes once more", func() {
+	// rejectOnce rejects the first request on each connection. When it comes again there, the
+	// server writes its rejection once more and runs the request. On another connection it
+	// answers.
+	rejectOnce := func(rejection string, repeated *atomic.Int32) exchange {
+		var mu sync.Mutex
+		rejected := make(map[net.Conn]bool)
+		seen := false
+		return func(c net.Conn, r *http.Request) bool {
+			mu.Lock()
+			again, first := rejected[c], !seen
+			seen = true
+			rejected[c] = first
+			mu.Unlock()
+			switch {
+			case first:
+				return respond(c, r, rejection)
+			case again:
+				repeated.Add(1)
+				respond(c, r, rejection)
+				return untilClosed(c, r)
+			default:
+				return respond(c, r, "200 OK")
+			}
+		}
+	}
+
+	It("is not taken for the response to a request that is sent again", func() {
+		var repeated atomic.Int32
+		f := newRouterFixture(rejectOnce("503 Service Unavailable\r\nX-Not-Run: true\r\nX-Reason: no_grant", &repeated))
+		Expect(f.route(context.Background())).To(BeAssignableToTypeOf(quay.Whole{}))
+		Expect(repeated.Load()).To(BeZero(), "requests that came again on the connection that had carried them")
+	})
+})
+
 var _ = Describe("The key of a request that the server no longer runs", func() {
 	for _, status := range []string{"200 OK", "503 Service Unavailable\r\nX-Not-Run: true"} {
 		It("moves at once after "+status[:3], func() {
--- a/quay/dispatch.go
+++ b/quay/dispatch.go
@@ -189,8 +189,9 @@
 
 // handleRejection decides whether to retry a request that the server rejected.
 func (r *routedRequest) handleRejection(permit *roster.Permit, resp *response) attemptResult {
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, copyBufferBytes))
-	resp.release(err == nil)
+	// Another copy of the rejection, late, would pass for the response to the next send of the
+	// request on this connection.
+	resp.release(false)
 	reason := rejectionReason(resp.Response)
 	r.log(Decision{Step: "server_refused", Server: permit.Server.ID, Reason: reason})
 	if r.service.Divided {
