--- a/jetty/drain.go
+++ b/jetty/drain.go
@@ -13,9 +13,9 @@
 
 var errHostStopping = errors.New("the host is stopping")
 
-// drain is the part of a host's shutdown in which requests in progress complete
-// and no new ones are accepted. While it lasts, a request is forwarded only if its
-// own deadline is before the end of the drain.
+// drain is a host's shutdown, in which requests in progress complete. While it lasts, a
+// request is forwarded only if its own deadline is before the end of the drain: a response
+// that is ready may still be on its way to a slow caller then.
 type drain struct {
 	// started is done once the drain has begun, and ended once the requests
 	// still in progress are to be answered at once.
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	// balancerWait is how long after SIGTERM new connections are still served.
+	// balancerWait is how long after SIGTERM new connections are still accepted.
 	// The load balancer checks once a second and stops sending after two failures.
 	balancerWait = 3 * time.Second
 	// exitMargin is the time reserved for the last steps before SIGKILL.
@@ -431,8 +431,8 @@
 }
 
 // Stop shuts the host down: it waits until the load balancer has stopped sending
-// requests, finishes the requests in flight and ends all goroutines. Only the
-// first call has an effect.
+// requests, of which it forwards those that end before it does, finishes the
+// requests in flight and ends all goroutines. Only the first call has an effect.
 func (h *Host) Stop(ctx context.Context) error {
 	h.stopOnce.Do(func() { h.stop(ctx) })
 	return nil
@@ -445,12 +445,12 @@
 	h.logs.stopping()
 	h.shuttingDown.Store(true)
 	h.ingress.closeConns.Store(true)
+	h.drain.begin(deadline)
 	h.election.resign(ctx)
 	pause(ctx, time.Until(began.Add(min(balancerWait, limit/2))))
 	if err := h.ingressListener.Close(); err != nil {
 		h.logs.operationFailed("close listener for callers", err)
 	}
-	h.drain.begin(deadline)
 	left := h.awaitRequests(ctx, deadline)
 	if left > 0 {
 		h.drain.end()
