--- a/jetty/brokenanswers_test.go
+++ b/jetty/brokenanswers_test.go
@@ -120,6 +120,7 @@
 		req.Host, req.Close = "example.com", closing
 		req.Header.Set("Id", fmt.Sprintf("request-%d", b.n.Add(1)))
 		req.Header.Set("Left", "500")
+		req.Header.Set("Key", "7")
 		resp, err := server.Client().Do(req)
 		if err != nil {
 			return 0, "", err
@@ -140,6 +141,23 @@
 		}
 		b.expectNothingLeft()
 	}
+	// carried returns a host whose requests a carrier sends to a server at an address.
+	carried := func(address string) (*exchangeBench, *relayPeer) {
+		GinkgoHelper()
+		p := newRelayPeer()
+		b, _ := newCarriedHost(p.address)
+		for _, host := range []*exchangeBench{p.exchangeBench, b} {
+			host.f.clusterState.servers.Store(fairway.NewCatalog([]fairway.Endpoint{{ID: "s", Service: "readings", Address: address, Incarnation: 1, Slots: 20}}))
+			divideAt(host, address)
+		}
+		return b, p
+	}
+	expectCarried := func(p *relayPeer) {
+		GinkgoHelper()
+		_, opened := p.f.upstream.count()
+		Expect(opened).NotTo(BeEmpty(), "connections of the carrier")
+		p.expectNothingLeft()
+	}
 	for _, a := range brokenAnswers() {
 		for _, size := range []int{10, 40_000, 4 * maxBufferedBytes} {
 			It(fmt.Sprintf("reaches the caller as broken off: %s, %d bytes", a.name, size), func() {
@@ -162,6 +180,13 @@
 				}
 				p.expectNothingLeft()
 			})
+
+			It(fmt.Sprintf("reaches the caller as broken off through a carrier: %s, %d bytes", a.name, size), func() {
+				address := a.serve(size)
+				b, p := carried(address)
+				expectBroken(b, false, fairway.RepeatAllowed, address)
+				expectCarried(p)
+			})
 		}
 	}
 
@@ -193,6 +218,12 @@
 				expectWhole(b, false, fairway.RepeatNever, size)
 				p.expectNothingLeft()
 			})
+
+			It(fmt.Sprintf("is told apart through a carrier from one that is whole: %s, %d bytes", a.name, size), func() {
+				b, p := carried(a.serve(size))
+				expectWhole(b, false, fairway.RepeatAllowed, size)
+				expectCarried(p)
+			})
 		}
 	}
 })
--- a/jetty/relay_test.go
+++ b/jetty/relay_test.go
@@ -179,8 +179,13 @@
 
 // divide divides the service by key. Server s owns all keys.
 func divide(b *exchangeBench) {
+	divideAt(b, strings.TrimPrefix(b.servers["s"].server.URL, "http://"))
+}
+
+// divideAt divides the service by key. Server s, at an address, owns all keys.
+func divideAt(b *exchangeBench, address string) {
 	b.service.Divided = true
-	owner := mooring.ServerInstance{Server: "s", Incarnation: 1, Address: strings.TrimPrefix(b.servers["s"].server.URL, "http://")}
+	owner := mooring.ServerInstance{Server: "s", Incarnation: 1, Address: address}
 	b.f.admissions.ownersOf("readings").update(monotonicNow(), &mooring.Table{Service: "readings", NextToken: 2, Assignments: []mooring.Assignment{
 		{KeyRange: mooring.KeyRange{From: 0, To: mooring.MaxKey}, Owner: owner, Token: 1},
 	}}, 1)
