--- a/jetty/repeatedrefusal_test.go
+++ b/jetty/repeatedrefusal_test.go
@@ -96,7 +96,7 @@
 	const (
 		full       = "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: y\r\nContent-Length: 0\r\n\r\n"
 		misdirects = "HTTP/1.1 421 Misdirected Request\r\nId: %s\r\nContent-Length: 0\r\n\r\n"
-		succeeds   = "HTTP/1.1 200 OK\r\nId: %s\r\nNot-Run: y\r\nContent-Length: 0\r\n\r\n"
+		succeeds   = "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: y\r\nNot-Run: y\r\nContent-Length: 0\r\n\r\n"
 		unsigned   = "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n"
 	)
 	var b *exchangeBench
