Name the stand-in's responses without a length apart from the ends of executions

Read as a newcomer: EndInOrder and EndByReset stood beside the values of ExecutionEnd, which say another thing. Tests only; no logic has changed.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -96,7 +96,7 @@
 		var resp response
 		work := fmt.Sprintf("1?%s=%v", platformtest.WorkParameter, time.Duration(c.rng.Int64N(int64(maxWork))).Round(time.Millisecond))
 		if c.testbed.cfg.Crashing == 0 && c.rng.IntN(unframedShare) == 0 {
-			work += "&" + platformtest.EndParameter + "=" + platformtest.EndInOrder
+			work += "&" + platformtest.UnframedParameter + "=" + platformtest.UnframedClosed
 		}
 		timeLeft := platformtest.LongTimeout - time.Second + time.Duration(c.rng.Int64N(2000))*time.Millisecond
 		switch c.rng.IntN(3) {
