--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -25,6 +25,7 @@
 	connectTimeout = 300 * time.Millisecond
 	// userTimeout is how long data that a server does not acknowledge is waited for. It
 	// is less than most deadlines of callers, so that there is time for another send.
+	// While a long body is sent, an [ackWatch] keeps to it instead of the kernel.
 	userTimeout = time.Second
 	// keepAliveInterval is the time between probes of a connection in which nothing
 	// else is sent. They end one that hangs by userTimeout, within 2.5 s.
@@ -171,9 +172,7 @@
 	if err != nil {
 		return
 	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
+	_ = setUserTimeout(raw, userTimeout)
 }
 
 // isHang reports whether err means that the other side did not acknowledge anything,
@@ -271,6 +270,8 @@
 		return nil, c.classifyError(ctx, "send", err)
 	}
 	if body != nil {
+		watch := startAckWatch(c)
+		defer watch.end()
 		go body.run()
 	}
 	resp, err := c.readResponse(responseOptions{method: m.Method, idHeader: idHeader, id: id, maxHead: maxHead})
