--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -68,7 +68,6 @@
 	errMismatchedResponse = errors.New("response belongs to another request")
 	errHeadTooLong        = errors.New("head of the response is too long")
 	errBodyTooLong        = errors.New("body of the response is too long")
-	errEarlyResponse      = errors.New("server responded before it had read the whole request")
 )
 
 // connection is a connection to a backend server. It carries one request at a
@@ -88,6 +87,8 @@
 	idleTimeoutStated bool
 	// broken connections must not be used again.
 	broken bool
+	// sending writes a long request body until the response is complete; nil means none.
+	sending *bodyWriter
 	// answered is set once the connection has carried a response. What follows without
 	// an id may be another copy of that one.
 	answered bool
@@ -238,72 +239,34 @@
 	return b.Bytes()
 }
 
-// bodyWriter writes a long request body while the response is awaited.
-type bodyWriter struct {
-	conn *connection
-	data []byte
-	// err is set before done is closed.
-	err  error
-	done chan struct{}
-}
-
-func (w *bodyWriter) run() {
-	defer close(w.done)
-	_, w.err = w.conn.Write(w.data)
-}
-
 // roundTrip sends m and reads the head of its response. It fails when ctx is
-// done. Responses that name another request than id are skipped.
+// done. Responses that name another request than id are skipped. A long body may
+// still be on its way to the server afterwards.
 func (c *connection) roundTrip(ctx context.Context, m *outgoingRequest, idHeader, id string) (*http.Response, error) {
 	stop := context.AfterFunc(ctx, c.interrupt)
 	defer stop()
 	c.written = 0
-	var body *bodyWriter
 	data := m.head()
 	maxHead := len(data) + ownHeadBytes
-	if len(m.Body) < concurrentBodyBytes {
+	concurrent := len(m.Body) >= concurrentBodyBytes
+	if !concurrent {
 		data = append(data, m.Body...)
-	} else {
-		body = &bodyWriter{conn: c, data: m.Body, done: make(chan struct{})}
 	}
 	if _, err := c.Write(data); err != nil {
 		return nil, c.classifyError(ctx, "send", err)
 	}
-	if body != nil {
-		watch := startAckWatch(c)
-		defer watch.end()
-		go body.run()
+	if concurrent {
+		c.sending = startBodyWriter(c, m.Body)
 	}
 	resp, err := c.readResponse(responseOptions{method: m.Method, idHeader: idHeader, id: id, maxHead: maxHead})
-	if body != nil {
-		if werr := c.finishBody(body, err); werr != nil && err == nil {
-			c.broken = true
-		}
-	}
 	if err != nil {
+		c.endSending()
 		return nil, c.classifyError(ctx, "receive", err)
 	}
 	c.updateIdleTimeout(resp.Header)
 	return resp, nil
 }
 
-// finishBody returns the result of writing a long body if it is already
-// complete, and aborts the write otherwise: a server that responded early may
-// never read the rest.
-func (c *connection) finishBody(body *bodyWriter, readErr error) error {
-	select {
-	case <-body.done:
-		return body.err
-	default:
-	}
-	_ = c.SetWriteDeadline(pastDeadline)
-	<-body.done
-	if readErr != nil {
-		return readErr
-	}
-	return errEarlyResponse
-}
-
 // responseOptions are what readResponse has to know about a request.
 type responseOptions struct {
 	method       string
@@ -359,6 +322,7 @@
 	defer stop()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
 	if err != nil {
+		c.endSending()
 		return nil, c.classifyError(ctx, "read response", err)
 	}
 	return body, nil
--- a/jetty/latereading_test.go
+++ b/jetty/latereading_test.go
@@ -21,6 +21,8 @@
 // a while and reads the rest then. Meanwhile its window is closed.
 type lateReader struct {
 	work time.Duration
+	// early has the server send the head of its response before it works.
+	early bool
 	// bufferBytes is the size of the receive buffer of its connections; 0 leaves it to the
 	// kernel, which then drops part of what it has allowed the sender to send.
 	bufferBytes int
@@ -64,6 +66,10 @@
 			return
 		}
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSigned: y\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		if s.early {
+			_, _ = io.WriteString(c, head)
+			head = ""
+		}
 		time.Sleep(s.work)
 		rest, err := io.Copy(io.Discard, r.Body)
 		if err != nil {
@@ -110,6 +116,10 @@
 		})
 	}
 
+	It("has its body sent on while the server, which has begun to respond, reads it", func() {
+		expectServed(send(lateReader{work: 100 * time.Millisecond, early: true}, 5*time.Second))
+	})
+
 	It("ends at its deadline", func() {
 		b, res := send(lateReader{work: 10 * time.Second}, 3*userTimeout/2)
 		Expect(res.result).To(Equal(gatewayError{status: http.StatusGatewayTimeout, reason: reasonDeadline}))
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -279,6 +279,7 @@
 // put returns a connection without a request in progress to its pool, or closes
 // it if it cannot be kept.
 func (u *upstream) put(p *pool, c *connection) {
+	c.endSending()
 	if c.broken || !c.reusable() {
 		u.discard(p, c)
 		return
@@ -301,6 +302,7 @@
 
 // discard closes a connection that must not be used again.
 func (u *upstream) discard(p *pool, c *connection) {
+	c.endSending()
 	c.reset()
 	u.mu.Lock()
 	defer u.mu.Unlock()
