--- /dev/null
+++ b/jetty/bodyreader.go
@@ -0,0 +1,64 @@
+package jetty
+
+import (
+	"errors"
+	"io"
+)
+
+// errNoRoom means that the host has no memory for a body.
+var errNoRoom = errors.New("no memory for the body")
+
+// bodyReader reads a request body, for which it takes room from a budget first.
+type bodyReader struct {
+	reader io.Reader
+	budget *bodyBudget
+	// length is that of the body, or negative if it is not known.
+	length int64
+	// limit is the largest length that is allowed; 0 means any.
+	limit int64
+	// hold is the room that was taken, to be released whether read fails or not.
+	hold *bodyHold
+}
+
+// read returns the body.
+func (b *bodyReader) read() ([]byte, error) {
+	size := b.length
+	if size < 0 {
+		size = initialBodyBytes
+	}
+	var ok bool
+	if b.hold, ok = b.budget.take(size); !ok {
+		return nil, errNoRoom
+	}
+	body := make([]byte, 0, size)
+	for {
+		n, err := b.reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case int64(len(body)) == b.length:
+			return body, nil
+		}
+		if len(body) == cap(body) {
+			if body, err = b.grow(body); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// grow moves a body into a buffer of twice the size.
+func (b *bodyReader) grow(body []byte) ([]byte, error) {
+	size := 2 * int64(cap(body))
+	if b.limit > 0 {
+		// One byte more than the limit shows that it is exceeded.
+		size = min(size, b.limit+1)
+	}
+	if !b.hold.grow(size) {
+		return nil, errNoRoom
+	}
+	return append(make([]byte, 0, size), body...), nil
+}
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -126,6 +126,7 @@
 	// reasonCarrierFull is the refusal of a carrier with too many requests of other hosts.
 	// They are sent directly.
 	reasonCarrierFull reason = "carrier_full"
+	reasonNoMemory    reason = "no_memory"
 	reasonInternal    reason = "internal_error"
 	// reasonStatus is a prefix, followed by the HTTP status of the server's
 	// response.
@@ -134,7 +135,7 @@
 
 var reasons = []reason{
 	reasonNoConfiguration, reasonNoRoute, reasonNoKey, reasonHeaderTooLarge, reasonBodyTooLarge, reasonServerRejected,
-	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonHostStopping, reasonUnsigned, reasonCrashesServers, reasonCrashSuspected, reasonCarrierFull, reasonInternal, reasonStatus,
+	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonHostStopping, reasonUnsigned, reasonCrashesServers, reasonCrashSuspected, reasonCarrierFull, reasonNoMemory, reasonInternal, reasonStatus,
 	reason(sluice.ReasonOverload), reason(sluice.ReasonTooLate), reason(sluice.ReasonNoServer),
 	reason(sluice.ReasonSuspected), reason(sluice.ReasonNoOwner), reason(sluice.ReasonClosed),
 }
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -49,6 +49,10 @@
 	tableRevision mooring.StoreRevision
 	// mayHaveRun is set once a server may have begun to execute the request.
 	mayHaveRun bool
+	// body is the room that the request's body has taken, or nil.
+	body *bodyHold
+	// bodyLeft is set if the rest of the body is discarded after the response.
+	bodyLeft bool
 	// callerHost is the address of the caller, without its port.
 	callerHost string
 	// digest identifies the request if it comes again. It is set by ensureDigest.
@@ -125,6 +129,8 @@
 	// limits records the limits that servers name; nil means that they do not count.
 	limits  *limits
 	notices *notices
+	// bodies bounds the memory of request bodies; nil means no limit.
+	bodies  *bodyBudget
 	drain   *drain
 	logs    *logs
 	metrics *metrics
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -96,6 +96,7 @@
 	limits        *limits
 	crashes       *crashes
 	notices       *notices
+	bodies        *bodyBudget
 
 	httpServers     []*http.Server
 	ingressListener net.Listener
@@ -188,9 +189,10 @@
 	h.crashes.onChange = h.reporter.notify
 	h.watcher.onFirstPlacer = h.reporter.notify
 	h.callers = newCallerConns()
+	h.bodies = newBodyBudget(s.MemoryMB)
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
-		reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, drain: h.drain, logs: h.logs, metrics: h.metrics,
+		reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, bodies: h.bodies, drain: h.drain, logs: h.logs, metrics: h.metrics,
 		carriers: h.carriers, recoverer: h.recoverer,
 		relay: &relayClient{
 			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices,
@@ -411,7 +413,7 @@
 	}
 }
 
-// reload reads the settings again and applies the memory limit, the only setting
+// reload reads the settings again and applies the memory limits, the only setting
 // that can change in a running process.
 func (h *Host) reload() {
 	if h.cfg.Reload == nil {
@@ -420,6 +422,7 @@
 	s, err := h.cfg.Reload()
 	if err == nil && s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryMB) * (1 << 20)))
+		h.bodies.setMemory(s.MemoryMB)
 	}
 	h.logs.settingsReloaded(err)
 }
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -50,8 +50,25 @@
 		w.Header().Set("Connection", "close")
 	}
 	r, res := in.handle(w, hr, arrived)
+	// A server may still be sent the body while its response is passed on.
+	defer r.body.release()
 	in.recordResult(r, res, time.Since(arrived))
 	in.writeResult(w, hr, r, res)
+	if r.bodyLeft {
+		r.body.release()
+		in.discardBody(w, hr, r)
+	}
+}
+
+// discardBody reads what is left of a body after the response, for a caller that reads the
+// response only once it has sent all: closing the connection would reset it and lose the response.
+func (in *ingress) discardBody(w http.ResponseWriter, hr *http.Request, r *request) {
+	controller := http.NewResponseController(w)
+	if controller.Flush() != nil || controller.SetReadDeadline(r.deadline) != nil {
+		return
+	}
+	// It fails if the caller leaves, or at its deadline.
+	_, _ = io.Copy(io.Discard, hr.Body)
 }
 
 // handle returns a request and its result.
@@ -103,12 +120,8 @@
 		return res
 	}
 	r.deadline = in.deadline(r, hr)
-	body, res := in.readBody(w, hr, r.config.Limits)
-	if res != nil {
-		return res
-	}
-	r.outgoingRequest = outgoingRequest{Method: hr.Method, Target: target, Host: hr.Host, Header: endToEndHeaders(hr.Header), Body: body}
-	return nil
+	r.outgoingRequest = outgoingRequest{Method: hr.Method, Target: target, Host: hr.Host, Header: endToEndHeaders(hr.Header)}
+	return in.readBody(w, hr, r)
 }
 
 // readKey parses the key of a request to a divided service.
@@ -139,27 +152,37 @@
 	return r.arrived.Add(limit)
 }
 
-// readBody reads the request body within the configured limits.
-func (in *ingress) readBody(w http.ResponseWriter, hr *http.Request, limits fairway.Limits) ([]byte, result) {
+// readBody reads the body of a request within the configured limits and the host's memory.
+func (in *ingress) readBody(w http.ResponseWriter, hr *http.Request, r *request) result {
+	limits := r.config.Limits
 	if limits.HeaderBytes > 0 && headerBytes(hr) > limits.HeaderBytes {
-		return nil, clientError{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderTooLarge}
+		return clientError{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderTooLarge}
 	}
-	if hr.ContentLength == 0 {
-		return nil, nil
+	switch {
+	case hr.ContentLength == 0:
+		return nil
+	case limits.BodyBytes > 0 && hr.ContentLength > limits.BodyBytes:
+		r.bodyLeft = true
+		return clientError{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
 	}
-	reader := hr.Body
+	b := &bodyReader{reader: hr.Body, length: hr.ContentLength, budget: in.forwarder.bodies}
 	if limits.BodyBytes > 0 {
-		reader = http.MaxBytesReader(w, hr.Body, limits.BodyBytes)
+		b.reader, b.limit = http.MaxBytesReader(w, hr.Body, limits.BodyBytes), limits.BodyBytes
 	}
-	body, err := io.ReadAll(reader)
+	body, err := b.read()
+	r.body = b.hold
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, clientError{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
+		return clientError{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
+	case errors.Is(err, errNoRoom):
+		r.bodyLeft = true
+		return refusal{reason: reasonNoMemory, retryAfter: in.forwarder.bodies.retryAfter(time.Now())}
 	case err != nil:
-		return nil, callerLeft{}
+		return callerLeft{}
 	}
-	return body, nil
+	r.outgoingRequest.Body = body
+	return nil
 }
 
 // headerBytes returns the approximate size of a request up to its body.
