--- a/jetty/bodybudget_test.go
+++ b/jetty/bodybudget_test.go
@@ -140,12 +140,13 @@
 		address = strings.TrimPrefix(server.URL, "http://")
 	})
 	// begin sends the head of a request.
+	left := 20 * time.Second
 	begin := func(framing string) upload {
 		GinkgoHelper()
 		c, err := net.Dial("tcp", address)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = c.Close() })
-		_, err = fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: example.com\r\nId: request-%d\r\nLeft: 20000\r\n%s\r\n\r\n", b.n.Add(1), framing)
+		_, err = fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: example.com\r\nId: request-%d\r\nLeft: %d\r\n%s\r\n\r\n", b.n.Add(1), left.Milliseconds(), framing)
 		Expect(err).NotTo(HaveOccurred())
 		return upload{Conn: c, reader: bufio.NewReader(c)}
 	}
@@ -208,6 +209,18 @@
 		Eventually(b.f.bodies.bytesHeld).Should(BeZero())
 	})
 
+	It("are refused at the deadline of their request if they have not come by then", func() {
+		left = 300 * time.Millisecond
+		DeferCleanup(func() { left = 20 * time.Second })
+		u := begin(withLength(1000))
+		_, err := u.Write(make([]byte, 999))
+		Expect(err).NotTo(HaveOccurred())
+		resp, text := u.receive()
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(text).To(Equal(string(reasonDeadline) + "\n"))
+		Eventually(b.f.bodies.bytesHeld).Should(BeZero())
+	})
+
 	It("count for requests of other hosts as well", func() {
 		_, ok := b.f.bodies.take(64 << 20)
 		Expect(ok).To(BeTrue())
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -169,7 +170,14 @@
 	if limits.BodyBytes > 0 {
 		b.reader, b.limit = http.MaxBytesReader(w, hr.Body, limits.BodyBytes), limits.BodyBytes
 	}
+	// Errors mean that the connection is closed, which the read finds as well.
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(r.deadline)
 	body, err := b.read()
+	if err == nil {
+		// Otherwise net/http would wait for the rest of the body before it responds.
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	r.body = b.hold
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -178,6 +186,8 @@
 	case errors.Is(err, errNoRoom):
 		r.bodyLeft = true
 		return refusal{reason: reasonNoMemory, retryAfter: in.forwarder.bodies.retryAfter(time.Now())}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refusal{reason: reasonDeadline}
 	case err != nil:
 		return callerLeft{}
 	}
