--- a/cmd/hornbeamwinchd/main.go
+++ b/cmd/hornbeamwinchd/main.go
@@ -6,6 +6,7 @@
 //	hornbeamwinchd --settings /etc/hornbeamwinch.json
 //	hornbeamwinchd --settings /etc/hornbeamwinch.json --check
 //	hornbeamwinchd --platform
+//	hornbeamwinchd --version
 //
 // With --platform, the host works with the store, the settings file and the
 // protocol of the platform that runs it and the backend servers (package
@@ -29,6 +30,7 @@
 type options struct {
 	Settings string `long:"settings" description:"settings file"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
+	Version  bool   `long:"version" description:"print the version of the source and the id of the build, and exit"`
 	Platform bool   `long:"platform" description:"use the store, settings file and protocol of the platform that runs the hosts and backend servers"`
 }
 
@@ -40,6 +42,11 @@
 		}
 		os.Exit(exitUsage)
 	}
+	if o.Version {
+		b := currentBuild()
+		fmt.Println(b.Version, b.ID)
+		return
+	}
 	s := newSignals()
 	if o.Platform {
 		runOnPlatform(o, s)
--- a/cmd/hornbeamwinchd/platform.go
+++ b/cmd/hornbeamwinchd/platform.go
@@ -35,6 +35,7 @@
 	os.Exit(s.run(fx.New(
 		jetty.Module(jetty.Config{
 			Settings:      settings,
+			Build:         currentBuild(),
 			Store:         store,
 			Protocol:      platform.Protocol{},
 			Reload:        func() (*jetty.Settings, error) { return platform.LoadSettings(path) },
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -51,9 +51,19 @@
 	memoryLimitFraction = 0.7
 )
 
+// Build says which program runs.
+type Build struct {
+	// Version is that of the source.
+	Version string
+	// ID identifies the program file; it is empty if it is not known.
+	ID string
+}
+
 // Config holds the parameters of a [Host].
 type Config struct {
 	Settings *Settings
+	// Build is written to the log at the start.
+	Build    Build
 	Store    ledger.TxnStore
 	Protocol Protocol
 	// Dial opens the connections to backend servers; nil means plain TCP.
@@ -254,7 +264,7 @@
 	h.launch(ctx, h.sweepLoop)
 	h.launch(ctx, h.reach.run)
 	h.launch(ctx, h.reloadLoop)
-	h.logs.started(h.cfg.Settings)
+	h.logs.started(h.cfg.Settings, h.cfg.Build)
 	return nil
 }
 
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -130,8 +130,10 @@
 	l.queue.close()
 }
 
-func (l *logs) started(s *Settings) {
+func (l *logs) started(s *Settings, b Build) {
 	l.logger.Info().
+		Str("version", b.Version).
+		Str("build", b.ID).
 		Str("caller_address", s.CallerAddress).
 		Str("peer_address", s.PeerAddress).
 		Str("admin_address", s.AdminAddress).
