--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"sync"
@@ -39,8 +40,13 @@
 	// stickiness is how many requests in a row a caller sends to a host on average,
 	// if its requests are long.
 	stickiness = 10
-	// unframedShare is one in how many long requests has a response without a length.
-	unframedShare = 3
+	// formShare is one in how many long requests has a response of a special form, and
+	// lateShare one in how many with a body has a server that reads it late.
+	formShare = 3
+	lateShare = 4
+	// maxLongBody bounds the bodies of long requests, and maxLongResponse their responses.
+	maxLongBody     = 900_000
+	maxLongResponse = 3_000_000
 )
 
 // caller sends requests over persistent connections, one for each host. It does not
@@ -90,22 +96,28 @@
 }
 
 // sendLong sends several requests to a host, most of them long ones, until one fails. Some
-// have responses without a length, unless servers crash, which ends such responses in order.
+// have responses of special forms, of which those without a length do not fit servers that
+// crash and so end such responses in order.
 func (c *caller) sendLong(ctx context.Context, h *host) {
 	for ctx.Err() == nil {
 		var resp response
-		work := fmt.Sprintf("1?%s=%v", platformtest.WorkParameter, time.Duration(c.rng.Int64N(int64(maxWork))).Round(time.Millisecond))
-		if c.testbed.cfg.Crashing == 0 && c.rng.IntN(unframedShare) == 0 {
-			work += "&" + platformtest.UnframedParameter + "=" + platformtest.UnframedClosed
+		q := url.Values{platformtest.WorkParameter: {time.Duration(c.rng.Int64N(int64(maxWork))).Round(time.Millisecond).String()}}
+		size := 0
+		if c.testbed.cfg.Crashing == 0 && c.rng.IntN(formShare) == 0 {
+			q.Set(platformtest.FormParameter, string(platformtest.Forms[c.rng.IntN(len(platformtest.Forms))]))
+			if c.rng.IntN(2) == 0 {
+				size = 1 + c.rng.IntN(maxLongResponse)
+				q.Set(platformtest.SizeParameter, fmt.Sprint(size))
+			}
 		}
 		timeLeft := platformtest.LongTimeout - time.Second + time.Duration(c.rng.Int64N(2000))*time.Millisecond
 		switch c.rng.IntN(3) {
 		case 0:
 			resp = c.sendShort(h)
 		case 1:
-			resp = c.sendWithin(timeLeft, h, http.MethodPost, "/export/"+work, 0)
+			resp = c.sendExport(timeLeft, h, q, size)
 		default:
-			resp = c.sendWithin(timeLeft, h, http.MethodGet, "/scan/"+work, 0)
+			resp = c.sendRequest(request{timeLeft: timeLeft, host: h, method: http.MethodGet, path: "/scan/1?" + q.Encode(), size: size})
 		}
 		if resp.status == 0 || c.rng.IntN(stickiness) == 0 {
 			return
@@ -113,6 +125,27 @@
 	}
 }
 
+// sendExport sends a long request with a body, which may be large and read late.
+func (c *caller) sendExport(timeLeft time.Duration, h *host, q url.Values, size int) response {
+	bodySize := 0
+	if c.rng.IntN(2) == 0 {
+		bodySize = 1 + c.rng.IntN(maxLongBody)
+	}
+	if bodySize > 0 && c.rng.IntN(lateShare) == 0 {
+		q.Del(platformtest.FormParameter)
+		q.Set(platformtest.LateParameter, "1")
+	}
+	return c.sendRequest(request{
+		timeLeft: timeLeft, host: h, method: http.MethodPost, path: "/export/1?" + q.Encode(), size: size,
+		bodyOf: func(id string) string {
+			if bodySize == 0 {
+				return "amount of " + id
+			}
+			return platformtest.SizedBody("amount of "+id, bodySize)
+		},
+	})
+}
+
 // response is what a caller received; status 0 means no complete response.
 type response struct {
 	id     string
@@ -120,26 +153,35 @@
 	signed bool
 }
 
+// request is one request of a caller to a host.
+type request struct {
+	timeLeft time.Duration
+	host     *host
+	method   string
+	path     string
+	key      int
+	// bodyOf returns the body for the id of the request; nil means a short one for POST.
+	bodyOf func(id string) string
+	// size is that of the response; 0 means what the server sends by itself.
+	size int
+}
+
 // send sends one short request.
 func (c *caller) send(h *host, method, path string, key int) response {
-	return c.sendWithin(shortTimeLeft, h, method, path, key)
+	return c.sendRequest(request{timeLeft: shortTimeLeft, host: h, method: method, path: path, key: key})
 }
 
-// sendWithin sends one request and checks that a response with status 200 is
+// sendRequest sends one request and checks that a response with status 200 is
 // complete and belongs to this request.
-func (c *caller) sendWithin(timeLeft time.Duration, h *host, method, path string, key int) response {
-	return c.sendBody(timeLeft, h, method, path, key, func(id string) string {
-		if method == http.MethodPost {
-			return "amount of " + id
-		}
-		return ""
-	})
-}
-
-// sendBody is sendWithin for a request whose body may depend on its id.
-func (c *caller) sendBody(timeLeft time.Duration, h *host, method, path string, key int, bodyOf func(id string) string) response {
+func (c *caller) sendRequest(r request) response {
 	resp := response{id: fmt.Sprintf("q%d-%d", os.Getpid(), nextRequest.Add(1))}
-	body := bodyOf(resp.id)
+	h, method, path, key, timeLeft, body := r.host, r.method, r.path, r.key, r.timeLeft, ""
+	switch {
+	case r.bodyOf != nil:
+		body = r.bodyOf(resp.id)
+	case method == http.MethodPost:
+		body = "amount of " + resp.id
+	}
 	req, err := http.NewRequest(method, "http://"+h.callerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return resp
@@ -171,8 +213,12 @@
 	if resp.status != http.StatusOK {
 		return resp
 	}
-	if want := fmt.Sprintf("%s %s %d %s", method, path, key, body); string(data) != want {
-		c.testbed.checker.recordViolation("%s: host %d responded with %q instead of %q", resp.id, h.n, data, want)
+	want := fmt.Sprintf("%s %s %d %s", method, path, key, body)
+	if r.size > 0 {
+		want = platformtest.SizedBody(want, r.size)
+	}
+	if string(data) != want {
+		c.testbed.checker.recordViolation("%s: host %d responded with %d bytes %.200q instead of %d bytes %.200q", resp.id, h.n, len(data), data, len(want), want)
 	}
 	if echo := httpResp.Header.Get(headers.RequestID); echo != resp.id || !resp.signed {
 		c.testbed.checker.recordViolation("%s: host %d responded with request id %q, signed %v", resp.id, h.n, echo, resp.signed)
--- a/cmd/soak/crash.go
+++ b/cmd/soak/crash.go
@@ -71,7 +71,7 @@
 	defer c.close()
 	for ; ctx.Err() == nil; time.Sleep(crashInterval) {
 		h := c.testbed.hosts[c.rng.IntN(len(c.testbed.hosts))]
-		resp := c.sendBody(shortTimeLeft, h, c.method, c.path, c.key, func(string) string { return c.body })
+		resp := c.sendRequest(request{timeLeft: shortTimeLeft, host: h, method: c.method, path: c.path, key: c.key, bodyOf: func(string) string { return c.body }})
 		c.hosts[resp.id] = h
 	}
 }
