--- a/jetty/bodybudget_test.go
+++ b/jetty/bodybudget_test.go
@@ -184,6 +184,21 @@
 		expectServed(begin(withLength(bodyBytes)), bodyBytes)
 	})
 
+	It("are refused at once also if net/http would read them before it responds", func() {
+		_, ok := b.f.bodies.take(64<<20 + 400_000)
+		Expect(ok).To(BeTrue())
+		expectRefused(begin(withLength(100_000)))
+	})
+
+	It("are not waited for after a refusal if their callers wait to be told to go on", func() {
+		begin(withLength(bodyBytes))
+		Eventually(b.f.bodies.bytesHeld).Should(BeEquivalentTo(bodyBytes))
+		u := begin(withLength(bodyBytes) + "\r\nExpect: 100-continue")
+		expectRefused(u)
+		_, err := u.reader.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	})
+
 	It("are refused as they grow beyond the room, if their length is not known", func() {
 		begin(withLength(bodyBytes))
 		Eventually(b.f.bodies.bytesHeld).Should(BeEquivalentTo(bodyBytes))
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -64,6 +64,10 @@
 // discardBody reads what is left of a body after the response, for a caller that reads the
 // response only once it has sent all: closing the connection would reset it and lose the response.
 func (in *ingress) discardBody(w http.ResponseWriter, hr *http.Request, r *request) {
+	if hr.Header.Get("Expect") != "" {
+		// The caller sends its body only if it is told to.
+		return
+	}
 	controller := http.NewResponseController(w)
 	if controller.Flush() != nil || controller.SetReadDeadline(r.deadline) != nil {
 		return
@@ -162,8 +166,11 @@
 	switch {
 	case hr.ContentLength == 0:
 		return nil
+	case in.forwarder.drain.excludes(r.deadline):
+		in.leaveBody(w, r)
+		return in.forwarder.stopped(r)
 	case limits.BodyBytes > 0 && hr.ContentLength > limits.BodyBytes:
-		r.bodyLeft = true
+		in.leaveBody(w, r)
 		return clientError{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
 	}
 	b := &bodyReader{reader: hr.Body, length: hr.ContentLength, budget: in.forwarder.bodies}
@@ -184,7 +191,7 @@
 	case errors.As(err, &tooLarge):
 		return clientError{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
 	case errors.Is(err, errNoRoom):
-		r.bodyLeft = true
+		in.leaveBody(w, r)
 		return refusal{reason: reasonNoMemory, retryAfter: in.forwarder.bodies.retryAfter(time.Now())}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refusal{reason: reasonDeadline}
@@ -195,6 +202,15 @@
 	return nil
 }
 
+// leaveBody has the response sent before the rest of the body has come. The connection is
+// closed then, since what is left of the body must not be taken for a request.
+func (in *ingress) leaveBody(w http.ResponseWriter, r *request) {
+	r.bodyLeft = true
+	w.Header().Set("Connection", "close")
+	// It fails for callers whose body net/http does not read before it responds.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+}
+
 // headerBytes returns the approximate size of a request up to its body.
 func headerBytes(hr *http.Request) int {
 	const separators = 4
