--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -459,6 +459,19 @@
 	return nil
 }
 
+// clearWhenWhole returns a response that clears its request of the suspicion that it crashes
+// servers once all of it has been passed on.
+func (e *exchange) clearWhenWhole(resp backendResponse) backendResponse {
+	finish := resp.finish
+	resp.finish = func(whole bool) {
+		finish(whole)
+		if whole {
+			e.crashes.answered(e.r)
+		}
+	}
+	return resp
+}
+
 // handle evaluates an attempt that has ended. It returns nil if another attempt is
 // to be made or is pending.
 func (e *exchange) handle(ctx context.Context, a *attempt) result {
@@ -477,8 +490,11 @@
 		res, again = e.handleResponse(ctx, e.r, a.resp, a.server)
 	}
 	resp, answered := res.(backendResponse)
-	if answered && resp.remaining == nil {
+	switch {
+	case answered && resp.remaining == nil:
 		e.crashes.answered(e.r)
+	case answered:
+		res = e.clearWhenWhole(resp)
 	}
 	switch {
 	case answered && (resp.status < http.StatusInternalServerError || len(e.pending) == 0):
