--- a/jetty/bodybudget.go
+++ b/jetty/bodybudget.go
@@ -21,61 +21,61 @@
 	// finds no room.
 	minRoomRetryAfter = 100 * time.Millisecond
 	maxRoomRetryAfter = 2 * time.Second
-	// meanHoldWeight is the weight of the last larger body in the mean time for which such
-	// bodies are held.
-	meanHoldWeight = 0.2
+	// meanTimeWeight is the weight of the last larger body in the mean time for which such
+	// bodies keep their room.
+	meanTimeWeight = 0.2
 )
 
-// bodyBudget bounds the memory of the request bodies that a host holds: those of its callers
-// and of other hosts' requests. Room is taken before a body is read. A nil bodyBudget has no
+// bodyBudget bounds the memory of the request bodies in a host: those of its callers and of
+// other hosts' requests. Room is reserved before a body is read. A nil bodyBudget has no
 // limit.
 type bodyBudget struct {
-	// collect frees the memory of bodies that are not held any more.
+	// collect frees the memory of released bodies.
 	collect func()
 
 	mu sync.Mutex
 	// limit is 0 if there is none.
-	limit int64
-	held  int64
+	limit    int64
+	reserved int64
 	// garbage is the size of the bodies that were released since collect was last called.
 	garbage int64
-	// larger has the holds of bodies above smallBodyBytes, and meanHold is how long such
-	// bodies are held.
-	larger   map[*bodyHold]bool
-	meanHold time.Duration
+	// larger has the reservations of bodies above smallBodyBytes, and meanTime is how long
+	// such bodies keep their room.
+	larger   map[*bodyReservation]bool
+	meanTime time.Duration
 }
 
 // newBodyBudget returns the budget of a host with some memory, in MiB; 0 means no limit.
 func newBodyBudget(memoryMB int) *bodyBudget {
-	b := &bodyBudget{collect: runtime.GC, larger: make(map[*bodyHold]bool), meanHold: time.Second}
+	b := &bodyBudget{collect: runtime.GC, larger: make(map[*bodyReservation]bool), meanTime: time.Second}
 	b.setMemory(memoryMB)
 	return b
 }
 
-// setMemory sets the host's memory, in MiB. What is held stays.
+// setMemory sets the host's memory, in MiB. Reservations stay.
 func (b *bodyBudget) setMemory(memoryMB int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.limit = int64(bodyMemoryFraction * float64(memoryMB) * (1 << 20))
 }
 
-// bodyHold is the room that one body has taken.
-type bodyHold struct {
+// bodyReservation is the room of one body.
+type bodyReservation struct {
 	budget *bodyBudget
 	bytes  int64
 	since  time.Time
 }
 
-// take takes room for a body. It returns false if there is none.
-func (b *bodyBudget) take(bytes int64) (*bodyHold, bool) {
-	h := &bodyHold{budget: b, since: time.Now()}
-	return h, h.grow(bytes)
+// reserve takes room for a body. It returns false if there is none.
+func (b *bodyBudget) reserve(bytes int64) (*bodyReservation, bool) {
+	r := &bodyReservation{budget: b, since: time.Now()}
+	return r, r.grow(bytes)
 }
 
 // grow takes room for a larger buffer, to which the body moves from the former one. It
 // reports whether there is room for both.
-func (h *bodyHold) grow(bytes int64) bool {
-	b := h.budget
+func (r *bodyReservation) grow(bytes int64) bool {
+	b := r.budget
 	if b == nil {
 		return true
 	}
@@ -84,11 +84,11 @@
 	if !b.hasRoom(bytes) {
 		return false
 	}
-	b.held += bytes - h.bytes
-	b.garbage += h.bytes
-	h.bytes = bytes
+	b.reserved += bytes - r.bytes
+	b.garbage += r.bytes
+	r.bytes = bytes
 	if bytes > smallBodyBytes {
-		b.larger[h] = true
+		b.larger[r] = true
 	}
 	return true
 }
@@ -102,10 +102,10 @@
 	if bytes > smallBodyBytes {
 		limit -= int64(smallBodyFraction * float64(limit))
 	}
-	if b.held+bytes > limit {
+	if b.reserved+bytes > limit {
 		return false
 	}
-	if b.held+b.garbage+bytes > limit {
+	if b.reserved+b.garbage+bytes > limit {
 		b.collect()
 		b.garbage = 0
 	}
@@ -113,20 +113,20 @@
 }
 
 // release gives the room back. The body must not be used any more.
-func (h *bodyHold) release() {
-	if h == nil || h.budget == nil {
+func (r *bodyReservation) release() {
+	if r == nil || r.budget == nil {
 		return
 	}
-	b := h.budget
+	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.held -= h.bytes
-	b.garbage += h.bytes
-	if b.larger[h] {
-		delete(b.larger, h)
-		b.meanHold += time.Duration(meanHoldWeight * float64(time.Since(h.since)-b.meanHold))
+	b.reserved -= r.bytes
+	b.garbage += r.bytes
+	if b.larger[r] {
+		delete(b.larger, r)
+		b.meanTime += time.Duration(meanTimeWeight * float64(time.Since(r.since)-b.meanTime))
 	}
-	h.bytes = 0
+	r.bytes = 0
 }
 
 // retryAfter returns after how long the next larger body is expected to have been released.
@@ -134,18 +134,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var oldest time.Duration
-	for h := range b.larger {
-		oldest = max(oldest, now.Sub(h.since))
+	for r := range b.larger {
+		oldest = max(oldest, now.Sub(r.since))
 	}
 	if len(b.larger) == 0 {
 		return minRoomRetryAfter
 	}
-	return min(max(b.meanHold-oldest, minRoomRetryAfter), maxRoomRetryAfter)
+	return min(max(b.meanTime-oldest, minRoomRetryAfter), maxRoomRetryAfter)
 }
 
-// bytesHeld returns the size of the bodies that are held.
-func (b *bodyBudget) bytesHeld() int64 {
+// bytesReserved returns the size of all reservations.
+func (b *bodyBudget) bytesReserved() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.held
+	return b.reserved
 }
--- a/jetty/bodybudget_test.go
+++ b/jetty/bodybudget_test.go
@@ -29,68 +29,68 @@
 		b = newBodyBudget(memoryMB)
 		b.collect = func() { collected++ }
 	})
-	expectTaken := func(bytes int64) *bodyHold {
+	expectReserved := func(bytes int64) *bodyReservation {
 		GinkgoHelper()
-		h, ok := b.take(bytes)
-		Expect(ok).To(BeTrue(), "no room for %d beside %d", bytes, b.bytesHeld())
-		return h
+		r, ok := b.reserve(bytes)
+		Expect(ok).To(BeTrue(), "no room for %d beside %d", bytes, b.bytesReserved())
+		return r
 	}
 	expectNoRoom := func(bytes int64) {
 		GinkgoHelper()
-		_, ok := b.take(bytes)
-		Expect(ok).To(BeFalse(), "room for %d beside %d", bytes, b.bytesHeld())
+		_, ok := b.reserve(bytes)
+		Expect(ok).To(BeFalse(), "room for %d beside %d", bytes, b.bytesReserved())
 	}
 
 	It("has room for a body of 64 MiB on a host of 184 MiB, and keeps the rest for small ones", func() {
-		expectTaken(64 << 20)
+		expectReserved(64 << 20)
 		expectNoRoom(64 << 20)
 		expectNoRoom(8 << 20)
 		for range 100 {
-			expectTaken(smallBodyBytes)
+			expectReserved(smallBodyBytes)
 		}
 	})
 
-	It("never holds more than its part of the memory", func() {
+	It("never gives more than its part of the memory", func() {
 		for range 10_000 {
-			if _, ok := b.take(smallBodyBytes); !ok {
+			if _, ok := b.reserve(smallBodyBytes); !ok {
 				break
 			}
 		}
 		expectNoRoom(smallBodyBytes)
-		Expect(b.bytesHeld()).To(BeNumerically("<=", 74<<20))
+		Expect(b.bytesReserved()).To(BeNumerically("<=", 74<<20))
 	})
 
 	It("gives room again that was released, once the memory is free", func() {
-		expectTaken(40 << 20).release()
+		expectReserved(40 << 20).release()
 		Expect(collected).To(BeZero())
-		expectTaken(40 << 20)
+		expectReserved(40 << 20)
 		Expect(collected).To(Equal(1))
-		Expect(b.bytesHeld()).To(BeEquivalentTo(40 << 20))
+		Expect(b.bytesReserved()).To(BeEquivalentTo(40 << 20))
 	})
 
 	It("counts both buffers of a body that grows", func() {
-		h := expectTaken(24 << 20)
-		Expect(h.grow(48 << 20)).To(BeFalse())
-		Expect(h.grow(32 << 20)).To(BeTrue())
-		Expect(b.bytesHeld()).To(BeEquivalentTo(32 << 20))
-		h.release()
-		Expect(b.bytesHeld()).To(BeZero())
+		r := expectReserved(24 << 20)
+		Expect(r.grow(48 << 20)).To(BeFalse())
+		Expect(r.grow(32 << 20)).To(BeTrue())
+		Expect(b.bytesReserved()).To(BeEquivalentTo(32 << 20))
+		r.release()
+		Expect(b.bytesReserved()).To(BeZero())
 	})
 
 	It("tells when the oldest of the larger bodies is expected to have been released", func() {
-		h := expectTaken(40 << 20)
-		b.meanHold = 1500 * time.Millisecond
-		Expect(b.retryAfter(h.since)).To(Equal(1500 * time.Millisecond))
-		Expect(b.retryAfter(h.since.Add(time.Second))).To(Equal(500 * time.Millisecond))
-		Expect(b.retryAfter(h.since.Add(time.Minute))).To(Equal(minRoomRetryAfter))
-		b.meanHold = time.Minute
-		Expect(b.retryAfter(h.since)).To(Equal(maxRoomRetryAfter))
+		r := expectReserved(40 << 20)
+		b.meanTime = 1500 * time.Millisecond
+		Expect(b.retryAfter(r.since)).To(Equal(1500 * time.Millisecond))
+		Expect(b.retryAfter(r.since.Add(time.Second))).To(Equal(500 * time.Millisecond))
+		Expect(b.retryAfter(r.since.Add(time.Minute))).To(Equal(minRoomRetryAfter))
+		b.meanTime = time.Minute
+		Expect(b.retryAfter(r.since)).To(Equal(maxRoomRetryAfter))
 	})
 
 	It("has no limit on a host whose memory is not known", func() {
 		b.setMemory(0)
 		for range 10 {
-			expectTaken(1 << 30)
+			expectReserved(1 << 30)
 		}
 	})
 })
@@ -171,7 +171,7 @@
 
 	It("are refused before they are read if there is no room for them, and served later", func() {
 		first := begin(withLength(bodyBytes))
-		Eventually(b.f.bodies.bytesHeld).Should(BeEquivalentTo(bodyBytes))
+		Eventually(b.f.bodies.bytesReserved).Should(BeEquivalentTo(bodyBytes))
 		expectRefused(begin(withLength(bodyBytes)))
 		expectServed(begin(withLength(8)), 8)
 		// A caller that reads the response only once it has sent the whole body gets it, too.
@@ -180,19 +180,19 @@
 		Expect(err).NotTo(HaveOccurred())
 		expectRefused(whole)
 		expectServed(first, bodyBytes)
-		Eventually(b.f.bodies.bytesHeld).Should(BeZero())
+		Eventually(b.f.bodies.bytesReserved).Should(BeZero())
 		expectServed(begin(withLength(bodyBytes)), bodyBytes)
 	})
 
 	It("are refused at once also if net/http would read them before it responds", func() {
-		_, ok := b.f.bodies.take(64<<20 + 400_000)
+		_, ok := b.f.bodies.reserve(64<<20 + 400_000)
 		Expect(ok).To(BeTrue())
 		expectRefused(begin(withLength(100_000)))
 	})
 
 	It("are not waited for after a refusal if their callers wait to be told to go on", func() {
 		begin(withLength(bodyBytes))
-		Eventually(b.f.bodies.bytesHeld).Should(BeEquivalentTo(bodyBytes))
+		Eventually(b.f.bodies.bytesReserved).Should(BeEquivalentTo(bodyBytes))
 		u := begin(withLength(bodyBytes) + "\r\nExpect: 100-continue")
 		expectRefused(u)
 		_, err := u.reader.ReadByte()
@@ -201,14 +201,14 @@
 
 	It("are refused as they grow beyond the room, if their length is not known", func() {
 		begin(withLength(bodyBytes))
-		Eventually(b.f.bodies.bytesHeld).Should(BeEquivalentTo(bodyBytes))
+		Eventually(b.f.bodies.bytesReserved).Should(BeEquivalentTo(bodyBytes))
 		u := begin("Transfer-Encoding: chunked")
 		go func() {
 			w := httputil.NewChunkedWriter(u)
 			_, _ = io.Copy(w, io.LimitReader(endlessReader{}, bodyBytes))
 		}()
 		expectRefused(u)
-		Eventually(b.f.bodies.bytesHeld).Should(BeEquivalentTo(bodyBytes))
+		Eventually(b.f.bodies.bytesReserved).Should(BeEquivalentTo(bodyBytes))
 	})
 
 	It("are refused at once if they are longer than the configuration allows", func() {
@@ -219,9 +219,9 @@
 
 	It("give their room back if the caller leaves", func() {
 		u := begin(withLength(bodyBytes))
-		Eventually(b.f.bodies.bytesHeld).Should(BeEquivalentTo(bodyBytes))
+		Eventually(b.f.bodies.bytesReserved).Should(BeEquivalentTo(bodyBytes))
 		Expect(u.Close()).To(Succeed())
-		Eventually(b.f.bodies.bytesHeld).Should(BeZero())
+		Eventually(b.f.bodies.bytesReserved).Should(BeZero())
 	})
 
 	It("are refused at the deadline of their request if they have not come by then", func() {
@@ -233,11 +233,11 @@
 		resp, text := u.receive()
 		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
 		Expect(text).To(Equal(string(reasonDeadline) + "\n"))
-		Eventually(b.f.bodies.bytesHeld).Should(BeZero())
+		Eventually(b.f.bodies.bytesReserved).Should(BeZero())
 	})
 
 	It("count for requests of other hosts as well", func() {
-		_, ok := b.f.bodies.take(64 << 20)
+		_, ok := b.f.bodies.reserve(64 << 20)
 		Expect(ok).To(BeTrue())
 		stream := &offerStream{offer: &signal.RelayOffer{Service: "readings", BodyBytes: maxRelayedBodyBytes, LeftMicros: 1_000_000}}
 		s := &relayServer{forwarder: b.f, stopping: func() bool { return false }}
--- a/jetty/bodyreader.go
+++ b/jetty/bodyreader.go
@@ -8,7 +8,7 @@
 // errNoRoom means that the host has no memory for a body.
 var errNoRoom = errors.New("no memory for the body")
 
-// bodyReader reads a request body, for which it takes room from a budget first.
+// bodyReader reads a request body, for which it reserves room in a budget first.
 type bodyReader struct {
 	reader io.Reader
 	budget *bodyBudget
@@ -16,8 +16,8 @@
 	length int64
 	// limit is the largest length that is allowed; 0 means any.
 	limit int64
-	// hold is the room that was taken, to be released whether read fails or not.
-	hold *bodyHold
+	// reservation is the room of the body, to be released whether read fails or not.
+	reservation *bodyReservation
 }
 
 // read returns the body.
@@ -27,7 +27,7 @@
 		size = initialBodyBytes
 	}
 	var ok bool
-	if b.hold, ok = b.budget.take(size); !ok {
+	if b.reservation, ok = b.budget.reserve(size); !ok {
 		return nil, errNoRoom
 	}
 	body := make([]byte, 0, size)
@@ -57,7 +57,7 @@
 		// One byte more than the limit shows that it is exceeded.
 		size = min(size, b.limit+1)
 	}
-	if !b.hold.grow(size) {
+	if !b.reservation.grow(size) {
 		return nil, errNoRoom
 	}
 	return append(make([]byte, 0, size), body...), nil
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -49,8 +49,8 @@
 	tableRevision mooring.StoreRevision
 	// mayHaveRun is set once a server may have begun to execute the request.
 	mayHaveRun bool
-	// body is the room that the request's body has taken, or nil.
-	body *bodyHold
+	// body is the room of the request's body, or nil.
+	body *bodyReservation
 	// bodyLeft is set if the rest of the body is discarded after the response.
 	bodyLeft bool
 	// callerHost is the address of the caller, without its port.
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -185,7 +185,7 @@
 		// Otherwise net/http would wait for the rest of the body before it responds.
 		_ = controller.SetReadDeadline(time.Time{})
 	}
-	r.body = b.hold
+	r.body = b.reservation
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -91,7 +91,7 @@
 	if !ok {
 		return refuseRelay(stream, sluice.Refuse{Reason: sluice.ReasonNoServer, RetryAfter: exhaustedRetryAfter})
 	}
-	if r.body, ok = s.forwarder.bodies.take(int64(offer.GetBodyBytes())); !ok {
+	if r.body, ok = s.forwarder.bodies.reserve(int64(offer.GetBodyBytes())); !ok {
 		return refuseRelay(stream, sluice.Refuse{Reason: sluice.Reason(reasonNoMemory), RetryAfter: s.forwarder.bodies.retryAfter(time.Now())})
 	}
 	defer r.body.release()
