--- a/jetty/bodybudget.go
+++ b/jetty/bodybudget.go
@@ -15,7 +15,8 @@
 	smallBodyBytes = 64 << 10
 	// smallBodyFraction is that part.
 	smallBodyFraction = 0.125
-	// initialBodyBytes is the first buffer for a body whose length is not known.
+	// initialBodyBytes is the first buffer for a body whose length is not known, or is not
+	// limited by anything.
 	initialBodyBytes = 4 << 10
 	// minRoomRetryAfter and maxRoomRetryAfter bound the Retry-After of requests whose body
 	// finds no room.
@@ -59,6 +60,16 @@
 	b.limit = int64(bodyMemoryFraction * float64(memoryMB) * (1 << 20))
 }
 
+// isLimited reports whether there is a limit.
+func (b *bodyBudget) isLimited() bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limit > 0
+}
+
 // bodyReservation is the room of one body.
 type bodyReservation struct {
 	budget *bodyBudget
--- a/jetty/bodybudget_test.go
+++ b/jetty/bodybudget_test.go
@@ -10,6 +10,7 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -95,6 +96,19 @@
 	})
 })
 
+// A stated length ended the process that had no limit for it.
+var _ = Describe("A body whose length is stated and does not come", func() {
+	DescribeTable("takes no memory for what has not come, where nothing limits it", func(budget func() *bodyBudget) {
+		const stated = 1 << 45
+		b := &bodyReader{reader: iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader("amount"))), length: stated, budget: budget()}
+		_, err := b.read()
+		Expect(err).To(MatchError(iotest.ErrTimeout))
+	},
+		Entry("without a budget", func() *bodyBudget { return nil }),
+		Entry("with one of a host whose memory is not known", func() *bodyBudget { return newBodyBudget(0) }),
+	)
+})
+
 // upload is a request with a body, of which a part has been sent.
 type upload struct {
 	net.Conn
--- a/jetty/bodyreader.go
+++ b/jetty/bodyreader.go
@@ -23,7 +23,7 @@
 // read returns the body.
 func (b *bodyReader) read() ([]byte, error) {
 	size := b.length
-	if size < 0 {
+	if size < 0 || b.limit == 0 && !b.budget.isLimited() {
 		size = initialBodyBytes
 	}
 	var ok bool
