--- a/jetty/bodybudget.go
+++ b/jetty/bodybudget.go
@@ -113,10 +113,10 @@
 	if bytes > smallBodyBytes {
 		limit -= int64(smallBodyFraction * float64(limit))
 	}
-	if b.reserved+bytes > limit {
+	if bytes > limit-b.reserved {
 		return false
 	}
-	if b.reserved+b.garbage+bytes > limit {
+	if b.garbage > limit-b.reserved-bytes {
 		b.collect()
 		b.garbage = 0
 	}
--- a/jetty/bodybudget_test.go
+++ b/jetty/bodybudget_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -61,6 +62,11 @@
 		Expect(b.bytesReserved()).To(BeNumerically("<=", 74<<20))
 	})
 
+	It("has no room for any length beside another body, however large", func() {
+		expectReserved(8)
+		expectNoRoom(math.MaxInt64)
+	})
+
 	It("gives room again that was released, once the memory is free", func() {
 		expectReserved(40 << 20).release()
 		Expect(collected).To(BeZero())
