Know that a forwarded request has not run if the other host has not got it

What callers saw: a request that must not be repeated could end as unknown (502) when an entry host of the project's own deployment stopped. Cause: forwarder.Forward looked at the connection, found it ready, and classified any later error of the call as "may have run", also one by which the call found no connection any more.

--- a/harbor/forwarder.go
+++ b/harbor/forwarder.go
@@ -36,17 +36,26 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := client.Forward(ctx, newForwardRequest(ctx, r))
+	ctx, record := withSendRecord(ctx)
+	outcome, err := call(ctx, client, r, sink)
 	if err != nil {
 		f.discardTimedOut(ctx, host.Address)
-		return nil, &quay.Error{Op: "forward", Kind: quay.KindMayHaveRun, Err: err}
+		kind := quay.KindMayHaveRun
+		if !record.sent.Load() {
+			kind = quay.KindNotRun
+		}
+		return nil, &quay.Error{Op: "forward", Kind: kind, Err: err}
 	}
-	outcome, err := relay(stream, sink)
+	return outcome, nil
+}
+
+// call has a peer route a request, and passes the response to sink.
+func call(ctx context.Context, client signal.PeersClient, r *quay.Request, sink quay.Sink) (quay.Outcome, error) {
+	stream, err := client.Forward(ctx, newForwardRequest(ctx, r))
 	if err != nil {
-		f.discardTimedOut(ctx, host.Address)
-		return nil, &quay.Error{Op: "forward", Kind: quay.KindMayHaveRun, Err: err}
+		return nil, err
 	}
-	return outcome, nil
+	return relay(stream, sink)
 }
 
 var errNotConnected = errors.New("entry host cannot be reached")
--- a/harbor/peer_clients.go
+++ b/harbor/peer_clients.go
@@ -49,6 +49,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithStatsHandler(sendRecorder{}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
 				BaseDelay:  20 * time.Millisecond,
