Withdraw the claim of a request before it is forwarded

What callers saw: 409, "same_idempotency_key_in_progress", for a request that must not be repeated and has not run, and the same for each repeat for as long as claims are kept. Cause: a host makes a claim, cannot connect to any server of its failure domain, and forwards the request; the next host finds the claim of the first and takes the request for one in progress. The outcome is unknown, so nobody withdraws it.

Evidence: the new test, 409 instead of 200, in its first run.

The claim is withdrawn by the revision that this host wrote, so a withdrawal that comes late removes no other host's claim. If it fails, the request is refused.

--- a/cmd/trials/requests_test.go
+++ b/cmd/trials/requests_test.go
@@ -158,6 +158,24 @@
 		Expect(r.status).To(Equal(http.StatusOK), r.body)
 	})
 
+	// A host's own claim kept the request from running at another host, and its caller from
+	// sending it again.
+	It("run once at another host if no server of the first one can be reached", func() {
+		d := deploySmall(deploymentConfig{})
+		host := d.fleet.Hosts[0].Host
+		for _, b := range d.backendsOf("invoicing") {
+			if b.Domain == string(host.Domain) {
+				d.kill(b.ID)
+				d.fleet.Backends = slices.DeleteFunc(d.fleet.Backends, func(other ledger.Backend) bool { return other.ID == b.ID })
+			}
+		}
+		r := request(http.MethodPost, host.CallerAddress, "/s/invoicing/member-1", "charge-8")
+		Expect(r.status).To(Equal(http.StatusOK), r.body)
+		again := request(http.MethodPost, host.CallerAddress, "/s/invoicing/member-1", "charge-8")
+		Expect(again.body).To(Equal(r.body))
+		Expect(d.executionsOf("charge-8")).To(HaveLen(1))
+	})
+
 	It("end as unknown and are not sent again when the server dies on the way", func() {
 		d := deploySmall(deploymentConfig{serversPerDomain: 2, workTime: 600 * time.Millisecond})
 		results := make(chan result, 1)
--- a/quay/routedrequest.go
+++ b/quay/routedrequest.go
@@ -251,6 +251,9 @@
 // outcome, the request may have run: it ends truncated if part of the response
 // has been passed on, and [routedRequest.retryOrFail] decides otherwise.
 func (r *routedRequest) forward(host berth.Host) attemptResult {
+	if !r.withdrawClaim() {
+		return final(r.failureOutcome(ReasonStoreUnavailable, retryAfterOutage))
+	}
 	r.triedHosts[host.ID] = true
 	r.log(Decision{Step: "forward", Host: host.ID})
 	forwarded := *r.request
@@ -270,6 +273,19 @@
 	return r.retryOrFail(ReasonForwardLost)
 }
 
+// withdrawClaim withdraws the claim of a request that has not run here, so that another
+// host can make one. It reports whether there is none any more.
+func (r *routedRequest) withdrawClaim() bool {
+	if r.claim == nil {
+		return true
+	}
+	if err := r.claim.Withdraw(); err != nil {
+		return false
+	}
+	r.claim = nil
+	return true
+}
+
 // handleForwardOutcome handles the outcome that another host returned. If that
 // host refused the request for a reason of its own, other hosts of the domain may
 // still accept it.
