Keep a cut host's peers until a new placer has heard from all hosts

What callers saw: at a host without a path to the servers, requests that came within a second of a change of the placer waited for up to 1.5 s, or until their deadline (504 or a cut download). Cause: a new placer names only hosts that have reported to it, and at first none; the cut host replaced the peers that it knew by none, and its requests waited in its own queue for servers that it does not reach. The numbers of hosts are already kept while the placer counts; the peers are now too, for at most the 3 s for which a reply holds.

The new case of "The reach of a host" fails without it. Ruled out: the windows of the peer, which were not used up, flow control between the hosts, and load (1 s of processor time in 6.5 s).

No message changes its form.

--- a/jetty/reach.go
+++ b/jetty/reach.go
@@ -186,6 +186,24 @@
 	}
 }
 
+// addPeers records a reply of a placer that has not heard from all hosts yet. What an
+// earlier reply named counts beside it.
+func (s *reachState) addPeers(now mooring.Instant, peers []peerAddress, answering []fairway.ServerID) {
+	switch {
+	case !s.hasPeers(now):
+		s.setPeers(now, peers, answering)
+		return
+	case len(peers) == 0:
+		return
+	}
+	earlier := s.answering
+	known := slices.DeleteFunc(slices.Clone(s.peers), func(p peerAddress) bool { return slices.Contains(peers, p) })
+	s.setPeers(now, append(slices.Clone(peers), known...), answering)
+	for id := range earlier {
+		s.answering[id] = true
+	}
+}
+
 // relayPeers returns the peers for requests to a server, or to any if it is empty.
 func (s *reachState) relayPeers(now mooring.Instant, server fairway.ServerID) []peerAddress {
 	if !s.hasPeers(now) || server != "" && !s.answering[server] {
@@ -336,10 +354,15 @@
 	return reachReport{cut: r.state.cut(now), failing: r.state.failing(now), signs: r.state.takeSigns()}
 }
 
-func (r *reach) setPeers(peers []peerAddress, answering []fairway.ServerID) {
+// applySummary records the peers that a reply of the placer names.
+func (r *reach) applySummary(summary loadSummary) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.state.setPeers(bootTimeNow(), peers, answering)
+	if summary.counting {
+		r.state.addPeers(bootTimeNow(), summary.peers, summary.answering)
+		return
+	}
+	r.state.setPeers(bootTimeNow(), summary.peers, summary.answering)
 }
 
 // forgetOthers forgets the servers that are not listed.
--- a/jetty/reach_test.go
+++ b/jetty/reach_test.go
@@ -62,6 +62,28 @@
 		Expect(s.relayPeers(began.Add(peersMaxAge+1), "")).To(BeEmpty())
 	})
 
+	// A host that is cut had no peers until a new placer had heard from them.
+	It("keeps the peers that the last placer named until the next one has heard from all hosts", func() {
+		r := &reach{state: newReachState(bootTimeNow())}
+		r.applySummary(loadSummary{peers: []peerAddress{"p", "q"}, answering: []fairway.ServerID{"a"}})
+		r.applySummary(loadSummary{counting: true})
+		Expect(r.relayPeers("a")).To(Equal([]peerAddress{"p", "q"}))
+		r.applySummary(loadSummary{counting: true, peers: []peerAddress{"q", "r"}, answering: []fairway.ServerID{"b"}})
+		Expect(r.relayPeers("a")).To(Equal([]peerAddress{"q", "r", "p"}))
+		Expect(r.relayPeers("b")).To(Equal([]peerAddress{"q", "r", "p"}))
+		r.applySummary(loadSummary{peers: []peerAddress{"r"}})
+		Expect(r.relayPeers("")).To(Equal([]peerAddress{"r"}))
+		Expect(r.relayPeers("a")).To(BeEmpty())
+	})
+
+	It("forgets the peers that an earlier placer named, in time", func() {
+		s.addPeers(began.Add(peersMaxAge), nil, nil)
+		Expect(s.relayPeers(began.Add(peersMaxAge), "")).To(Equal([]peerAddress{"p", "q"}))
+		Expect(s.relayPeers(began.Add(peersMaxAge+1), "")).To(BeEmpty())
+		s.addPeers(began.Add(peersMaxAge+1), []peerAddress{"r"}, nil)
+		Expect(s.relayPeers(began.Add(peersMaxAge+1), "")).To(Equal([]peerAddress{"r"}))
+	})
+
 	It("leaves out a peer that has not answered for a while", func() {
 		s.hop(began, "p", false)
 		Expect(s.relayPeers(began, "")).To(Equal([]peerAddress{"q"}))
--- a/jetty/reporter.go
+++ b/jetty/reporter.go
@@ -125,7 +125,7 @@
 // apply applies the summary that the placer returned.
 func (r *reporter) apply(summary loadSummary) {
 	r.clusterState.setFeedPlan(summary.feed)
-	r.reach.setPeers(summary.peers, summary.answering)
+	r.reach.applySummary(summary)
 	overloaded := make(map[fairway.ServerID]bool, len(summary.overloaded))
 	for _, id := range summary.overloaded {
 		overloaded[id] = true
