--- a/fairway/config.go
+++ b/fairway/config.go
@@ -132,6 +132,15 @@
 	return nil, errNoRoute
 }
 
+// RouteNames returns the set of the names of the routes.
+func (c *Config) RouteNames() map[RouteName]bool {
+	names := make(map[RouteName]bool, len(c.Routes))
+	for _, r := range c.Routes {
+		names[r.Name] = true
+	}
+	return names
+}
+
 // canonicalHost returns the host in lower case and without the port.
 func canonicalHost(host string) string {
 	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
--- a/jetty/admin.go
+++ b/jetty/admin.go
@@ -32,6 +32,6 @@
 	engine.GET("/readyz", h.serveReady)
 	engine.GET("/crashing_requests", h.listCrashingRequests)
 	engine.DELETE("/crashing_requests/:fingerprint", h.clearCrashingRequest)
-	engine.GET("/metrics", gin.WrapH(gauge.MetricsHandler{Scope: h.metrics.scope}))
+	engine.GET("/metrics", gin.WrapH(gauge.MetricsHandler{Scope: h.metrics}))
 	return engine
 }
--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -260,6 +261,12 @@
 	st.slowness += float64(latency) / float64(max(means.latency, time.Microsecond))
 }
 
+func (a *admission) retainRoutes(names map[fairway.RouteName]bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	maps.DeleteFunc(a.routeMeans, func(name fairway.RouteName, _ *routeMeans) bool { return !names[name] })
+}
+
 // meanLatency returns the mean latency of the service's responses.
 func (a *admission) meanLatency() time.Duration {
 	a.mu.Lock()
@@ -306,6 +313,8 @@
 	// hosts is 0 until it is known.
 	hosts    int
 	reaching int
+	// config is the configuration whose routes were retained.
+	config *fairway.Config
 }
 
 type admissionSetConfig struct {
@@ -393,6 +402,21 @@
 	s.hosts, s.reaching = hosts, reaching
 }
 
+// retainRoutes forgets the means of the routes that are not in a configuration.
+func (s *admissionSet) retainRoutes(c *fairway.Config) {
+	s.mu.Lock()
+	known := c == nil || c == s.config
+	s.config = c
+	s.mu.Unlock()
+	if known {
+		return
+	}
+	names := c.RouteNames()
+	for _, a := range s.all() {
+		a.retainRoutes(names)
+	}
+}
+
 // reevaluate decides again on the requests that wait at a service.
 func (s *admissionSet) reevaluate(service fairway.ServiceName) {
 	s.mu.Lock()
--- a/jetty/connection_test.go
+++ b/jetty/connection_test.go
@@ -24,7 +24,7 @@
 
 func metricsText(m *metrics) string {
 	w := httptest.NewRecorder()
-	gauge.MetricsHandler{Scope: m.scope}.ServeHTTP(w, nil)
+	gauge.MetricsHandler{Scope: m}.ServeHTTP(w, nil)
 	return w.Body.String()
 }
 
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -1,6 +1,7 @@
 package jetty
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 	time.Second, 2500 * time.Millisecond, 5 * time.Second,
 }
 
+// metricPrefix begins the names of all metrics.
+const metricPrefix = "hornbeamwinch"
+
 // metricName is the name of a metric without the prefix "hornbeamwinch_".
 type metricName string
 
@@ -68,6 +72,10 @@
 
 	mu     sync.Mutex
 	scopes map[metricTags]tally.Scope
+	// routes has the metrics of the routes of config, and of those that were in force while
+	// requests on them end. Requests without a route count under the empty name.
+	routes map[fairway.RouteName]*routeMetrics
+	config *fairway.Config
 }
 
 // metricTags has the values of up to three tags.
@@ -79,8 +87,9 @@
 
 func newMetrics() *metrics {
 	return &metrics{
-		scope:  tally.NewTestScope("hornbeamwinch", nil),
+		scope:  tally.NewTestScope(metricPrefix, nil),
 		scopes: make(map[metricTags]tally.Scope),
+		routes: make(map[fairway.RouteName]*routeMetrics),
 	}
 }
 
@@ -102,18 +111,48 @@
 	return s
 }
 
+// Snapshot implements gauge.Snapshotter.
+func (m *metrics) Snapshot() tally.Snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	joined := joinedSnapshot{m.scope.Snapshot()}
+	for _, route := range m.routes {
+		joined = append(joined, route.scope.Snapshot())
+	}
+	return joined
+}
+
+// retainRoutes forgets the metrics of the routes that are not in a configuration.
+func (m *metrics) retainRoutes(c *fairway.Config) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c == nil || c == m.config {
+		return
+	}
+	m.config = c
+	names := c.RouteNames()
+	maps.DeleteFunc(m.routes, func(name fairway.RouteName, _ *routeMetrics) bool { return name != "" && !names[name] })
+}
+
 // requestAnswered counts a completed request, and times it if it ended with a
 // backend server's response.
 func (m *metrics) requestAnswered(r *request, res result, elapsed time.Duration) {
-	route := ""
+	var name fairway.RouteName
 	if r.route != nil {
-		route = string(r.route.Name)
+		name = r.route.Name
 	}
-	outcome, reason := outcomeOf(res)
-	m.withTags(metricTags{route, string(outcome), string(reason)}, "route", "outcome", "reason").Counter(string(metricRequests)).Inc(1)
-	if _, ok := res.(backendResponse); ok {
-		m.withTags(metricTags{first: route}, "route").Histogram(string(metricRequestSeconds), latencyBuckets).RecordDuration(elapsed)
+	m.route(name).answered(res, elapsed)
+}
+
+func (m *metrics) route(name fairway.RouteName) *routeMetrics {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	route := m.routes[name]
+	if route == nil {
+		route = newRouteMetrics(name)
+		m.routes[name] = route
 	}
+	return route
 }
 
 // serverNotice counts a server instance that has begun to leave or has closed.
