Close idle connections until there is room for a new one

What callers saw: refusals with connect_failed in the project's own deployment, about twelve at each stop and start of a host; for a request that had been sent once already, "may have run". Cause: when a host joins, the others' shares of a server's connections shrink. A host with more idle connections than its new share closed one of them for a new connection, was still above the share, and gave up.

Evidence: the new test, Unknown with connect_failed instead of a whole response. The whole surplus is closed only as new connections are needed, as before.

--- a/quay/abandon_test.go
+++ b/quay/abandon_test.go
@@ -157,8 +157,13 @@
 }
 
 func (f *routerFixture) route(ctx context.Context) quay.Outcome {
+	return f.routeWith(ctx, make(http.Header))
+}
+
+// routeWith routes a request with some headers.
+func (f *routerFixture) routeWith(ctx context.Context, header http.Header) quay.Outcome {
 	request := &quay.Request{
-		ID: "r1", Service: readings, Key: "tank-1", Method: http.MethodGet, Header: make(http.Header),
+		ID: "r1", Service: readings, Key: "tank-1", Method: http.MethodGet, Header: header,
 	}
 	return f.router.Route(ctx, request, discardSink{})
 }
--- a/quay/backend.go
+++ b/quay/backend.go
@@ -90,18 +90,17 @@
 	return c, nil
 }
 
-// reserveConn makes room for a new connection and closes an idle one for it if
-// necessary.
+// reserveConn makes room for a new connection. It closes idle ones for it as far as
+// necessary, which are several after the limit has been reduced.
 func (b *backend) reserveConn() bool {
-	if b.pool.Reserve() {
-		return true
-	}
-	c, ok := b.pool.Take()
-	if !ok {
-		return false
+	for !b.pool.Reserve() {
+		c, ok := b.pool.Take()
+		if !ok {
+			return false
+		}
+		b.discard(c)
 	}
-	b.discard(c)
-	return b.pool.Reserve()
+	return true
 }
 
 // discard closes a connection that must not be reused.
--- a/quay/limits_test.go
+++ b/quay/limits_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -137,6 +139,36 @@
 	})
 })
 
+// Requests that need a new connection were refused, although idle ones could have been closed.
+var _ = Describe("A request that needs a new connection", func() {
+	It("is served after the host's share of the server's connections has shrunk", func() {
+		const idle = 6
+		var used usedConns
+		var together sync.WaitGroup
+		together.Add(idle)
+		f := newRouterFixture(func(c net.Conn, r *http.Request) bool {
+			if used.use(c) {
+				return false
+			}
+			if r.Header.Get("First") != "" {
+				together.Done()
+				together.Wait()
+			}
+			return respond(c, r, "200 OK")
+		})
+		var running sync.WaitGroup
+		for range idle {
+			running.Go(func() { f.routeWith(context.Background(), http.Header{"First": {"1"}}) })
+		}
+		running.Wait()
+		next := f.table.Clone()
+		next.Version++
+		next.Servers[0].Connections = 2
+		f.follow(next)
+		f.expectWhole()
+	})
+})
+
 var _ = Describe("A hot key counter", func() {
 	It("finds the hottest keys in bounded memory", func() {
 		start := time.Unix(0, 0)
