--- a/harbor/send_record.go
+++ b/harbor/send_record.go
@@ -34,7 +34,7 @@
 	switch s := s.(type) {
 	case *stats.Begin:
 		if s.IsTransparentRetryAttempt {
-			// The peer has stated that it did not process the attempt before.
+			// gRPC repeats a call by itself only if the peer has not processed it.
 			r.sent.Store(false)
 		}
 	case *stats.OutHeader:
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -72,8 +72,8 @@
 
 	mu     sync.Mutex
 	scopes map[metricTags]tally.Scope
-	// routes has the metrics of the routes of config, and of those that were in force while
-	// requests on them end. Requests without a route count under the empty name.
+	// routes has the metrics of the routes of config, and of earlier routes on which a request
+	// has ended since. Requests without a route count under the empty name.
 	routes map[fairway.RouteName]*routeMetrics
 	config *fairway.Config
 }
--- a/quay/backend.go
+++ b/quay/backend.go
@@ -90,8 +90,8 @@
 	return c, nil
 }
 
-// reserveConn makes room for a new connection. It closes idle ones for it as far as
-// necessary, which are several after the limit has been reduced.
+// reserveConn makes room for a new connection. It closes as many idle ones as necessary:
+// after the limit has been reduced, more than one.
 func (b *backend) reserveConn() bool {
 	for !b.pool.Reserve() {
 		c, ok := b.pool.Take()
