Refuse a request whose body has not come when the host stops, if it may outlast the host

What callers saw: a request of which the head and part of the body had come before SIGTERM, with a deadline after the host's end, was held until that end, 2.7 s later in the test, and its connection closed without an answer; in between nothing could have it served by another host. Cause: the reader of bodies asked the drain before it began to read, not again when the drain began, although every other wait does.

The two new cases bring that about; without the change both end with "unexpected EOF" after 2.71 s. The rule does not bind (the request has not been read whole), but the promise "not run" lets the caller go elsewhere at once. The read is interrupted by its deadline; the rest of the body is discarded after the refusal, as in the other refusals. An interrupt that comes as the body is whole concerns a request that is refused anyway.

--- a/jetty/drain.go
+++ b/jetty/drain.go
@@ -51,6 +51,16 @@
 	return !d.deadline.IsZero() && deadline.After(d.deadline)
 }
 
+// onExclusion calls f once the drain has begun, if it ends before a request with the given
+// deadline would. The returned function keeps f from being called.
+func (d *drain) onExclusion(deadline time.Time, f func()) (stop func() bool) {
+	return context.AfterFunc(d.started, func() {
+		if d.excludes(deadline) {
+			f()
+		}
+	})
+}
+
 // bind returns a context that is also canceled, with the cause errHostStopping,
 // when the drain ends.
 func (d *drain) bind(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -180,7 +180,11 @@
 	// Errors mean that the connection is closed, which the read finds as well.
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(r.deadline)
+	// A request that the drain excludes is not forwarded, so an interrupt that comes too late
+	// for the body harms nothing.
+	stop := in.forwarder.drain.onExclusion(r.deadline, func() { _ = controller.SetReadDeadline(pastDeadline) })
 	body, err := b.read()
+	stop()
 	if err == nil {
 		// Otherwise net/http would wait for the rest of the body before it responds.
 		_ = controller.SetReadDeadline(time.Time{})
@@ -193,6 +197,9 @@
 	case errors.Is(err, errNoRoom):
 		in.leaveBody(w, r)
 		return refusal{reason: reasonNoMemory, retryAfter: in.forwarder.bodies.retryAfter(time.Now())}
+	case errors.Is(err, os.ErrDeadlineExceeded) && in.forwarder.drain.excludes(r.deadline):
+		in.leaveBody(w, r)
+		return in.forwarder.stopped(r)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refusal{reason: reasonDeadline}
 	case err != nil:
