Give out slots for cold servers, and ask servers that may have come back cold

A server that is cold after a start bears cold_per_s requests a second and crashes above cold_per_s x cold_overage + cold_slack, counted over all hosts. No host knew of it: the registration was read, but did not limit anything.

Each request to a cold server needs a slot of the placer, as for servers that name a limit. A server whose connections were lost is asked at its health check path before its next request, since its registration may come seconds later. It is on where the configuration has cold_per_s and the settings cold_overage.

--- a/fairway/config.go
+++ b/fairway/config.go
@@ -63,6 +63,11 @@
 	// Warmup is how long requests for keys are slow on a server that became their
 	// owner without a handover.
 	Warmup time.Duration
+	// HealthPath is the path of the servers' health check.
+	HealthPath string
+	// ColdRate is the number of requests a second that a server tolerates while it is
+	// cold, or 0 if nothing is stated.
+	ColdRate float64
 }
 
 // Limits bounds what a caller may send.
--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -197,6 +197,13 @@
 	a.deliver(a.controller.Reevaluate(monotonicNow()))
 }
 
+// setCold limits a server to a rate until an instant.
+func (a *admission) setCold(instance sluice.ServerInstance, rate sluice.Rate, until mooring.Instant) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.SetCold(monotonicNow(), instance, rate, until)
+}
+
 // setNotice sets what is known of a server besides its registration.
 func (a *admission) setNotice(instance sluice.ServerInstance, n sluice.Notice) {
 	a.mu.Lock()
@@ -329,6 +336,8 @@
 	OnWait func()
 	// OnQueued, if set, is called when a request begins to wait.
 	OnQueued func()
+	// OnCreate, if set, is called with a new admission before it is told of the servers.
+	OnCreate func(service fairway.ServiceName, adm *admission)
 	// Carriers, if set, has the hosts that send requests with keys for others.
 	Carriers *carriers
 }
@@ -367,6 +376,9 @@
 	if a == nil || service.Divided != (a.owners != nil) {
 		a = s.newAdmission(service)
 		s.admissions[service.Name] = a
+		if s.cfg.OnCreate != nil {
+			s.cfg.OnCreate(service.Name, a)
+		}
 		a.setServers(catalog.ByService(service.Name), s.hosts, s.sharing(service.Name, s.reaching))
 	}
 	return a
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -129,6 +129,8 @@
 	// limits records the limits that servers name; nil means that they do not count.
 	limits  *limits
 	notices *notices
+	// warmChecks asks servers whether they are cold; nil means that none is asked.
+	warmChecks *warmChecks
 	// bodies bounds the memory of request bodies; nil means no limit.
 	bodies  *bodyBudget
 	drain   *drain
@@ -370,6 +372,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if f.warmChecks.needed(s, r.service, c) {
+		if err := f.warmChecks.check(ctx, s, r.service, c); err != nil {
+			f.upstream.discard(p, c)
+			return nil, err
+		}
+	}
 	if f.notices.excludes(s, r) {
 		f.upstream.put(p, c)
 		return nil, &Error{Op: "send", Kind: KindNotSent, Err: errServerExcluded}
@@ -386,6 +394,9 @@
 	}
 	if err != nil {
 		f.upstream.discard(p, c)
+		if kindOf(err) != KindCanceled {
+			f.upstream.doubt(s)
+		}
 		return nil, f.checkEnd(r, s, err)
 	}
 	// Another server at the address may have written a 421.
@@ -428,6 +439,7 @@
 	body, err := c.readBody(ctx, httpResp, maxBufferedBytes+1)
 	if err != nil {
 		f.upstream.discard(p, c)
+		f.upstream.doubt(s)
 		return nil, f.checkEnd(r, s, err)
 	}
 	resp.body = body
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -104,6 +104,7 @@
 	carriers      *carriers
 	relayServer   *relayServer
 	limits        *limits
+	cold          *coldServers
 	crashes       *crashes
 	notices       *notices
 	bodies        *bodyBudget
@@ -147,6 +148,7 @@
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		OnWait:            h.limits.startWaiting,
 		OnQueued:          func() { signalOnce(h.queued) },
+		OnCreate:          func(service fairway.ServiceName, adm *admission) { h.cold.applyTo(service, adm) },
 		Carriers:          h.carriers,
 		Host:              s.Host,
 		Domain:            s.Domain,
@@ -154,6 +156,10 @@
 		Budget:            sluice.RetryBudgetConfig{Window: s.Bounds.BudgetWindow, Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra},
 	})
 	h.limits.admissions = h.admissions
+	h.cold = newColdServers(&coldServers{
+		admissions: h.admissions, logs: h.logs, metrics: h.metrics, wake: h.limits.wakeUp, overage: s.Bounds.ColdOverage, slack: s.Bounds.ColdSlack,
+	})
+	h.limits.cold = h.cold
 	h.notices = newNotices(&notices{
 		protocol: cfg.Protocol, admissions: h.admissions, clusterState: h.clusterState, logs: h.logs, metrics: h.metrics,
 	})
@@ -203,7 +209,8 @@
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
 		reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, bodies: h.bodies, drain: h.drain, logs: h.logs, metrics: h.metrics,
-		carriers: h.carriers, recoverer: h.recoverer,
+		warmChecks: &warmChecks{protocol: cfg.Protocol, headers: cfg.Protocol.Headers(), cold: h.cold, upstream: h.upstream, metrics: h.metrics},
+		carriers:   h.carriers, recoverer: h.recoverer,
 		relay: &relayClient{
 			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices,
 		},
@@ -238,6 +245,7 @@
 	h.admissions.retainRoutes(config)
 	h.upstream.update(catalog, config, reaching)
 	h.orderUpstream.update(catalog, nil, hosts)
+	h.cold.update(monotonicNow(), catalog, config)
 	h.admissions.refresh(catalog, h.clusterState.knownHostCount(), reaching)
 	h.notices.refresh(monotonicNow())
 	h.election.notify()
--- a/jetty/limits.go
+++ b/jetty/limits.go
@@ -47,6 +47,8 @@
 	clusterState *clusterState
 	logs         *logs
 	address      string
+	// cold, if set, has the servers that are cold.
+	cold *coldServers
 	// mayGive reports whether this host is the placer and no other one can be.
 	mayGive func() bool
 	// wake receives a signal when a request begins to wait for a slot.
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -269,6 +269,16 @@
 		Msg(string(eventServerClosed))
 }
 
+// serverCold logs that a server instance tells that it is cold for some time.
+func (l *logs) serverCold(server sluice.ServerInstance, service fairway.ServiceName, d time.Duration) {
+	l.newLine(&l.system, false).
+		Str("server", string(server.Server)).
+		Int64("born", int64(server.Incarnation)).
+		Str("service", string(service)).
+		Dur("cold_for", d).
+		Msg(string(eventServerCold))
+}
+
 func (l *logs) recordUnreadable(r UnreadableRecord) {
 	l.newLine(&l.system, true).Str("key", r.Key).Err(shortenError(r.Err)).Msg(string(eventEntryUnreadable))
 }
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -53,6 +53,7 @@
 	metricServerEnds        metricName = "server_ends_total"
 	metricSuspectedRequests metricName = "suspected_requests"
 	metricServerNotices     metricName = "server_notices_total"
+	metricHealthChecks      metricName = "health_checks_total"
 	metricPanics            metricName = "panics_total"
 )
 
@@ -62,7 +63,7 @@
 	metricRequestsWaiting, metricRetryBudgetLeft, metricKeyMoves, metricKeyRanges, metricTableRevision, metricOrders,
 	metricStoreCalls, metricStoreCallSeconds, metricStoreAge, metricConfigVersion, metricServersListed,
 	metricConnectionsOpen, metricConnectionsOpened, metricLinesLeftOut, metricPlacer, metricEntryHosts, metricServerEnds, metricSuspectedRequests,
-	metricServerNotices, metricPanics,
+	metricServerNotices, metricHealthChecks, metricPanics,
 }
 
 // metrics keeps its values in a tally scope. It caches the scopes with tags,
@@ -155,11 +156,16 @@
 	return route
 }
 
-// serverNotice counts a server instance that has begun to leave or has closed.
+// serverNotice counts a server instance that has begun to leave, has closed or is cold.
 func (m *metrics) serverNotice(kind string) {
 	m.withTags(metricTags{first: kind}, "kind").Counter(string(metricServerNotices)).Inc(1)
 }
 
+// healthChecked counts a health check before a request to a server that may be cold.
+func (m *metrics) healthChecked(service fairway.ServiceName) {
+	m.withTags(metricTags{first: string(service)}, "service").Counter(string(metricHealthChecks)).Inc(1)
+}
+
 func (m *metrics) keysMoved(service fairway.ServiceName, moves []mooring.Move) {
 	for _, move := range moves {
 		m.withTags(metricTags{first: string(service), second: string(move.Reason)}, "service", "reason").
--- a/jetty/protocol.go
+++ b/jetty/protocol.go
@@ -76,6 +76,9 @@
 	// DecodeNotices returns what a response of a server instance, received at an instant,
 	// tells besides the answer.
 	DecodeNotices(from sluice.ServerInstance, status int, header http.Header, receivedAt mooring.Instant) []Notice
+	// DecodeColdStart returns how much longer the backend server is cold that sent a health
+	// response, or 0.
+	DecodeColdStart(header http.Header) time.Duration
 	// DecodeOrderResponse decodes the response to an order.
 	DecodeOrderResponse(status int, header http.Header) (result mooring.Result, handover string)
 }
--- a/jetty/settings.go
+++ b/jetty/settings.go
@@ -46,6 +46,10 @@
 	BudgetWindow time.Duration
 	BudgetRatio  float64
 	BudgetExtra  float64
+	// A cold backend server gets at most its service's ColdRate, times ColdOverage, plus
+	// ColdSlack requests in any second. There is no such bound if ColdOverage is 0.
+	ColdOverage float64
+	ColdSlack   float64
 }
 
 // DefaultBounds returns the limits for a platform that sets none.
--- a/jetty/slots.go
+++ b/jetty/slots.go
@@ -7,6 +7,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/mooring"
 	"hornbeamwinch.example/signal"
 	"hornbeamwinch.example/sluice"
 )
@@ -37,7 +39,7 @@
 		case <-timer.C:
 		}
 		next := noLimitInterval
-		if l.any() {
+		if l.any() || l.cold.any(monotonicNow()) {
 			l.askForSlots(ctx)
 			next = slotInterval
 		}
@@ -87,12 +89,14 @@
 	now := monotonicNow()
 	l.mu.Lock()
 	for _, d := range demands {
+		// A placer of an earlier build takes the rate of a cold server for a limit that the
+		// server names, until a response without one.
 		e := sluice.LimitEvidence{Limit: d.request.Limit, NamedAt: now}
 		if r := l.records[d.request.Server]; r != nil {
 			e = r.evidence
 		}
 		request.Requests = append(request.Requests, &signal.SlotRequest{
-			Limit: encodeLimit(d.request.Server, e, now), Slots: uint32(d.request.Slots),
+			Limit: encodeLimit(d.request.Server, e, now), Slots: uint32(d.request.Slots), ColdRate: float64(d.request.Cold),
 		})
 	}
 	l.mu.Unlock()
@@ -165,12 +169,12 @@
 	for _, request := range r.GetRequests() {
 		s := &signal.Slots{}
 		reply.Slots = append(reply.Slots, s)
-		instance, ok := l.mergeOne(request.GetLimit(), now)
+		instance, rate, ok := l.rateFor(request, now)
 		if !ok {
 			s.NextMicros = uint64(slotInterval.Microseconds())
 			continue
 		}
-		given := l.pool.Take(now, instance, l.records[instance].evidence.Limit, int(request.GetSlots()))
+		given := l.pool.Take(now, instance, rate, int(request.GetSlots()))
 		s.NextMicros = uint64(given.Next.Microseconds())
 		for _, wait := range given.Waits {
 			s.WaitMicros = append(s.WaitMicros, uint64(wait.Microseconds()))
@@ -179,10 +183,37 @@
 	return reply, nil
 }
 
+// rateFor returns the server for which slots are asked and the rate at which they are given
+// out, or false if the server is not registered or not limited.
+func (l *limits) rateFor(request *signal.SlotRequest, now mooring.Instant) (sluice.ServerInstance, sluice.Rate, bool) {
+	cold := request.GetColdRate()
+	if cold <= 0 {
+		instance, ok := l.mergeOne(request.GetLimit(), now)
+		if !ok {
+			return instance, 0, false
+		}
+		return instance, l.records[instance].evidence.Limit, true
+	}
+	report := request.GetLimit()
+	instance := sluice.ServerInstance{Server: fairway.ServerID(report.GetServer()), Incarnation: fairway.Incarnation(report.GetIncarnation())}
+	e, listed := l.clusterState.catalog().Get(instance.Server)
+	if !listed || sluice.ServerInstanceOf(e) != instance {
+		return instance, 0, false
+	}
+	rate := sluice.Rate(cold)
+	if report.GetNamedBy() != "" {
+		l.mergeOne(report, now)
+	}
+	if r := l.records[instance]; r != nil && r.evidence.Limited() {
+		rate = min(rate, r.evidence.Limit)
+	}
+	return instance, rate, true
+}
+
 // ownSlots returns slots of this host's part of each limit, while the placer cannot be
 // asked.
 func (l *limits) ownSlots(demands []slotDemand) []sluice.Slots {
-	now, hosts := monotonicNow(), l.clusterState.hostCount()
+	now, hosts, known := monotonicNow(), l.clusterState.hostCount(), l.clusterState.knownHostCount()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.own == nil {
@@ -190,7 +221,11 @@
 	}
 	given := make([]sluice.Slots, len(demands))
 	for i, d := range demands {
-		given[i] = l.own.TakePart(now, d.request.Server, ownSlotsShare*d.request.Limit/sluice.Rate(hosts), d.request.Slots)
+		rate := ownSlotsShare * d.request.Limit / sluice.Rate(hosts)
+		if d.request.Cold > 0 {
+			rate = min(rate, sluice.OwnColdRate(d.request.Cold, known))
+		}
+		given[i] = l.own.TakePart(now, d.request.Server, rate, d.request.Slots)
 	}
 	return given
 }
@@ -201,6 +236,11 @@
 	l.own = nil
 }
 
+// wakeUp has the loop look for servers that need slots.
+func (l *limits) wakeUp() {
+	signalOnce(l.wake)
+}
+
 // startWaiting is called when a request begins to wait at an admission.
 func (l *limits) startWaiting() {
 	signalOnce(l.wake)
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -52,6 +52,9 @@
 	limit int
 	// closed pools keep no idle connections.
 	closed bool
+	// doubtedAt is when a connection was last lost or failed, since which the server may have
+	// restarted, or zero.
+	doubtedAt time.Time
 }
 
 // newUpstream returns an upstream without connections. If dial is nil, connections
@@ -157,6 +160,7 @@
 			p.lost = openIdle
 		case !c.reusable():
 			p.lost = openClosed
+			p.doubtedAt = now
 		case c.mayConfuse(opts.requestID):
 			continue
 		default:
@@ -197,11 +201,40 @@
 			u.dropIdle(s.ID)
 		}
 		u.decrementOpen(p)
+		u.doubt(s)
 		return nil, nil, err
 	}
 	return c, p, nil
 }
 
+// doubt records that a connection to a server was lost or failed.
+func (u *upstream) doubt(s fairway.Endpoint) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if p := u.pools[s.ID]; p != nil && p.incarnation == s.Incarnation {
+		p.doubtedAt = time.Now()
+	}
+}
+
+// trust records that a server has answered the question whether it is cold, which was asked at
+// a time.
+func (u *upstream) trust(s fairway.Endpoint, asked time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if p := u.pools[s.ID]; p != nil && p.doubtedAt.Before(asked) {
+		p.doubtedAt = time.Time{}
+	}
+}
+
+// doubted reports whether a connection to a server was lost or failed since it was last known
+// whether the server is cold.
+func (u *upstream) doubted(s fairway.Endpoint) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p := u.pools[s.ID]
+	return p != nil && !p.doubtedAt.IsZero()
+}
+
 // connect opens a connection to a server, unless the pool's limit is reached. It is kept
 // if the pool has none that is idle.
 func (u *upstream) connect(ctx context.Context, s fairway.Endpoint, config *fairway.Config) error {
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -127,6 +127,8 @@
 	// hosts that share the servers.
 	limits map[ServerInstance]Rate
 	hosts  int
+	// cold has the server instances that are cold.
+	cold map[ServerInstance]coldLimit
 	// notices has what is known of server instances besides their registrations.
 	notices map[ServerInstance]Notice
 	// useUnconfirmed is set while unconfirmed servers get requests.
@@ -139,7 +141,7 @@
 type serverState struct {
 	endpoint fairway.Endpoint
 	window   *window
-	// limit is set while the server names a limit.
+	// limit is set while the server names a limit or is cold.
 	limit  *serverLimit
 	notice Notice
 	// weight is the preference of this host for the server.
@@ -158,7 +160,7 @@
 func NewController(cfg ControllerConfig) *Controller {
 	return &Controller{
 		cfg: cfg, servers: make(map[fairway.ServerID]*serverState), limits: make(map[ServerInstance]Rate),
-		notices: make(map[ServerInstance]Notice), meanLatency: initialLatency,
+		cold: make(map[ServerInstance]coldLimit), notices: make(map[ServerInstance]Notice), meanLatency: initialLatency,
 	}
 }
 
@@ -176,6 +178,7 @@
 		}
 		server.endpoint = e
 		c.applyLimit(server)
+		c.spreadFirstSlot(now, server)
 		server.notice = c.notices[ServerInstanceOf(e)]
 		server.unconfirmed = e.Unconfirmed
 		server.setLeaving(now, e.Draining)
--- a/sluice/limit_test.go
+++ b/sluice/limit_test.go
@@ -156,7 +156,11 @@
 				if h.own == nil {
 					h.own = sluice.NewSlotPool()
 				}
-				slots = h.own.TakePart(f.now, r.Server, r.Limit/2/sluice.Rate(len(f.hosts)), r.Slots)
+				rate := r.Limit / 2 / sluice.Rate(len(f.hosts))
+				if r.Cold > 0 {
+					rate = sluice.OwnColdRate(r.Cold, len(f.hosts))
+				}
+				slots = h.own.TakePart(f.now, r.Server, rate, r.Slots)
 			} else {
 				h.own = nil
 				slots = f.pool.Take(f.now, r.Server, r.Limit, r.Slots)
@@ -194,6 +198,11 @@
 
 // mostInWindow returns the most requests in a window that begins after an instant.
 func (f *limitFleet) mostInWindow(after mooring.Instant) int {
+	return f.mostWithin(limitWindow, after)
+}
+
+// mostWithin is like mostInWindow for windows of another length.
+func (f *limitFleet) mostWithin(window time.Duration, after mooring.Instant) int {
 	most := 0
 	for i, from := range f.arrived {
 		if from < after {
@@ -201,7 +210,7 @@
 		}
 		n := 0
 		for _, at := range f.arrived[i:] {
-			if at.Sub(from) < limitWindow {
+			if at.Sub(from) < window {
 				n++
 			}
 		}
--- a/sluice/serverlimit.go
+++ b/sluice/serverlimit.go
@@ -47,8 +47,11 @@
 // SlotRequest asks for slots of a server.
 type SlotRequest struct {
 	Server ServerInstance
-	Limit  Rate
-	Slots  int
+	// Limit is the lowest rate that holds for the server.
+	Limit Rate
+	// Cold is the rate for a cold server, or 0 if the server is not cold.
+	Cold  Rate
+	Slots int
 }
 
 // SetLimit sets the limit of a server instance, or none if limited is false.
@@ -66,24 +69,29 @@
 // applyLimit sets the known limit of a server's instance.
 func (c *Controller) applyLimit(s *serverState) {
 	limit, limited := c.limits[ServerInstanceOf(s.endpoint)]
+	cold, isCold := c.cold[ServerInstanceOf(s.endpoint)]
+	if isCold && (!limited || cold.rate < limit) {
+		limit = cold.rate
+	}
 	switch {
-	case !limited:
+	case !limited && !isCold:
 		s.limit = nil
-	case s.limit == nil:
-		s.limit = &serverLimit{rate: limit}
-	default:
+	case s.limit != nil:
 		s.limit.rate = limit
+	default:
+		s.limit = &serverLimit{rate: limit}
 	}
 }
 
 // Limited reports whether any server has a limit.
 func (c *Controller) Limited() bool {
-	return len(c.limits) > 0
+	return len(c.limits) > 0 || len(c.cold) > 0
 }
 
 // SlotRequests returns the slots to ask for now: one for each request that waits for a
 // limited server, and now and then one for a server that no request requires.
 func (c *Controller) SlotRequests(now mooring.Instant) []SlotRequest {
+	c.endCold(now)
 	waiting := make(map[*serverState]int)
 	for _, r := range c.waiting {
 		if r.Key == nil {
@@ -108,7 +116,8 @@
 			continue
 		}
 		l.asked += n
-		requests = append(requests, SlotRequest{Server: ServerInstanceOf(server.endpoint), Limit: l.rate, Slots: n})
+		instance := ServerInstanceOf(server.endpoint)
+		requests = append(requests, SlotRequest{Server: instance, Limit: l.rate, Cold: c.cold[instance].rate, Slots: n})
 	}
 	return requests
 }
