Let a controller admit the requests of all hosts

Cause: no host sees the requests of the others at a server, so their windows together fill its queue, and an urgent request waits there behind less urgent ones.

Change: with ControllerConfig.Coordinated a controller takes itself for the only one that sends. A server is chosen by the expected end of the work, from the times of work by priority and the server's pace. A rejection shrinks the window. Permits expire at the deadline. A server is suspected once two hosts have seen a failure. MaxRate bounds the requests to a server in any second. Without the option the controller decides as before.

--- a/sluice/choice.go
+++ b/sluice/choice.go
@@ -84,7 +84,7 @@
 func (c *Controller) pick(now mooring.Instant, r *Request) (*serverState, bool) {
 	if r.Key != nil {
 		server := c.ownerServer(now, *r.Key)
-		return server, server != nil && server.hasRoom(now)
+		return server, server != nil && c.hasRoomFor(now, server, r, false)
 	}
 	usable := c.usableAt(now)
 	staying := func(s *serverState) bool { return usable(s) && !s.notice.LeavingElsewhere }
@@ -97,6 +97,9 @@
 // cheapest returns the server with the lowest cost among the preferred ones with free
 // capacity for which usable returns true.
 func (c *Controller) cheapest(now mooring.Instant, r *Request, usable func(*serverState) bool) (*serverState, bool) {
+	if c.cfg.Coordinated {
+		return c.soonest(now, r, usable)
+	}
 	var best *serverState
 	bestCost := math.Inf(1)
 	found := 0
@@ -130,9 +133,17 @@
 // errors, for a server that has just started, and for responses that would be
 // transferred between failure domains.
 func (c *Controller) cost(now mooring.Instant, server *serverState, r *Request) float64 {
-	cost := float64(server.window.expectedLatency(now, c.meanLatency)) * float64(server.window.inFlight+1)
+	return c.raisedCost(now, server, r, float64(server.window.expectedLatency(now, c.meanLatency))*float64(server.window.inFlight+1))
+}
+
+// raisedCost raises a cost as cost does.
+func (c *Controller) raisedCost(now mooring.Instant, server *serverState, r *Request, cost float64) float64 {
 	cost *= 1 + errorCostFactor*server.window.recentErrorRatio(now)
-	if server.endpoint.Domain != c.cfg.Domain {
+	domain := c.cfg.Domain
+	if c.cfg.Coordinated {
+		domain = r.Domain
+	}
+	if server.endpoint.Domain != domain {
 		cost *= 1 + r.ResponseBytes/remoteCostBytes
 	}
 	if server.endpoint.WarmupRemaining > 0 && server.window.latency == 0 {
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -39,6 +39,10 @@
 	// Excluded lists servers that must not get the request now. A request with a key
 	// goes to the owner all the same.
 	Excluded []fairway.ServerID
+	// From identifies the host that asks a coordinating controller, or is 0 if a failure that
+	// the host sees is enough to suspect a server. Domain is that host's failure domain.
+	From   uint64
+	Domain fairway.Domain
 }
 
 // excludes reports whether the request must not be sent to a server.
@@ -114,6 +118,13 @@
 	// is found unresponsive until the key has another owner: the time in which
 	// its hold expires.
 	ReassignmentDelay time.Duration
+	// Coordinated is set for a controller that admits the requests of all hosts. The number
+	// of hosts then counts as one, and requests end by [Controller.Settle] instead of
+	// [Controller.Finish].
+	Coordinated bool
+	// MaxRate, if set, returns how many requests a second a coordinating controller sends a
+	// server in any second, or false if there is no bound.
+	MaxRate func(ServerInstance) (perSecond float64, ok bool)
 }
 
 // Controller is the admission controller of one service on one host.
@@ -133,6 +144,12 @@
 	useUnconfirmed bool
 	// meanLatency is the moving average of the latency of whole responses.
 	meanLatency time.Duration
+	// permits has the requests in flight of a coordinating controller, and expired counts
+	// those whose end was not reported. workTimes has the mean time of work by priority.
+	permits    map[RequestID]*permit
+	expired    int
+	workTimes  map[int]time.Duration
+	mostUrgent int
 }
 
 // serverState is the state of one server and the window of this host at it.
@@ -152,6 +169,8 @@
 	leaving bool
 	// leavingSince is when the server was first seen as leaving.
 	leavingSince mooring.Instant
+	// coordinated is set in a coordinating controller.
+	coordinated *coordinated
 }
 
 // NewController returns a controller without servers.
@@ -159,19 +178,23 @@
 	return &Controller{
 		cfg: cfg, servers: make(map[fairway.ServerID]*serverState), limits: make(map[ServerInstance]Rate),
 		notices: make(map[ServerInstance]Notice), meanLatency: initialLatency,
+		permits: make(map[RequestID]*permit), workTimes: make(map[int]time.Duration),
 	}
 }
 
 // SetServers sets the servers that may get requests, and the number of hosts
 // that share them. A server that is no longer in endpoints is leaving.
 func (c *Controller) SetServers(now mooring.Instant, endpoints []fairway.Endpoint, hosts int) {
+	if c.cfg.Coordinated {
+		hosts = 1
+	}
 	c.hosts = hosts
 	listed := make(map[fairway.ServerID]bool, len(endpoints))
 	for _, e := range endpoints {
 		listed[e.ID] = true
 		server := c.servers[e.ID]
 		if server == nil || server.endpoint.Incarnation != e.Incarnation || server.endpoint.Address != e.Address {
-			server = &serverState{window: newWindow(now, e.Slots, hosts), weight: c.weight(e.ID)}
+			server = c.newServer(now, e, hosts)
 			c.servers[e.ID] = server
 		}
 		server.endpoint = e
@@ -197,6 +220,14 @@
 	c.updateUseUnconfirmed()
 }
 
+// newServer returns the state of a server that has got no requests yet.
+func (c *Controller) newServer(now mooring.Instant, e fairway.Endpoint, hosts int) *serverState {
+	if c.cfg.Coordinated {
+		return &serverState{window: newCoordinatedWindow(e.Slots), weight: c.weight(e.ID), coordinated: &coordinated{}}
+	}
+	return &serverState{window: newWindow(now, e.Slots, hosts), weight: c.weight(e.ID)}
+}
+
 // Restore ends the suspicion of all servers, since this host reaches them again after
 // it had not. The ends are spread over restoreTime, and each server gets one request
 // until it has answered.
@@ -229,7 +260,7 @@
 // Admit decides on a new request.
 func (c *Controller) Admit(now mooring.Instant, r *Request) Decision {
 	if server, ok := c.pick(now, r); ok {
-		return c.dispatch(server)
+		return c.dispatch(now, server, r)
 	}
 	ahead := c.ahead(now, r)
 	if refusal, refused := c.refuseNew(now, r, ahead); refused {
@@ -336,7 +367,7 @@
 // Reevaluate decides again on the waiting requests. It must be called from time
 // to time, and after a change of servers or owners.
 func (c *Controller) Reevaluate(now mooring.Instant) []Resolution {
-	resolved := c.dispatchWaiting(now)
+	resolved := append(c.expire(now), c.dispatchWaiting(now)...)
 	if len(c.waiting) == 0 {
 		return resolved
 	}
@@ -362,6 +393,44 @@
 	return len(c.waiting)
 }
 
+// Claim counts a request in flight at a server that another host has admitted. It returns
+// false, and counts nothing, if the server must not get the request as far as this
+// controller knows. The caller must call [Controller.Finish] otherwise.
+func (c *Controller) Claim(now mooring.Instant, r *Request, instance ServerInstance) (fairway.Endpoint, bool) {
+	server := c.servers[instance.Server]
+	if server == nil || server.endpoint.Incarnation != instance.Incarnation || server.notice.ClosedFor(now) > 0 {
+		return fairway.Endpoint{}, false
+	}
+	if r.Key != nil && c.ownerServer(now, *r.Key) != server {
+		return fairway.Endpoint{}, false
+	}
+	if r.Key == nil && (r.excludes(instance.Server) || !c.usableAt(now)(server)) {
+		return fairway.Endpoint{}, false
+	}
+	server.window.inFlight++
+	return server.endpoint, true
+}
+
+// Unusable returns the servers that must not get a request without a key at the moment,
+// because of failures or of what their responses told.
+func (c *Controller) Unusable(now mooring.Instant) []fairway.ServerID {
+	var unusable []fairway.ServerID
+	usable := c.usableAt(now)
+	for _, server := range c.ranked {
+		if server.window.suspected(now) || server.notice.ClosedFor(now) > 0 || !usable(server) {
+			unusable = append(unusable, server.endpoint.ID)
+		}
+	}
+	return unusable
+}
+
+// OwnerFails reports whether the owner of a key is suspected or closed to this host, or not
+// known to it.
+func (c *Controller) OwnerFails(now mooring.Instant, key mooring.Key) bool {
+	server := c.ownerServer(now, key)
+	return server == nil || server.window.suspected(now) || server.notice.ClosedFor(now) > 0
+}
+
 // Usage describes the load on a controller.
 type Usage struct {
 	// InFlight is the number of requests at the servers, WindowTotal the sum of
@@ -392,22 +461,28 @@
 }
 
 // dispatch counts one more request at a server.
-func (c *Controller) dispatch(server *serverState) Decision {
+func (c *Controller) dispatch(now mooring.Instant, server *serverState, r *Request) Decision {
 	server.window.inFlight++
 	if server.limit != nil {
 		server.limit.useSlot()
 	}
+	if c.cfg.Coordinated {
+		c.grant(now, server, r)
+	}
 	return Dispatch{Server: server.endpoint}
 }
 
 // dispatchWaiting dispatches the waiting requests for which there is capacity
 // now.
 func (c *Controller) dispatchWaiting(now mooring.Instant) []Resolution {
+	if c.cfg.Coordinated {
+		return c.grantWaiting(now)
+	}
 	var resolved []Resolution
 	kept := c.waiting[:0]
 	for _, r := range c.waiting {
 		if server, ok := c.pick(now, r); ok {
-			resolved = append(resolved, Resolution{Request: r.ID, Decision: c.dispatch(server)})
+			resolved = append(resolved, Resolution{Request: r.ID, Decision: c.dispatch(now, server, r)})
 			continue
 		}
 		kept = append(kept, r)
--- a/sluice/queue.go
+++ b/sluice/queue.go
@@ -229,6 +229,10 @@
 // rate returns the number of requests per second from this host that the window of a
 // server allows.
 func (s *serverState) rate(now mooring.Instant, mean time.Duration) float64 {
+	if s.coordinated != nil {
+		// What exceeds the slots waits at the server.
+		return min(s.window.size, float64(s.slots())) / max(s.coordinated.paceAt(now)*mean.Seconds(), time.Millisecond.Seconds())
+	}
 	return s.window.size / max(s.window.expectedLatency(now, mean).Seconds(), time.Millisecond.Seconds())
 }
 
--- a/sluice/window.go
+++ b/sluice/window.go
@@ -82,6 +82,8 @@
 	fairShare float64
 	// inFlight is the number of requests at the server.
 	inFlight int
+	// coordinated is set if no other host sends to the server.
+	coordinated bool
 	// pausedUntil is when a window below 1 may admit the next request.
 	pausedUntil mooring.Instant
 	// latency is the moving average of the latency of whole responses, the last of
@@ -111,6 +113,24 @@
 	return w
 }
 
+// newCoordinatedWindow returns the window at a server to which no other host sends. Its limit is
+// what the server runs, and one more that waits there.
+func newCoordinatedWindow(slots int) *window {
+	w := &window{coordinated: true}
+	w.setLimit(slots, 1)
+	return w
+}
+
+// setCoordinatedLimit is setLimit for such a window.
+func (w *window) setCoordinatedLimit(slots int) {
+	if slots == 0 {
+		slots = minLimit
+	}
+	if limit := float64(slots + 1); limit != w.limit {
+		w.fairShare, w.limit, w.size = limit, limit, limit
+	}
+}
+
 // reducedSize returns the size of a window at a server that may be overloaded.
 func (w *window) reducedSize() float64 {
 	return max(w.fairShare*initialShares, minInitial)
@@ -125,6 +145,10 @@
 // setLimit sets the limit of the window for a number of hosts that share the
 // server.
 func (w *window) setLimit(slots, hosts int) {
+	if w.coordinated {
+		w.setCoordinatedLimit(slots)
+		return
+	}
 	former := w.fairShare
 	w.fairShare = fairShare(slots, hosts)
 	w.limit = max(w.fairShare, minLimit)
@@ -233,6 +257,11 @@
 	}
 	w.latency += time.Duration(latencyWeight * float64(latency-w.latency))
 	w.measuredAt = now
+	if w.coordinated {
+		// The server has no queue, so a late response tells of its pace.
+		w.size = min(w.size+1/w.size, w.limit)
+		return
+	}
 	ratio := float64(w.latency) / float64(max(objective, time.Millisecond))
 	if w.size <= 1 {
 		// Responses are too rare for an average.
@@ -262,7 +291,7 @@
 	w.ignoreReportsUntil = now.Add(reportHoldoff)
 	w.setOverload()
 	smallest := 1.0
-	if w.latency == 0 || float64(w.latency) > growBelow*float64(objective) {
+	if !w.coordinated && (w.latency == 0 || float64(w.latency) > growBelow*float64(objective)) {
 		smallest = minWindow
 	}
 	if w.size > smallest {
