Have coordinators admit the requests of all hosts

Change: the placer names coordinators in its replies to load reports, by capacity and rate, while a service's routes have different priorities. A host asks the coordinator of a server for a permit (signal.Permits) in place of its own admission, sends the request itself, and tells the end, batched and with further requests. If the coordinator does not answer within 150 ms, refuses to coordinate or is of the last release, the host admits the request as before and leaves it alone for 1 s. Permits of lost hosts expire. Services that have carriers are not coordinated. Retries, trials and relayed requests take permits, too. A host opens as many connections to a server as it may have permits there, and keeps no more than before.

Tests with a few hosts in one process: coordinator lost, silent, stopping, of the last release; callers that leave; expired permits; a server that is closed to the asking host. go test ./jetty: green, 164 s at load 25. One run before had 'An answer that ends within its head ... after an interim answer' fail at load 23 (kind not_sent: the connection was not opened in time); it passed alone and in the run after.

--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 	routeMeans map[fairway.RouteName]*routeMeans
 	// stats has the measurements of each server since the last report.
 	stats map[fairway.ServerID]*serverStats
+	// coordinated is set if the controller admits the requests of all hosts.
+	coordinated bool
 	// onWait, if set, is called when a request begins to wait while a server has a limit.
 	onWait func()
 	// onQueued, if set, is called when a request begins to wait.
@@ -56,6 +59,24 @@
 // acquire waits until req is admitted or refused. It returns nil if ctx is done
 // before that.
 func (a *admission) acquire(ctx context.Context, req *sluice.Request) sluice.Decision {
+	decision, decided := a.offer(req)
+	if decision != nil {
+		return decision
+	}
+	select {
+	case decision = <-decided:
+		return decision
+	case <-ctx.Done():
+	}
+	if a.leave(req.ID) {
+		return nil
+	}
+	// The decision was made just before ctx was done.
+	return <-decided
+}
+
+// offer decides on req, or queues it and returns where its decision will come.
+func (a *admission) offer(req *sluice.Request) (sluice.Decision, <-chan sluice.Decision) {
 	a.mu.Lock()
 	a.nextID++
 	req.ID = a.nextID
@@ -63,7 +84,7 @@
 	if _, ok := decision.(sluice.Wait); !ok {
 		a.recordRefusal(decision)
 		a.mu.Unlock()
-		return decision
+		return decision, nil
 	}
 	decided := make(chan sluice.Decision, 1)
 	a.waiting[req.ID] = decided
@@ -75,19 +96,18 @@
 	if limited && a.onWait != nil {
 		a.onWait()
 	}
-	select {
-	case decision = <-decided:
-		return decision
-	case <-ctx.Done():
-	}
+	return nil, decided
+}
+
+// leave takes a request out of the queue, and reports false if it has been decided on.
+func (a *admission) leave(id sluice.RequestID) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.controller.Cancel(req.ID) {
-		delete(a.waiting, req.ID)
-		return nil
+	if !a.controller.Cancel(id) {
+		return false
 	}
-	// The decision was made just before ctx was done.
-	return <-decided
+	delete(a.waiting, id)
+	return true
 }
 
 // openOwner returns the server that owns a key, if it may get requests for it as far as
@@ -163,7 +183,7 @@
 func (a *admission) reevaluate() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.controller.Waiting() > 0 {
+	if a.controller.Waiting() > 0 || a.coordinated {
 		a.deliver(a.controller.Reevaluate(monotonicNow()))
 	}
 	return a.controller.Waiting() > 0
@@ -201,6 +221,10 @@
 func (a *admission) setNotice(instance sluice.ServerInstance, n sluice.Notice) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.coordinated {
+		// A closure holds for this host only. The others tell theirs when they ask.
+		n.ClosedUntil = 0
+	}
 	a.controller.SetNotice(instance, n)
 	a.deliver(a.controller.Reevaluate(monotonicNow()))
 }
@@ -222,6 +246,64 @@
 	a.deliver(a.controller.AddSlots(monotonicNow(), r, slots))
 }
 
+// setMostUrgent sets the priority of the most urgent requests.
+func (a *admission) setMostUrgent(priority int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.SetMostUrgent(priority)
+}
+
+// claim counts a request that a coordinator has admitted to a server, or returns false if it
+// must not be sent there as far as this host knows.
+func (a *admission) claim(req *sluice.Request, instance sluice.ServerInstance) (fairway.Endpoint, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.Claim(monotonicNow(), req, instance)
+}
+
+// ownerFails reports whether the owner of a key does not answer this host, or is not known.
+func (a *admission) ownerFails(key mooring.Key) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.OwnerFails(monotonicNow(), key)
+}
+
+// unusable returns the servers that must not get a request without a key from this host.
+func (a *admission) unusable() []fairway.ServerID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.Unusable(monotonicNow())
+}
+
+// refusedElsewhere records the refusal of a request by a coordinator.
+func (a *admission) refusedElsewhere(decision sluice.Refuse) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.recordRefusal(decision)
+}
+
+// settle records the end of a request that a coordinating admission has admitted.
+func (a *admission) settle(id sluice.RequestID, outcome sluice.Outcome, took time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.deliver(a.controller.Settle(monotonicNow(), id, outcome, took))
+}
+
+// overdue records that the response to such a request is late.
+func (a *admission) overdue(id sluice.RequestID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.deliver(a.controller.Overdue(monotonicNow(), id))
+}
+
+// permits returns the number of such requests in flight, and that of those whose permits
+// have expired since the last call.
+func (a *admission) permits() (held, expired int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.Permits()
+}
+
 // restore ends the suspicion of all servers within a short time.
 func (a *admission) restore() {
 	a.mu.Lock()
@@ -310,6 +392,8 @@
 	mu         sync.Mutex
 	admissions map[fairway.ServiceName]*admission
 	owners     map[fairway.ServiceName]*ownerTable
+	// coordinated has the admissions of the requests of all hosts; nil means none.
+	coordinated *admissionSet
 	// hosts is 0 until it is known.
 	hosts    int
 	reaching int
@@ -331,6 +415,20 @@
 	OnQueued func()
 	// Carriers, if set, has the hosts that send requests with keys for others.
 	Carriers *carriers
+	// Coordination is set for the requests of all hosts that this host coordinates.
+	Coordination *admissionCoordination
+}
+
+// admissionCoordination makes the admissions of a set those of the requests of all hosts.
+type admissionCoordination struct {
+	// Owners returns the owners of the keys of a service.
+	Owners func(fairway.ServiceName) *ownerTable
+	// Servers returns the servers of a service that this host coordinates.
+	Servers func(fairway.ServiceName, *fairway.Catalog) []fairway.Endpoint
+	// MostUrgent returns the priority of the most urgent requests of a service.
+	MostUrgent func(fairway.ServiceName) int
+	// MaxRate, if set, bounds the requests a second to a server.
+	MaxRate func(sluice.ServerInstance) (perSecond float64, ok bool)
 }
 
 func newAdmissionSet(cfg admissionSetConfig) *admissionSet {
@@ -350,6 +448,9 @@
 }
 
 func (s *admissionSet) ownersLocked(service fairway.ServiceName) *ownerTable {
+	if s.cfg.Coordination != nil {
+		return s.cfg.Coordination.Owners(service)
+	}
 	owners := s.owners[service]
 	if owners == nil {
 		owners = &ownerTable{}
@@ -367,7 +468,7 @@
 	if a == nil || service.Divided != (a.owners != nil) {
 		a = s.newAdmission(service)
 		s.admissions[service.Name] = a
-		a.setServers(catalog.ByService(service.Name), s.hosts, s.sharing(service.Name, s.reaching))
+		s.setServers(a, service.Name, catalog, s.hosts, s.reaching)
 	}
 	return a
 }
@@ -388,14 +489,30 @@
 		cfg.Owners = a.owners
 		cfg.ReassignmentDelay = s.cfg.ReassignmentDelay
 	}
+	if s.cfg.Coordination != nil {
+		a.coordinated, cfg.Coordinated, cfg.MaxRate = true, true, s.cfg.Coordination.MaxRate
+	}
 	a.controller = sluice.NewController(cfg)
 	return a
 }
 
+// setServers passes the servers of a service on to its admission.
+func (s *admissionSet) setServers(a *admission, service fairway.ServiceName, catalog *fairway.Catalog, hosts, reaching int) {
+	if s.cfg.Coordination == nil {
+		a.setServers(catalog.ByService(service), hosts, s.sharing(service, reaching))
+		return
+	}
+	a.setMostUrgent(s.cfg.Coordination.MostUrgent(service))
+	a.setServers(s.cfg.Coordination.Servers(service, catalog), hosts, 1)
+}
+
 // refresh passes changed servers and numbers of hosts on to every admission.
 func (s *admissionSet) refresh(catalog *fairway.Catalog, hosts, reaching int) {
 	for name, a := range s.all() {
-		a.setServers(catalog.ByService(name), hosts, s.sharing(name, reaching))
+		s.setServers(a, name, catalog, hosts, reaching)
+	}
+	if s.coordinated != nil {
+		s.coordinated.refresh(catalog, hosts, reaching)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -419,14 +536,33 @@
 
 // reevaluate decides again on the requests that wait at a service.
 func (s *admissionSet) reevaluate(service fairway.ServiceName) {
-	s.mu.Lock()
-	a := s.admissions[service]
-	s.mu.Unlock()
-	if a != nil {
+	for _, a := range s.of(service) {
 		a.reevaluate()
 	}
 }
 
+// of returns the admissions of a service: that of the requests of this host, and that of
+// those of all hosts.
+func (s *admissionSet) of(service fairway.ServiceName) []*admission {
+	var found []*admission
+	if a := s.all()[service]; a != nil {
+		found = append(found, a)
+	}
+	if s.coordinated != nil {
+		found = append(found, s.coordinated.of(service)...)
+	}
+	return found
+}
+
+// every returns the admissions of all services, of both kinds.
+func (s *admissionSet) every() []*admission {
+	found := slices.Collect(maps.Values(s.all()))
+	if s.coordinated != nil {
+		found = append(found, s.coordinated.every()...)
+	}
+	return found
+}
+
 // sharing returns how many hosts share the servers of a service.
 func (s *admissionSet) sharing(service fairway.ServiceName, reaching int) int {
 	if s.cfg.Carriers == nil {
--- a/jetty/election.go
+++ b/jetty/election.go
@@ -47,12 +47,16 @@
 	// carriers, if set, are those that an earlier placer has told this host, and keepTime
 	// tells how long servers keep unused connections.
 	carriers *carriers
-	keepTime func(fairway.ServiceName) time.Duration
-	notices  *notices
-	address  string
-	linkMbps int
-	ttl      time.Duration
-	maxHold  time.Duration
+	// coordination and coordinators, if set, tell which services are to have coordinators,
+	// and which an earlier placer has told this host.
+	coordination *coordination
+	coordinators *coordinators
+	keepTime     func(fairway.ServiceName) time.Duration
+	notices      *notices
+	address      string
+	linkMbps     int
+	ttl          time.Duration
+	maxHold      time.Duration
 	// scanned reports whether the store has been read.
 	scanned func() bool
 	// wake receives a signal after a change of the cluster state.
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -12,6 +12,8 @@
 // The kinds of log lines. docs/OPERATIONS.md explains them.
 const (
 	eventConfigurationInForce event = "configuration_in_force"
+	eventCoordinating         event = "coordinating"
+	eventCoordinatorsChanged  event = "coordinators_changed"
 	eventDependencyLost       event = "dependency_lost"
 	eventDependencyRegained   event = "dependency_regained"
 	eventEarlierPlacersEnded  event = "earlier_placers_ended"
@@ -50,6 +52,8 @@
 // page.
 var events = []event{
 	eventConfigurationInForce,
+	eventCoordinating,
+	eventCoordinatorsChanged,
 	eventDependencyLost,
 	eventDependencyRegained,
 	eventEarlierPlacersEnded,
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -81,6 +81,8 @@
 	retry bool
 	// trial is set for an attempt of a request that may crash servers.
 	trial *sluice.Trial
+	// permit is that of the server's coordinator, or nil if this host has admitted the request.
+	permit *permit
 
 	ctx  context.Context
 	resp *backendResponse
@@ -126,6 +128,12 @@
 		return
 	}
 	instance, objective := sluice.ServerInstanceOf(a.server), a.exchange.r.route.Objective
+	if errors.Is(a.err, errConnectionLimit) {
+		// The server has not rejected anything.
+		a.permit.release(sluice.OutcomeCanceled, a.took)
+	} else {
+		a.permit.release(outcome, a.took)
+	}
 	switch {
 	case !a.overdue:
 		a.exchange.adm.finish(instance, outcome, a.took, objective)
@@ -141,6 +149,7 @@
 		return
 	}
 	a.exchange.adm.finish(sluice.ServerInstanceOf(a.server), sluice.OutcomeTimeout, time.Since(a.began), 0)
+	a.permit.overdue(time.Since(a.began))
 }
 
 func (a *attempt) isDone() bool {
@@ -197,17 +206,17 @@
 		return nil
 	}
 	start := time.Now()
-	decision := e.acquire(ctx)
+	decision, permit := e.acquire(ctx)
 	e.metrics.requestQueued(e.r.service.Name, time.Since(start))
 	e.updateToken()
 	switch decision := decision.(type) {
 	case sluice.Dispatch:
 		if e.crashes.suspicion(e.r, decision.Server.Version) != sluice.SuspicionNone {
 			// A server has ended under the same request meanwhile.
-			e.adm.finish(sluice.ServerInstanceOf(decision.Server), sluice.OutcomeCanceled, 0, 0)
+			e.giveBack(decision.Server, permit)
 			return e.beginTrial(ctx)
 		}
-		return e.dispatch(ctx, decision.Server, nil)
+		return e.dispatch(ctx, decision.Server, permit, nil)
 	case sluice.Refuse:
 		if e.mayReachMore(decision) && e.startRelay(ctx, e.requiredServer(decision)) {
 			return nil
@@ -262,23 +271,30 @@
 	}
 }
 
-// acquire waits for admission. It returns nil if ctx is done before that, if a drain
-// begins that excludes the request, or if a pending attempt ends.
-func (e *exchange) acquire(ctx context.Context) sluice.Decision {
+// acquire waits for admission, by the coordinator of the server if it has one. It returns nil
+// if ctx is done before that, if a drain begins that excludes the request, or if a pending
+// attempt ends.
+func (e *exchange) acquire(ctx context.Context) (sluice.Decision, *permit) {
 	ctx, unbind := e.drain.bindQueued(ctx, e.r.deadline)
 	defer unbind()
 	for _, a := range e.pending {
 		stop := context.AfterFunc(a.done, unbind)
 		defer stop()
 	}
-	return e.adm.acquire(ctx, e.req)
+	return e.admit(ctx, e.adm, e.r, e.req)
+}
+
+// giveBack ends the admission of a request that is not sent.
+func (e *exchange) giveBack(s fairway.Endpoint, permit *permit) {
+	e.adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0)
+	permit.release(sluice.OutcomeCanceled, 0)
 }
 
 // dispatch starts an attempt at a server, which may be a trial. It returns a result if the
 // request may not be sent and no attempt is pending.
-func (e *exchange) dispatch(ctx context.Context, s fairway.Endpoint, trial *sluice.Trial) result {
+func (e *exchange) dispatch(ctx context.Context, s fairway.Endpoint, permit *permit, trial *sluice.Trial) result {
 	notSent := func() {
-		e.adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0)
+		e.giveBack(s, permit)
 		if trial != nil {
 			e.crashes.endTrial(*trial, false)
 		}
@@ -297,7 +313,7 @@
 	}
 	e.metrics.requestSent(e.r.service.Name, e.r.sends > 0)
 	e.req.Tried = append(e.req.Tried, s.ID)
-	e.start(&attempt{exchange: e, server: s, ctx: ctx, trial: trial})
+	e.start(&attempt{exchange: e, server: s, ctx: ctx, permit: permit, trial: trial})
 	return nil
 }
 
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -124,6 +124,8 @@
 	relay *relayClient
 	// carriers are the hosts that send requests with keys for this one; nil means none.
 	carriers *carriers
+	// permits has requests admitted by coordinators; nil means by this host alone.
+	permits *permits
 	// crashes has the requests that may crash servers; nil means that none are suspected.
 	crashes *crashes
 	// limits records the limits that servers name; nil means that they do not count.
@@ -162,6 +164,15 @@
 	return e.run(ctx)
 }
 
+// admit waits until a request is admitted or refused: by the coordinator of its server, or
+// by this host if there is none or it does not answer. It returns nil if ctx is done before.
+func (f *forwarder) admit(ctx context.Context, adm *admission, r *request, req *sluice.Request) (sluice.Decision, *permit) {
+	if decision, granted, ok := f.permits.acquire(ctx, adm, r, req); ok {
+		return decision, granted
+	}
+	return adm.acquire(ctx, req), nil
+}
+
 // stopped returns the result of a request that is not sent, or not sent again,
 // since the host is stopping.
 func (f *forwarder) stopped(r *request) result {
@@ -366,7 +377,9 @@
 	if !r.repeatable() {
 		idleFraction = nonRepeatableIdleFraction
 	}
-	c, p, err := f.upstream.get(ctx, s, getOptions{config: r.config, maxIdleFraction: idleFraction, requestID: r.id})
+	c, p, err := f.upstream.get(ctx, s, getOptions{
+		config: r.config, maxIdleFraction: idleFraction, requestID: r.id, minLimit: f.permits.connectionsTo(r.service.Name, s),
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/jetty/limits.go
+++ b/jetty/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +33,8 @@
 type limitRecord struct {
 	service  fairway.ServiceName
 	evidence sluice.LimitEvidence
-	// applied is the admission that has the evidence.
-	applied *admission
+	// applied are the admissions that have the evidence.
+	applied []*admission
 }
 
 // limits keeps the limits that servers name, as seen in responses to this host and told
@@ -122,9 +123,11 @@
 // apply sets the limit of a server in the admission of its service, which may have been
 // created since.
 func (l *limits) apply(instance sluice.ServerInstance, r *limitRecord) {
-	if adm := l.admissions.all()[r.service]; adm != nil && adm != r.applied {
-		adm.setLimit(instance, r.evidence)
-		r.applied = adm
+	for _, adm := range l.admissions.of(r.service) {
+		if !slices.Contains(r.applied, adm) {
+			adm.setLimit(instance, r.evidence)
+			r.applied = append(r.applied, adm)
+		}
 	}
 }
 
@@ -212,8 +215,8 @@
 		gone := !listed || sluice.ServerInstanceOf(e) != instance
 		if gone || !r.evidence.Limited() && now.Sub(r.evidence.NamedAt) > freeMemory {
 			delete(l.records, instance)
-			if r.applied != nil {
-				r.applied.setLimit(instance, sluice.LimitEvidence{})
+			for _, adm := range r.applied {
+				adm.setLimit(instance, sluice.LimitEvidence{})
 			}
 			continue
 		}
--- a/jetty/load.go
+++ b/jetty/load.go
@@ -65,6 +65,8 @@
 	// granted has the ranges of each service whose grants are not recorded yet.
 	granted map[fairway.ServiceName][]mooring.Assignment
 	plan    carrierPlan
+	// coordinatorPlan is the decision which hosts coordinate.
+	coordinatorPlan coordinatorPlan
 }
 
 func newLoadCollector() *loadCollector {
@@ -130,6 +132,10 @@
 	if summary.carriersVersion == r.CarriersVersion {
 		reply.Carriers = nil
 	}
+	reply.Coordinators, reply.CoordinatorsVersion = summary.coordinators, summary.coordinatorsVersion
+	if summary.coordinatorsVersion == r.CoordinatorsVersion {
+		reply.Coordinators = nil
+	}
 	reply.Granted = encodeGranted(summary.granted)
 	if l.limits != nil {
 		l.limits.merge(r.Limits, monotonicNow())
@@ -197,6 +203,10 @@
 	// none or those that it knows are to remain.
 	carriers        *signal.Carriers
 	carriersVersion uint64
+	// coordinators are those of all hosts, or nil if there are none or those that the
+	// reporting host knows are to remain.
+	coordinators        []*signal.Carrier
+	coordinatorsVersion uint64
 }
 
 // add records a report and returns the summary of all reports.
@@ -221,6 +231,7 @@
 		st := l.stats[fairway.ServerID(s.Server)]
 		st.responses += int(s.Answers)
 		st.slowness += s.Slowness
+		st.requests += int(s.Requests)
 		l.stats[fairway.ServerID(s.Server)] = st
 		if s.Requests > 0 {
 			l.overload.Add(instantOf(now), fairway.ServerID(s.Server), int(s.Requests), int(s.Pressed))
@@ -229,6 +240,7 @@
 	id := HostID(r.Host)
 	if r.Leaving {
 		delete(l.reportingHosts, id)
+		l.coordinatorPlan.chosenAt = time.Time{}
 	} else {
 		h, known := l.reportingHosts[id]
 		if !known || h.address != r.Address || !h.reporting(now) {
@@ -238,7 +250,7 @@
 		h.cut = r.Cut
 		h.recordAnswers(r, now)
 		h.lastReport, h.linkMbps, h.storeAnsweredAt = now, r.LinkMbps, time.Time{}
-		h.capacity = r.CarryingCapacity
+		h.capacity, h.coordinates = r.CarryingCapacity, r.CoordinatorsVersion != 0
 		h.relaysFeed, h.knowsAsOf = r.RelaysFeed, now.Add(-time.Duration(r.KnowledgeAgeMillis)*time.Millisecond)
 		if r.Direct {
 			h.storeAnsweredAt = now.Add(-time.Duration(r.StoreAgeMillis) * time.Millisecond)
@@ -263,9 +275,12 @@
 	if summary.carriers = l.carriersOf(fairway.Domain(r.Domain), now); summary.carriers != nil {
 		summary.carriersVersion = versionOf(summary.carriers)
 	}
+	summary.coordinators = l.coordinators(now)
+	summary.coordinatorsVersion = coordinatorsVersionOf(summary.coordinators)
 	if summary.counting {
 		// Hosts that have not reported yet may be carriers.
 		summary.carriers, summary.carriersVersion = nil, r.CarriersVersion
+		summary.coordinators, summary.coordinatorsVersion = nil, r.CoordinatorsVersion
 		summary.hosts, summary.reaching = max(summary.hosts, l.leastHosts), max(summary.reaching, l.leastReaching)
 	}
 	return summary
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -269,6 +269,20 @@
 		Msg(string(eventServerClosed))
 }
 
+// coordinatorsChanged logs which hosts coordinate.
+func (l *logs) coordinatorsChanged(t *coordinatorTable) {
+	l.newLine(&l.system, false).Strs("coordinators", t.names()).Msg(string(eventCoordinatorsChanged))
+}
+
+// coordinating logs that this host begins or ends to admit the requests of other hosts.
+func (l *logs) coordinating(begins bool) {
+	event := "ended"
+	if begins {
+		event = "began"
+	}
+	l.newLine(&l.system, false).Str("event", event).Msg(string(eventCoordinating))
+}
+
 func (l *logs) recordUnreadable(r UnreadableRecord) {
 	l.newLine(&l.system, true).Str("key", r.Key).Err(shortenError(r.Err)).Msg(string(eventEntryUnreadable))
 }
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -54,6 +54,12 @@
 	metricSuspectedRequests metricName = "suspected_requests"
 	metricServerNotices     metricName = "server_notices_total"
 	metricPanics            metricName = "panics_total"
+	metricPermits           metricName = "permits_total"
+	metricPermitFallbacks   metricName = "permit_fallbacks_total"
+	metricPermitsExpired    metricName = "permits_expired_total"
+	metricPermitsInFlight   metricName = "permits_in_flight"
+	metricPermitsWaiting    metricName = "permits_waiting"
+	metricCoordinating      metricName = "coordinating"
 )
 
 // metricNames has every metric. A test compares it with the operations page.
@@ -62,7 +68,7 @@
 	metricRequestsWaiting, metricRetryBudgetLeft, metricKeyMoves, metricKeyRanges, metricTableRevision, metricOrders,
 	metricStoreCalls, metricStoreCallSeconds, metricStoreAge, metricConfigVersion, metricServersListed,
 	metricConnectionsOpen, metricConnectionsOpened, metricLinesLeftOut, metricPlacer, metricEntryHosts, metricServerEnds, metricSuspectedRequests,
-	metricServerNotices, metricPanics,
+	metricServerNotices, metricPanics, metricPermits, metricPermitFallbacks, metricPermitsExpired, metricPermitsInFlight, metricPermitsWaiting, metricCoordinating,
 }
 
 // metrics keeps its values in a tally scope. It caches the scopes with tags,
@@ -218,6 +224,34 @@
 	m.withTags(metricTags{first: kind, second: result}, "kind", "result").Counter(string(metricRelays)).Inc(1)
 }
 
+// permitDecided counts a permit that this host has granted or refused as a coordinator.
+func (m *metrics) permitDecided(service fairway.ServiceName, result string, why reason) {
+	m.withTags(metricTags{first: string(service), second: result, third: string(why)}, "service", "result", "reason").
+		Counter(string(metricPermits)).Inc(1)
+}
+
+// permitFallback counts a request that this host admits itself although its service has
+// coordinators.
+func (m *metrics) permitFallback(service fairway.ServiceName, why permitFallback) {
+	m.withTags(metricTags{first: string(service), second: string(why)}, "service", "reason").
+		Counter(string(metricPermitFallbacks)).Inc(1)
+}
+
+// updatePermitGauges sets the gauges of the requests that this host coordinates.
+func (m *metrics) updatePermitGauges(s *permitServer) {
+	coordinating := 0.0
+	if s.coordinators.isNamed() {
+		coordinating = 1
+	}
+	m.gauge(metricCoordinating, coordinating)
+	for service, adm := range s.admissions.all() {
+		held, expired := adm.permits()
+		m.serviceGauge(metricPermitsInFlight, service, float64(held))
+		m.serviceGauge(metricPermitsWaiting, service, float64(adm.usage().Waiting))
+		m.withTags(metricTags{first: string(service)}, "service").Counter(string(metricPermitsExpired)).Inc(int64(expired))
+	}
+}
+
 func (m *metrics) gauge(name metricName, value float64) {
 	m.scope.Gauge(string(name)).Update(value)
 }
@@ -249,6 +283,7 @@
 	m.gauge(metricPlacer, placer)
 	m.gauge(metricEntryHosts, float64(h.clusterState.knownHostCount()))
 	m.gauge(metricSuspectedRequests, float64(h.crashes.size.Load()))
+	m.updatePermitGauges(h.permitServer)
 	for service, adm := range h.admissions.all() {
 		usage := adm.usage()
 		m.serviceGauge(metricRequestsInFlight, service, float64(usage.InFlight))
--- a/jetty/notices.go
+++ b/jetty/notices.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,8 +60,8 @@
 	closedAt time.Time
 	// listedAt is when the instance was last listed.
 	listedAt mooring.Instant
-	// applied is the admission that has the notice.
-	applied *admission
+	// applied are the admissions that have the notice.
+	applied []*admission
 }
 
 // notices keeps what servers tell in their responses of leaving and of closing. The zero
@@ -168,9 +169,11 @@
 // apply sets what is known of an instance in the admission of its service, which may have
 // been created since.
 func (n *notices) apply(server sluice.ServerInstance, r *noticeRecord) {
-	if adm := n.admissions.all()[r.service]; adm != nil && adm != r.applied {
-		adm.setNotice(server, r.notice)
-		r.applied = adm
+	for _, adm := range n.admissions.of(r.service) {
+		if !slices.Contains(r.applied, adm) {
+			adm.setNotice(server, r.notice)
+			r.applied = append(r.applied, adm)
+		}
 	}
 }
 
@@ -359,8 +362,8 @@
 		}
 		if now.Sub(r.listedAt) > noticeMemory {
 			delete(n.records, server)
-			if r.applied != nil {
-				r.applied.setNotice(server, sluice.Notice{})
+			for _, adm := range r.applied {
+				adm.setNotice(server, sluice.Notice{})
 			}
 			continue
 		}
--- /dev/null
+++ b/jetty/permitcodec.go
@@ -0,0 +1,102 @@
+package jetty
+
+import (
+	"time"
+
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/mooring"
+	"hornbeamwinch.example/signal"
+	"hornbeamwinch.example/sluice"
+)
+
+// encodeOutcome returns an outcome as it is told to a coordinator.
+func encodeOutcome(outcome sluice.Outcome) signal.PermitOutcome {
+	switch outcome {
+	case sluice.OutcomeAnswered:
+		return signal.PermitOutcome_PERMIT_OUTCOME_ANSWERED
+	case sluice.OutcomeServerError:
+		return signal.PermitOutcome_PERMIT_OUTCOME_SERVER_ERROR
+	case sluice.OutcomeRejected:
+		return signal.PermitOutcome_PERMIT_OUTCOME_REJECTED
+	case sluice.OutcomeMisdirected:
+		return signal.PermitOutcome_PERMIT_OUTCOME_MISDIRECTED
+	case sluice.OutcomeReset:
+		return signal.PermitOutcome_PERMIT_OUTCOME_RESET
+	case sluice.OutcomeUnreachable:
+		return signal.PermitOutcome_PERMIT_OUTCOME_UNREACHABLE
+	case sluice.OutcomeTimeout:
+		return signal.PermitOutcome_PERMIT_OUTCOME_TIMEOUT
+	case sluice.OutcomeInvalidResponse:
+		return signal.PermitOutcome_PERMIT_OUTCOME_INVALID_RESPONSE
+	default:
+		return signal.PermitOutcome_PERMIT_OUTCOME_CANCELED
+	}
+}
+
+// decodeOutcome takes an unknown outcome, of a later build, for one that tells nothing.
+func decodeOutcome(outcome signal.PermitOutcome) sluice.Outcome {
+	switch outcome {
+	case signal.PermitOutcome_PERMIT_OUTCOME_ANSWERED:
+		return sluice.OutcomeAnswered
+	case signal.PermitOutcome_PERMIT_OUTCOME_SERVER_ERROR:
+		return sluice.OutcomeServerError
+	case signal.PermitOutcome_PERMIT_OUTCOME_REJECTED:
+		return sluice.OutcomeRejected
+	case signal.PermitOutcome_PERMIT_OUTCOME_MISDIRECTED:
+		return sluice.OutcomeMisdirected
+	case signal.PermitOutcome_PERMIT_OUTCOME_RESET:
+		return sluice.OutcomeReset
+	case signal.PermitOutcome_PERMIT_OUTCOME_UNREACHABLE:
+		return sluice.OutcomeUnreachable
+	case signal.PermitOutcome_PERMIT_OUTCOME_TIMEOUT:
+		return sluice.OutcomeTimeout
+	case signal.PermitOutcome_PERMIT_OUTCOME_INVALID_RESPONSE:
+		return sluice.OutcomeInvalidResponse
+	default:
+		return sluice.OutcomeCanceled
+	}
+}
+
+// decodePermitRequest returns the request of another host, as of now.
+func decodePermitRequest(m *signal.PermitRequest, now mooring.Instant) *sluice.Request {
+	req := &sluice.Request{
+		Priority:      int(m.GetPriority()),
+		Objective:     time.Duration(m.GetObjectiveMicros()) * time.Microsecond,
+		SoftDeadline:  now.Add(time.Duration(m.GetSoftLeftMicros()) * time.Microsecond),
+		Deadline:      now.Add(time.Duration(min(m.GetLeftMicros(), uint64(maxPermitTime.Microseconds()))) * time.Microsecond),
+		ResponseBytes: m.GetResponseBytes(),
+		From:          m.GetSession(),
+		Domain:        fairway.Domain(m.GetDomain()),
+	}
+	if m.Key != nil {
+		key := mooring.Key(m.GetKey())
+		req.Key = &key
+	}
+	for _, id := range m.GetExcluded() {
+		req.Excluded = append(req.Excluded, fairway.ServerID(id))
+	}
+	return req
+}
+
+// encodeDecision returns the reply with a decision.
+func encodeDecision(decision sluice.Decision) *signal.PermitReply {
+	switch decision := decision.(type) {
+	case sluice.Dispatch:
+		return &signal.PermitReply{Granted: &signal.PermitGrant{Server: string(decision.Server.ID), Incarnation: int64(decision.Server.Incarnation)}}
+	case sluice.Refuse:
+		return &signal.PermitReply{Refused: &signal.PermitRefusal{
+			Reason: string(decision.Reason), RetryAfterMicros: uint64(max(decision.RetryAfter, 0).Microseconds()),
+			Ahead: uint32(decision.Ahead), Server: string(decision.Server),
+		}}
+	default:
+		return &signal.PermitReply{Waiting: true}
+	}
+}
+
+// decodeRefusal returns the refusal of a coordinator.
+func decodeRefusal(m *signal.PermitRefusal) sluice.Refuse {
+	return sluice.Refuse{
+		Reason: relayReason(m.GetReason()), RetryAfter: time.Duration(m.GetRetryAfterMicros()) * time.Microsecond,
+		Ahead: int(m.GetAhead()), Server: fairway.ServerID(m.GetServer()),
+	}
+}
--- /dev/null
+++ b/jetty/permits_test.go
@@ -0,0 +1,261 @@
+package jetty
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
+
+	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/mooring"
+	"hornbeamwinch.example/signal"
+	"hornbeamwinch.example/sluice"
+)
+
+// permitHost is a host of a fleet with coordinators.
+type permitHost struct {
+	*exchangeBench
+	name     HostID
+	address  peerAddress
+	grpc     *grpc.Server
+	stopping atomic.Bool
+	server   *permitServer
+	table    *coordinators
+}
+
+// newPermitHost returns a host that serves permits, unless it is of the last release.
+func newPermitHost(name HostID, lastRelease bool) *permitHost {
+	GinkgoHelper()
+	h := &permitHost{exchangeBench: newExchangeBench(1000), name: name}
+	config, err := fairway.NewConfig(1, fairway.Limits{}, []*fairway.Route{
+		{Name: "urgent", Priority: 0, Destinations: []fairway.Destination{{Service: h.service.Name, Weight: 1}}},
+		{Name: "less urgent", Priority: 2, Destinations: []fairway.Destination{{Service: h.service.Name, Weight: 1}}},
+	}, []*fairway.Service{h.service})
+	Expect(err).NotTo(HaveOccurred())
+	h.f.clusterState.activeConfig.SetIfNewer(config)
+	h.table = newCoordinators(name, quietLogs())
+	coordination := &coordination{clusterState: h.f.clusterState, carriers: newCarriers(name)}
+	h.f.admissions.coordinated = newAdmissionSet(admissionSetConfig{Host: name, Coordination: &admissionCoordination{
+		Owners: h.f.admissions.ownersOf, MostUrgent: coordination.mostUrgent,
+		Servers: func(_ fairway.ServiceName, catalog *fairway.Catalog) []fairway.Endpoint {
+			return h.table.serversOf(h.service, catalog)
+		},
+	}})
+	h.server = newPermitServer(&permitServer{
+		admissions: h.f.admissions.coordinated, clusterState: h.f.clusterState, coordination: coordination, coordinators: h.table,
+		stopping: h.stopping.Load, metrics: h.f.metrics,
+	})
+	conns := newPeerConns()
+	DeferCleanup(conns.close)
+	h.f.permits = newPermits(&permits{
+		host: name, coordination: coordination, coordinators: h.table, clusterState: h.f.clusterState,
+		conns: conns, server: h.server, logs: quietLogs(), metrics: h.f.metrics,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go h.f.permits.run(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			h.server.sweep()
+			pause(ctx, sweepInterval)
+		}
+	}()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	h.grpc = grpc.NewServer()
+	if !lastRelease {
+		signal.RegisterPermitsServer(h.grpc, h.server)
+	}
+	go func() { _ = h.grpc.Serve(listener) }()
+	DeferCleanup(h.grpc.Stop)
+	h.address = peerAddress(listener.Addr().String())
+	return h
+}
+
+// coordinate makes a host the coordinator of all servers, in the eyes of all hosts.
+func coordinate(by *permitHost, all ...*permitHost) {
+	for _, h := range all {
+		h.f.clusterState.setHostCounts(len(all), len(all))
+		h.table.set(newCoordinatorTable([]*signal.Carrier{{Host: string(by.name), Address: string(by.address), Capacity: 80}}, 7))
+		h.f.admissions.refresh(h.f.clusterState.catalog(), len(all), len(all))
+	}
+}
+
+// share has other hosts know the servers of this one.
+func (h *permitHost) share(others ...*permitHost) {
+	for _, o := range others {
+		for id, e := range h.f.clusterState.catalog().All() {
+			o.servers[id] = h.servers[id]
+			o.f.clusterState.servers.Store(o.f.clusterState.catalog().Apply([]fairway.Endpoint{e}, nil))
+		}
+	}
+}
+
+// held returns the number of permits in flight and of requests that wait for one.
+func (h *permitHost) held() (permits, waiting int) {
+	for _, adm := range h.f.admissions.coordinated.all() {
+		n, _ := adm.permits()
+		permits += n
+		waiting += adm.usage().Waiting
+	}
+	return permits, waiting
+}
+
+func (h *permitHost) fallbacks(why permitFallback) int64 {
+	for _, c := range h.f.metrics.Snapshot().Counters() {
+		if c.Name() == metricPrefix+"."+string(metricPermitFallbacks) && c.Tags()["reason"] == string(why) {
+			return c.Value()
+		}
+	}
+	return 0
+}
+
+var _ = Describe("A fleet with a coordinator", func() {
+	// fleet returns hosts whose requests the first one admits.
+	fleet := func(n, slots int, d time.Duration) []*permitHost {
+		var hosts []*permitHost
+		for i := range n {
+			hosts = append(hosts, newPermitHost(HostID(fmt.Sprintf("host-%d", i)), false))
+		}
+		hosts[0].serve("s", slots, work(d))
+		hosts[0].share(hosts[1:]...)
+		coordinate(hosts[0], hosts...)
+		return hosts
+	}
+	served := func(res timedResult) {
+		GinkgoHelper()
+		Expect(res.result).To(BeAssignableToTypeOf(backendResponse{}))
+	}
+	expectEnded := func(hosts ...*permitHost) {
+		GinkgoHelper()
+		for _, h := range hosts {
+			h.expectNothingLeft()
+			Eventually(func() int { held, waiting := h.held(); return held + waiting }).Should(BeZero(), "permits of %s", h.name)
+		}
+	}
+
+	// Without the coordinator, each host has its own window, and together they fill the server's queue.
+	It("keeps no more requests of all hosts at a server than it runs, and one", func() {
+		hosts := fleet(3, 2, 0)
+		var now, most atomic.Int64
+		hosts[0].f.clusterState.servers.Store(fairway.NewCatalog(nil))
+		hosts[0].serve("t", 2, func(w http.ResponseWriter, r *http.Request) {
+			n := now.Add(1)
+			for m := most.Load(); n > m; m = most.Load() {
+				most.CompareAndSwap(m, n)
+			}
+			defer now.Add(-1)
+			work(20*time.Millisecond)(w, r)
+		})
+		for _, h := range hosts[1:] {
+			h.f.clusterState.servers.Store(fairway.NewCatalog(nil))
+		}
+		hosts[0].share(hosts[1:]...)
+		coordinate(hosts[0], hosts...)
+		var results []<-chan timedResult
+		for i := range 30 {
+			results = append(results, hosts[i%3].send(context.Background(), hosts[i%3].request(1, 3*time.Second)))
+		}
+		for _, res := range results {
+			served(<-res)
+		}
+		Expect(most.Load()).To(Equal(int64(3)))
+		expectEnded(hosts...)
+	})
+
+	DescribeTable("sends requests all the same, at once", func(why permitFallback, lose func(coordinator *permitHost)) {
+		hosts := fleet(2, 6, 0)
+		served(<-hosts[1].send(context.Background(), hosts[1].request(1, time.Second)))
+		lose(hosts[0])
+		for range 3 {
+			res := <-hosts[1].send(context.Background(), hosts[1].request(1, time.Second))
+			served(res)
+			Expect(res.after).To(BeNumerically("<", 3*(firstPermitWait+permitCallMargin)))
+		}
+		Expect(hosts[1].fallbacks(why)).To(Equal(int64(1)))
+		Expect(hosts[1].fallbacks(fallbackLeftAlone)).To(Equal(int64(2)))
+		hosts[1].expectNothingLeft()
+	},
+		Entry("if the coordinator is lost", fallbackNoAnswer, func(c *permitHost) { c.grpc.Stop() }),
+		Entry("if it does not answer", fallbackNoAnswer, func(c *permitHost) { c.server.mu.Lock(); DeferCleanup(c.server.mu.Unlock) }),
+		Entry("if it stops", fallbackRefuses, func(c *permitHost) { c.stopping.Store(true) }),
+		Entry("if it knows other coordinators", fallbackRefuses, func(c *permitHost) { c.table.set(newCoordinatorTable(nil, 0)) }),
+	)
+
+	It("sends requests if the coordinator is of the last release", func() {
+		hosts := []*permitHost{newPermitHost("host-0", true), newPermitHost("host-1", false)}
+		hosts[0].serve("s", 6, work(0))
+		hosts[0].share(hosts[1])
+		coordinate(hosts[0], hosts...)
+		served(<-hosts[1].send(context.Background(), hosts[1].request(1, time.Second)))
+		Expect(hosts[1].fallbacks(fallbackRefuses)).To(Equal(int64(1)))
+	})
+
+	// A place or a permit that outlives its caller takes room from others.
+	It("forgets a request whose caller leaves while it waits, and one whose caller leaves while it runs", func() {
+		hosts := fleet(2, 1, time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var results []<-chan timedResult
+		for range 3 {
+			results = append(results, hosts[1].send(ctx, hosts[1].request(1, 3*time.Second)))
+		}
+		Eventually(func() []int { held, waiting := hosts[0].held(); return []int{held, waiting} }).Should(Equal([]int{2, 1}))
+		cancel()
+		for _, res := range results {
+			Expect((<-res).result).To(Equal(callerLeft{}))
+		}
+		expectEnded(hosts...)
+	})
+
+	It("gives the room of a permit whose host is lost to others at its deadline", func() {
+		hosts := fleet(2, 1, 0)
+		conn, err := newPeerConns().get(hosts[0].address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		for id := range uint64(2) {
+			reply, err := signal.NewPermitsClient(conn).Acquire(context.Background(), &signal.PermitRequest{
+				Session: 9, Id: id + 1, Service: "readings", LeftMicros: 300_000, SoftLeftMicros: 300_000, WaitMicros: 50_000,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.GetGranted().GetServer()).To(Equal("s"))
+		}
+		res := <-hosts[1].send(context.Background(), hosts[1].request(1, 2*time.Second))
+		served(res)
+		Expect(res.after).To(BeNumerically(">=", 250*time.Millisecond))
+		expectEnded(hosts...)
+	})
+
+	It("sends a request for a key by the coordinator of its owner", func() {
+		hosts := fleet(2, 6, 0)
+		for _, h := range hosts {
+			divide(h.exchangeBench)
+		}
+		key := mooring.Key(7)
+		r := hosts[1].request(1, time.Second)
+		r.key = &key
+		served(<-hosts[1].send(context.Background(), r))
+		Expect(hosts[1].fallbacks(fallbackNoCoordinator)).To(BeZero())
+		expectEnded(hosts...)
+	})
+
+	It("does not send to a server that the asking host knows to be closed", func() {
+		hosts := fleet(2, 6, 0)
+		hosts[0].serve("closed", 6, work(0))
+		hosts[0].share(hosts[1])
+		coordinate(hosts[0], hosts...)
+		adm := hosts[1].admission()
+		adm.setNotice(sluice.ServerInstance{Server: "closed", Incarnation: 1}, sluice.Notice{ClosedUntil: monotonicNow().Add(time.Minute)})
+		for range 10 {
+			served(<-hosts[1].send(context.Background(), hosts[1].request(1, time.Second)))
+		}
+		Expect(hosts[1].servers["closed"].arrived.Load()).To(BeZero())
+		expectEnded(hosts...)
+	})
+})
--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -52,6 +52,8 @@
 	r      *request
 	req    *sluice.Request
 	adm    *admission
+	// permit is that of the server's coordinator for the present send, if any.
+	permit *permit
 	// carried is set if this host is a carrier of the first host.
 	carried bool
 	// accepted is when the offer was accepted.
@@ -198,7 +200,9 @@
 	defer cancel()
 	ctx, unbind := q.drain.bindQueued(ctx, q.r.deadline)
 	defer unbind()
-	switch decision := q.adm.acquire(ctx, q.req).(type) {
+	decision, permit := q.admit(ctx, q.adm, q.r, q.req)
+	q.permit = permit
+	switch decision := decision.(type) {
 	case sluice.Dispatch:
 		return &decision.Server, nil
 	case sluice.Refuse:
@@ -210,6 +214,7 @@
 
 func (q *relayedRequest) finish(s fairway.Endpoint, outcome sluice.Outcome, took time.Duration) {
 	q.adm.finish(sluice.ServerInstanceOf(s), outcome, took, q.r.route.Objective)
+	q.permit.release(outcome, took)
 }
 
 // readLoop passes on the messages of the first host. It ends with the stream.
--- a/jetty/reporter.go
+++ b/jetty/reporter.go
@@ -25,6 +25,7 @@
 	changeLog     *changeLog
 	reach         *reach
 	carriers      *carriers
+	coordinators  *coordinators
 	capacity      uint32
 	limits        *limits
 	crashes       *crashes
@@ -108,6 +109,7 @@
 		r.crashes.reported(told, reply)
 		r.notices.merge(reply.LeavingServers, monotonicNow())
 		summary = loadSummary{hosts: int(reply.Hosts), reaching: int(reply.Reaching), counting: reply.Counting, feed: decodeFeedPlan(reply), granted: decodeGranted(reply.Granted), carriers: reply.Carriers, carriersVersion: reply.CarriersVersion}
+		summary.coordinators, summary.coordinatorsVersion = reply.Coordinators, reply.CoordinatorsVersion
 		for _, id := range reply.Crowded {
 			summary.overloaded = append(summary.overloaded, fairway.ServerID(id))
 		}
@@ -130,18 +132,17 @@
 	for _, id := range summary.overloaded {
 		overloaded[id] = true
 	}
-	for _, adm := range r.admissions.all() {
+	for _, adm := range r.admissions.every() {
 		adm.setOverloaded(overloaded)
 	}
 	for service, granted := range summary.granted {
 		if !r.admissions.ownersOf(service).addGranted(granted) {
 			continue
 		}
-		if adm := r.admissions.all()[service]; adm != nil {
-			adm.reevaluate()
-		}
+		r.admissions.reevaluate(service)
 	}
 	changed := r.applyCarriers(summary)
+	changed = r.applyCoordinators(summary) || changed
 	if !summary.counting {
 		changed = r.clusterState.setHostCounts(summary.hosts, summary.reaching) || changed
 	}
@@ -159,6 +160,16 @@
 	return r.carriers.set(newCarrierTable(summary.carriers, summary.carriersVersion))
 }
 
+// applyCoordinators keeps the coordinators that the placer has told, and reports whether they
+// have changed.
+func (r *reporter) applyCoordinators(summary loadSummary) bool {
+	if max(summary.coordinatorsVersion, noCoordinators) == r.coordinators.current().version {
+		return false
+	}
+	r.coordinators.set(newCoordinatorTable(summary.coordinators, summary.coordinatorsVersion))
+	return true
+}
+
 // collect returns the load measured since the last report.
 func (r *reporter) collect() *signal.LoadReport {
 	now := time.Now()
@@ -193,6 +204,7 @@
 		}
 	}
 	report.CarryingCapacity, report.CarriersVersion = r.capacity, r.carriers.current().version
+	report.CoordinatorsVersion = r.coordinators.current().version
 	r.addReach(report)
 	report.Limits = r.limits.reports(monotonicNow())
 	r.notices.addTo(report, monotonicNow())
--- a/jetty/reportinghost.go
+++ b/jetty/reportinghost.go
@@ -26,6 +26,8 @@
 	// capacity is how many requests the host can send for others, relative to other hosts;
 	// 0 means none.
 	capacity uint32
+	// coordinates is set if the host can admit the requests of others.
+	coordinates bool
 	// cut is set if the host reaches no server.
 	cut bool
 	// answeredAt is when the host last reported signs of life of a server, and answers
--- a/jetty/slots.go
+++ b/jetty/slots.go
@@ -62,7 +62,7 @@
 func (l *limits) askForSlots(ctx context.Context) {
 	l.refresh(monotonicNow())
 	var demands []slotDemand
-	for _, adm := range l.admissions.all() {
+	for _, adm := range l.admissions.every() {
 		for _, r := range adm.slotRequests() {
 			demands = append(demands, slotDemand{adm: adm, request: r})
 		}
--- a/jetty/suspect.go
+++ b/jetty/suspect.go
@@ -49,11 +49,11 @@
 	defer func() { e.req.Excluded = nil }()
 	waitUntil := time.Now().Add(time.Duration(maxTrialWait * float64(time.Until(e.r.deadline))))
 	for time.Now().Before(waitUntil) {
-		decision := e.acquire(ctx)
+		decision, permit := e.acquire(ctx)
 		e.updateToken()
 		switch decision := decision.(type) {
 		case sluice.Dispatch:
-			if res, done := e.tryAt(ctx, decision.Server); done {
+			if res, done := e.tryAt(ctx, decision.Server, permit); done {
 				return res
 			}
 			e.req.Excluded = append(e.req.Excluded, decision.Server.ID)
@@ -79,11 +79,11 @@
 
 // tryAt starts an attempt at a server that has admitted a suspected request. It reports
 // false if the request has to wait for another one there, or for another server.
-func (e *exchange) tryAt(ctx context.Context, s fairway.Endpoint) (res result, done bool) {
-	notSent := func() { e.adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0) }
+func (e *exchange) tryAt(ctx context.Context, s fairway.Endpoint, permit *permit) (res result, done bool) {
+	notSent := func() { e.giveBack(s, permit) }
 	switch e.crashes.suspicion(e.r, s.Version) {
 	case sluice.SuspicionNone:
-		return e.dispatch(ctx, s, nil), true
+		return e.dispatch(ctx, s, permit, nil), true
 	case sluice.SuspicionCertain:
 		notSent()
 		if e.r.key != nil || e.suspicion() == sluice.SuspicionCertain {
@@ -99,7 +99,7 @@
 	t := &sluice.Trial{Content: e.r.ensureDigest().Content, Server: s.ID}
 	switch decision := e.crashes.beginTrial(ctx, *t, time.Until(e.r.deadline)).(type) {
 	case sluice.TrialGranted:
-		return e.dispatch(ctx, s, t), true
+		return e.dispatch(ctx, s, permit, t), true
 	case sluice.TrialRefused:
 		notSent()
 		return e.refuseTrial(decision.RetryAfter), true
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -127,6 +127,9 @@
 	if r.election.carriers != nil {
 		r.election.loadCollector.continueCarriers(r.election.carriers.current().services)
 	}
+	if r.election.coordinators != nil {
+		r.election.loadCollector.continueCoordinators(len(r.election.coordinators.current().coordinators))
+	}
 	r.election.loadCollector.beginTerm(time.Now(), state.knownHostCount(), state.reachingCount())
 	r.goRecovered(ctx, r.term.run)
 	takeover := &takeover{term: r.term, ended: r.predecessorsEnded, logs: r.election.logs}
@@ -381,6 +384,7 @@
 	}
 	catalog := r.election.clusterState.catalog()
 	r.decideCarriers(requests, catalog, interval)
+	r.decideCoordinators(stats, catalog, interval)
 	r.actions.forget(catalog)
 	maps.DeleteFunc(r.slowness, func(id fairway.ServerID, _ float64) bool {
 		_, listed := catalog.Get(id)
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -141,6 +141,9 @@
 	// requestID is the id of the request that is to be sent. A connection is not used if
 	// it has carried that request.
 	requestID string
+	// minLimit is a lower bound of the pool's limit while the connection is in use. The pool
+	// keeps no more idle ones for it.
+	minLimit int
 }
 
 // get returns a connection to a server: an idle one if possible, else a new one
@@ -175,7 +178,7 @@
 		p.open--
 		p.lost = openDropped
 	}
-	full := found == nil && p.open >= p.limit
+	full := found == nil && p.open >= max(p.limit, opts.minLimit)
 	if found == nil && !full {
 		u.opened[opening{service: p.service, reason: p.openReason()}]++
 		p.open++
