--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -268,11 +268,12 @@
 	return a.controller.OwnerFails(monotonicNow(), key)
 }
 
-// unusable returns the servers that must not get a request without a key from this host.
-func (a *admission) unusable() []fairway.ServerID {
+// unusable returns up to n of the servers that must not get a request without a key from
+// this host.
+func (a *admission) unusable(n int) []fairway.ServerID {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.controller.Unusable(monotonicNow())
+	return a.controller.Unusable(monotonicNow(), n)
 }
 
 // refusedElsewhere records the refusal of a request by a coordinator.
--- a/jetty/load.go
+++ b/jetty/load.go
@@ -275,14 +275,15 @@
 	if summary.carriers = l.carriersOf(fairway.Domain(r.Domain), now); summary.carriers != nil {
 		summary.carriersVersion = versionOf(summary.carriers)
 	}
-	summary.coordinators = l.coordinators(now)
-	summary.coordinatorsVersion = coordinatorsVersionOf(summary.coordinators)
 	if summary.counting {
 		// Hosts that have not reported yet may be carriers.
 		summary.carriers, summary.carriersVersion = nil, r.CarriersVersion
 		summary.coordinators, summary.coordinatorsVersion = nil, r.CoordinatorsVersion
 		summary.hosts, summary.reaching = max(summary.hosts, l.leastHosts), max(summary.reaching, l.leastReaching)
+		return summary
 	}
+	summary.coordinators = l.coordinators(now)
+	summary.coordinatorsVersion = coordinatorsVersionOf(summary.coordinators)
 	return summary
 }
 
--- a/jetty/permits.go
+++ b/jetty/permits.go
@@ -28,6 +28,9 @@
 	// maxAskedCoordinators is the number of coordinators that are asked for a request that any
 	// server can answer.
 	maxAskedCoordinators = 2
+	// maxExcluded bounds the servers that a request for a permit excludes because this host
+	// does not reach them. If one of the others is granted, this host admits the request itself.
+	maxExcluded = 32
 	// maxPermitTime bounds the time of a permit.
 	maxPermitTime = time.Minute
 	// releaseRetryInterval is the time between two attempts to tell ended permits.
@@ -206,7 +209,7 @@
 	}
 	c := &permitCall{permits: p, adm: adm, r: r, req: req}
 	if r.key == nil {
-		c.excluded = append(slices.Concat(req.Tried, req.Excluded), adm.unusable()...)
+		c.excluded = append(slices.Concat(req.Tried, req.Excluded), adm.unusable(maxExcluded)...)
 	}
 	var res permitResult
 	for range maxAskedCoordinators {
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -411,13 +411,15 @@
 	return server.endpoint, true
 }
 
-// Unusable returns the servers that must not get a request without a key at the moment,
-// because of failures or of what their responses told.
-func (c *Controller) Unusable(now mooring.Instant) []fairway.ServerID {
+// Unusable returns up to n of the servers that must not get a request without a key at the
+// moment, because of failures or of what their responses told.
+func (c *Controller) Unusable(now mooring.Instant, n int) []fairway.ServerID {
 	var unusable []fairway.ServerID
-	usable := c.usableAt(now)
 	for _, server := range c.ranked {
-		if server.window.suspected(now) || server.notice.ClosedFor(now) > 0 || !usable(server) {
+		if len(unusable) == n {
+			break
+		}
+		if server.window.suspected(now) || server.notice.ClosedFor(now) > 0 || server.notice.LeavingSince != 0 {
 			unusable = append(unusable, server.endpoint.ID)
 		}
 	}
--- a/sluice/coordinator.go
+++ b/sluice/coordinator.go
@@ -29,14 +29,18 @@
 
 // ChooseCoordinators returns the hosts that are to coordinate, for a number of requests a
 // second of all hosts, in an order that depends on the hosts alone. The present number of
-// coordinators is kept while it is enough and not far too many; 0 stands for none yet.
+// coordinators is kept while it is enough and not far too many, and while the rate is 0, not
+// known yet.
 func ChooseCoordinators(hosts []Carrier, rate float64, present int) []Carrier {
 	ranked := slices.DeleteFunc(slices.Clone(hosts), func(h Carrier) bool { return h.Capacity == 0 })
 	slices.SortFunc(ranked, func(a, b Carrier) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host)), cmp.Compare(a.Host, b.Host))
 	})
 	n := coordinatorsFor(ranked, rate)
-	if present > n {
+	switch {
+	case present > n && rate == 0:
+		n = present
+	case present > n:
 		n = min(present, coordinatorsFor(ranked, rate*(1+spareRate)))
 	}
 	return ranked[:min(n, len(ranked))]
