--- a/jetty/coldservers.go
+++ b/jetty/coldservers.go
@@ -3,12 +3,17 @@
 import (
 	"maps"
 	"sync"
+	"sync/atomic"
 
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/mooring"
 	"hornbeamwinch.example/sluice"
 )
 
+// warmFraction is the part of the bound of a cold server up to which coordinators use a warm
+// one. A server may turn cold at any moment, and hosts learn of it up to a second later.
+const warmFraction = 0.9
+
 // coldServers keeps which servers are cold, as their registrations and health responses tell,
 // and has all admissions limit their requests. The zero pointer knows none.
 type coldServers struct {
@@ -21,6 +26,9 @@
 	overage float64
 	slack   float64
 
+	// maxRates has the requests a second that coordinators send to each warm server.
+	maxRates atomic.Pointer[map[fairway.ServerID]float64]
+
 	// mu guards the fields below. No other lock is taken while it is held.
 	mu      sync.Mutex
 	records map[sluice.ServerInstance]coldRecord
@@ -53,11 +61,14 @@
 	if c == nil || config == nil || c.overage <= 0 {
 		return
 	}
+	maxRates := make(map[fairway.ServerID]float64)
+	defer c.maxRates.Store(&maxRates)
 	for name, service := range config.Services {
 		if _, bounded := c.rate(service); !bounded {
 			continue
 		}
 		for _, e := range catalog.ByService(name) {
+			maxRates[e.ID] = warmFraction * (service.ColdRate*c.overage + c.slack)
 			if e.WarmupRemaining > 0 {
 				c.set(now, e, service, instantOf(e.ReadAt).Add(e.WarmupRemaining))
 			}
@@ -71,6 +82,17 @@
 	})
 }
 
+// maxRate returns the requests a second that coordinators send to a server at most, or false
+// if nothing bounds them.
+func (c *coldServers) maxRate(server sluice.ServerInstance) (perSecond float64, ok bool) {
+	rates := c.maxRates.Load()
+	if rates == nil {
+		return 0, false
+	}
+	perSecond, ok = (*rates)[server.Server]
+	return perSecond, ok
+}
+
 // set records that a server is cold until an instant, unless it is known to be cold for longer.
 func (c *coldServers) set(now mooring.Instant, e fairway.Endpoint, service *fairway.Service, until mooring.Instant) {
 	rate, bounded := c.rate(service)
@@ -92,7 +114,7 @@
 		c.logs.serverCold(server, service.Name, until.Sub(now))
 		c.metrics.serverNotice("cold")
 	}
-	if adm := c.admissions.all()[service.Name]; adm != nil {
+	for _, adm := range c.admissions.of(service.Name) {
 		adm.setCold(server, r.rate, r.until)
 	}
 }
