Read the load that servers tell in their responses

Cause: some servers state their load in each response (Hornbeamwinch-Server-Load: running, waiting, slots and pace), and entry hosts ignore it.

Change: platform decodes the header, jetty passes it on with the time at which the response was received, and sluice keeps the latest one of each server instance (Controller.SetLoad). Responses that a peer has received count, too. A header of another form, or one that comes twice, in a trailer, in an interim response, in a 421 or in the answer to another request is ignored. Answers pass on unchanged. Nothing decides by the load yet.

Measured: the tests of the header (platform) and of its way to the controller (jetty) pass. Nothing was measured under load.

--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -205,6 +205,20 @@
 	a.deliver(a.controller.Reevaluate(monotonicNow()))
 }
 
+// setLoad sets the load that a server told at an instant.
+func (a *admission) setLoad(at mooring.Instant, instance sluice.ServerInstance, load sluice.ServerLoad) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.SetLoad(at, instance, load)
+}
+
+// serverStatuses returns the state of the servers, for operators.
+func (a *admission) serverStatuses() []sluice.ServerStatus {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.ServerStatuses(monotonicNow())
+}
+
 // slotRequests returns the slots of limited servers to ask for.
 func (a *admission) slotRequests() []sluice.SlotRequest {
 	a.mu.Lock()
--- a/jetty/fake_test.go
+++ b/jetty/fake_test.go
@@ -183,6 +183,12 @@
 	return told
 }
 
+// DecodeLoad implements Protocol.
+func (fakeProtocol) DecodeLoad(header http.Header) (sluice.ServerLoad, bool) {
+	waiting, err := strconv.Atoi(header.Get("Load"))
+	return sluice.ServerLoad{Waiting: waiting, Slots: 1, Pace: sluice.UsualPace}, err == nil
+}
+
 // Decode implements Protocol.
 func (fakeProtocol) Decode(e ledger.Entry, _ time.Time) Record {
 	if id, ok := strings.CutPrefix(e.Key, "server/"); ok {
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -129,6 +129,8 @@
 	// limits records the limits that servers name; nil means that they do not count.
 	limits  *limits
 	notices *notices
+	// loads passes on the loads that servers tell; nil means that they do not count.
+	loads *serverLoads
 	// bodies bounds the memory of request bodies; nil means no limit.
 	bodies  *bodyBudget
 	drain   *drain
@@ -393,6 +395,7 @@
 		f.limits.observe(s, sentAt, monotonicNow(), httpResp.Header)
 	}
 	f.notices.observe(s, r, httpResp, monotonicNow())
+	f.loads.observe(s, r, httpResp, monotonicNow())
 	return f.readResponse(ctx, r, s, c, p, httpResp)
 }
 
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -200,12 +200,13 @@
 	h.watcher.onFirstPlacer = h.reporter.notify
 	h.callers = newCallerConns()
 	h.bodies = newBodyBudget(s.MemoryMB)
+	loads := &serverLoads{protocol: cfg.Protocol, admissions: h.admissions, clusterState: h.clusterState}
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
-		reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, bodies: h.bodies, drain: h.drain, logs: h.logs, metrics: h.metrics,
+		reach: h.reach, limits: h.limits, notices: h.notices, loads: loads, crashes: h.crashes, bodies: h.bodies, drain: h.drain, logs: h.logs, metrics: h.metrics,
 		carriers: h.carriers, recoverer: h.recoverer,
 		relay: &relayClient{
-			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices,
+			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices, loads: loads,
 		},
 	}
 	h.relayServer = &relayServer{forwarder: requests, stopping: h.shuttingDown.Load}
--- a/jetty/protocol.go
+++ b/jetty/protocol.go
@@ -76,6 +76,9 @@
 	// DecodeNotices returns what a response of a server instance, received at an instant,
 	// tells besides the answer.
 	DecodeNotices(from sluice.ServerInstance, status int, header http.Header, receivedAt mooring.Instant) []Notice
+	// DecodeLoad returns the load that a response of a backend server tells. It returns false
+	// if the response tells none that can be read.
+	DecodeLoad(header http.Header) (load sluice.ServerLoad, ok bool)
 	// DecodeOrderResponse decodes the response to an order.
 	DecodeOrderResponse(status int, header http.Header) (result mooring.Result, handover string)
 }
--- a/jetty/relayclient.go
+++ b/jetty/relayclient.go
@@ -45,6 +45,7 @@
 	conns   *peerConns
 	reach   reachability
 	notices *notices
+	loads   *serverLoads
 }
 
 // relayCall passes one request on. Its results are set by run.
@@ -382,7 +383,9 @@
 	if resp.header.Get(c.headers.RequestID) != c.r.id && !notRun {
 		return nil, &Error{Op: "relay", Kind: KindInvalidResponse, Err: errNoRequestID}
 	}
-	c.notices.observeRelayed(c.r, sluice.ServerInstance{Server: c.server, Incarnation: fairway.Incarnation(head.GetServerIncarnation())}, resp.status, resp.header, monotonicNow())
+	from := sluice.ServerInstance{Server: c.server, Incarnation: fairway.Incarnation(head.GetServerIncarnation())}
+	c.notices.observeRelayed(c.r, from, resp.status, resp.header, monotonicNow())
+	c.loads.observeRelayed(c.r, from, resp.status, resp.header, monotonicNow())
 	if head.GetWhole() {
 		resp.body = head.GetBody()
 		return resp, nil
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -142,6 +142,7 @@
 	// limit is set while the server names a limit.
 	limit  *serverLimit
 	notice Notice
+	told   toldLoad
 	// weight is the preference of this host for the server.
 	weight uint64
 	// unconfirmed is set for servers that have not been registered since a
