Estimate response times by route

Cause: one mean over all routes of a service decides whether a request is late, refused, how long it waits and which server is cheap. Beside a long route, short urgent requests count as late when they are not, and a server is judged by the mix of routes that it had.

Change: sluice keeps mean and spread of the response time of each route, and a factor of each server relative to its routes (RouteEstimates, speedFactor). They replace the mean of the service where routes to a service have different priorities in the active configuration, or where its servers tell their load. A request counts as late once it has less than a quarter of a chance to be on time. It is refused for its objective only if the wait at this host is longer than its response. A told load counts in the cost of a server: running and waiting with an age of one response time, pace with a half-life of 200 ms. Second attempts wait by the mean of the route. Without different priorities and told loads the numbers are those of before.

--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -104,8 +104,8 @@
 	return ok && owner.Server == server
 }
 
-// finish records the end of a dispatched request.
-func (a *admission) finish(instance sluice.ServerInstance, outcome sluice.Outcome, latency, objective time.Duration) {
+// finish records the end of a dispatched request on a route.
+func (a *admission) finish(instance sluice.ServerInstance, route fairway.RouteName, outcome sluice.Outcome, latency, objective time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch outcome {
@@ -115,7 +115,7 @@
 		a.recordSample(instance.Server, true)
 	default:
 	}
-	a.deliver(a.controller.Finish(monotonicNow(), instance, outcome, latency, objective))
+	a.deliver(a.controller.FinishRoute(monotonicNow(), instance, route, outcome, latency, objective))
 }
 
 // recordLate records the response to a request that was finished as overdue.
@@ -275,17 +275,21 @@
 	st.slowness += float64(latency) / float64(max(means.latency, time.Microsecond))
 }
 
-func (a *admission) retainRoutes(names map[fairway.RouteName]bool) {
+// setRoutes sets the routes of a configuration and those of the service among them. It
+// forgets what is known of others.
+func (a *admission) setRoutes(names map[fairway.RouteName]bool, own serviceRoutes) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.controller.SetRoutes(own.names, own.mixed)
 	maps.DeleteFunc(a.routeMeans, func(name fairway.RouteName, _ *routeMeans) bool { return !names[name] })
 }
 
-// meanLatency returns the mean latency of the service's responses.
-func (a *admission) meanLatency() time.Duration {
+// meanLatency returns the mean latency of the responses on a route, or of the service if its
+// routes are not told apart.
+func (a *admission) meanLatency(route fairway.RouteName) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.controller.MeanLatency()
+	return a.controller.MeanLatencyOf(route)
 }
 
 // allowRetry takes one retry from the budget, or reports false if none is left.
@@ -403,6 +407,10 @@
 		cfg.ReassignmentDelay = s.cfg.ReassignmentDelay
 	}
 	a.controller = sluice.NewController(cfg)
+	if s.config != nil {
+		own := routesOf(s.config, service.Name)
+		a.controller.SetRoutes(own.names, own.mixed)
+	}
 	return a
 }
 
@@ -416,7 +424,7 @@
 	s.hosts, s.reaching = hosts, reaching
 }
 
-// retainRoutes forgets the means of the routes that are not in a configuration.
+// retainRoutes passes on which routes there are and forgets the means of those that are not in a configuration.
 func (s *admissionSet) retainRoutes(c *fairway.Config) {
 	s.mu.Lock()
 	known := c == nil || c == s.config
@@ -426,8 +434,8 @@
 		return
 	}
 	names := c.RouteNames()
-	for _, a := range s.all() {
-		a.retainRoutes(names)
+	for service, a := range s.all() {
+		a.setRoutes(names, routesOf(c, service))
 	}
 }
 
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -128,7 +128,7 @@
 	instance, objective := sluice.ServerInstanceOf(a.server), a.exchange.r.route.Objective
 	switch {
 	case !a.overdue:
-		a.exchange.adm.finish(instance, outcome, a.took, objective)
+		a.exchange.adm.finish(instance, a.exchange.r.route.Name, outcome, a.took, objective)
 	case outcome == sluice.OutcomeAnswered:
 		a.exchange.adm.recordLate(instance, a.took, objective)
 	}
@@ -140,7 +140,7 @@
 	if a.relay != nil {
 		return
 	}
-	a.exchange.adm.finish(sluice.ServerInstanceOf(a.server), sluice.OutcomeTimeout, time.Since(a.began), 0)
+	a.exchange.adm.finish(sluice.ServerInstanceOf(a.server), a.exchange.r.route.Name, sluice.OutcomeTimeout, time.Since(a.began), 0)
 }
 
 func (a *attempt) isDone() bool {
@@ -204,7 +204,7 @@
 	case sluice.Dispatch:
 		if e.crashes.suspicion(e.r, decision.Server.Version) != sluice.SuspicionNone {
 			// A server has ended under the same request meanwhile.
-			e.adm.finish(sluice.ServerInstanceOf(decision.Server), sluice.OutcomeCanceled, 0, 0)
+			e.adm.finish(sluice.ServerInstanceOf(decision.Server), e.r.route.Name, sluice.OutcomeCanceled, 0, 0)
 			return e.beginTrial(ctx)
 		}
 		return e.dispatch(ctx, decision.Server, nil)
@@ -278,7 +278,7 @@
 // request may not be sent and no attempt is pending.
 func (e *exchange) dispatch(ctx context.Context, s fairway.Endpoint, trial *sluice.Trial) result {
 	notSent := func() {
-		e.adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0)
+		e.adm.finish(sluice.ServerInstanceOf(s), e.r.route.Name, sluice.OutcomeCanceled, 0, 0)
 		if trial != nil {
 			e.crashes.endTrial(*trial, false)
 		}
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -150,6 +150,7 @@
 	defer unbind()
 	adm := f.admissions.get(r.service, f.clusterState.catalog())
 	req := &sluice.Request{
+		Route:         r.route.Name,
 		Priority:      r.route.Priority,
 		Key:           r.key,
 		Objective:     r.route.Objective,
@@ -359,7 +360,7 @@
 		return 0
 	}
 	left := time.Until(r.deadline)
-	return max(responseTimeoutFactor*adm.meanLatency(), time.Duration(minResponseTimeoutFraction*float64(left)))
+	return max(responseTimeoutFactor*adm.meanLatency(r.route.Name), time.Duration(minResponseTimeoutFraction*float64(left)))
 }
 
 // roundTrip sends r to s and reads the response.
--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -97,6 +97,7 @@
 	defer r.body.release()
 	adm := s.forwarder.admissions.get(r.service, s.forwarder.clusterState.catalog())
 	req := &sluice.Request{
+		Route:         r.route.Name,
 		Priority:      r.route.Priority,
 		Key:           r.key,
 		Objective:     r.route.Objective,
@@ -209,7 +210,7 @@
 }
 
 func (q *relayedRequest) finish(s fairway.Endpoint, outcome sluice.Outcome, took time.Duration) {
-	q.adm.finish(sluice.ServerInstanceOf(s), outcome, took, q.r.route.Objective)
+	q.adm.finish(sluice.ServerInstanceOf(s), q.r.route.Name, outcome, took, q.r.route.Objective)
 }
 
 // readLoop passes on the messages of the first host. It ends with the stream.
--- a/jetty/suspect.go
+++ b/jetty/suspect.go
@@ -80,7 +80,7 @@
 // tryAt starts an attempt at a server that has admitted a suspected request. It reports
 // false if the request has to wait for another one there, or for another server.
 func (e *exchange) tryAt(ctx context.Context, s fairway.Endpoint) (res result, done bool) {
-	notSent := func() { e.adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0) }
+	notSent := func() { e.adm.finish(sluice.ServerInstanceOf(s), e.r.route.Name, sluice.OutcomeCanceled, 0, 0) }
 	switch e.crashes.suspicion(e.r, s.Version) {
 	case sluice.SuspicionNone:
 		return e.dispatch(ctx, s, nil), true
--- a/sluice/choice.go
+++ b/sluice/choice.go
@@ -130,7 +130,7 @@
 // errors, for a server that has just started, and for responses that would be
 // transferred between failure domains.
 func (c *Controller) cost(now mooring.Instant, server *serverState, r *Request) float64 {
-	cost := float64(server.window.expectedLatency(now, c.meanLatency)) * float64(server.window.inFlight+1)
+	cost := c.responseTime(now, server, r)
 	cost *= 1 + errorCostFactor*server.window.recentErrorRatio(now)
 	if server.endpoint.Domain != c.cfg.Domain {
 		cost *= 1 + r.ResponseBytes/remoteCostBytes
--- a/sluice/closure.go
+++ b/sluice/closure.go
@@ -81,8 +81,8 @@
 
 // closedWait estimates how long a request waits whose servers are all closed. They open
 // after a time, and then answer at a rate.
-func closedWait(opens time.Duration, ahead int, rate float64) time.Duration {
-	return opens + time.Duration(float64(ahead)/rate*float64(time.Second))
+func closedWait(opens time.Duration, ahead, rate float64) time.Duration {
+	return opens + time.Duration(ahead/rate*float64(time.Second))
 }
 
 // spreadClosed lengthens a delay so that callers who were refused together come back one
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -23,7 +23,9 @@
 
 // Request describes a request to a [Controller].
 type Request struct {
-	ID       RequestID
+	ID RequestID
+	// Route is empty if it is not known.
+	Route    fairway.RouteName
 	Priority int
 	// Key is set for services that are divided by key.
 	Key *mooring.Key
@@ -39,6 +41,8 @@
 	// Excluded lists servers that must not get the request now. A request with a key
 	// goes to the owner all the same.
 	Excluded []fairway.ServerID
+	// estimate is that of the route.
+	estimate *routeEstimate
 }
 
 // excludes reports whether the request must not be sent to a server.
@@ -133,6 +137,7 @@
 	useUnconfirmed bool
 	// meanLatency is the moving average of the latency of whole responses.
 	meanLatency time.Duration
+	expected    expectation
 }
 
 // serverState is the state of one server and the window of this host at it.
@@ -143,6 +148,9 @@
 	limit  *serverLimit
 	notice Notice
 	told   toldLoad
+	// sentSince is the number of requests sent since the server told its load.
+	sentSince int
+	speed     speedFactor
 	// weight is the preference of this host for the server.
 	weight uint64
 	// unconfirmed is set for servers that have not been registered since a
@@ -159,7 +167,7 @@
 func NewController(cfg ControllerConfig) *Controller {
 	return &Controller{
 		cfg: cfg, servers: make(map[fairway.ServerID]*serverState), limits: make(map[ServerInstance]Rate),
-		notices: make(map[ServerInstance]Notice), meanLatency: initialLatency,
+		notices: make(map[ServerInstance]Notice), meanLatency: initialLatency, expected: newExpectation(),
 	}
 }
 
@@ -196,6 +204,7 @@
 	}
 	c.rankServers()
 	c.updateUseUnconfirmed()
+	c.expected.told = slices.ContainsFunc(c.ranked, func(s *serverState) bool { return s.told.known() })
 }
 
 // Restore ends the suspicion of all servers, since this host reaches them again after
@@ -229,6 +238,9 @@
 
 // Admit decides on a new request.
 func (c *Controller) Admit(now mooring.Instant, r *Request) Decision {
+	if r.Route != "" {
+		r.estimate = c.expected.routes.of(r.Route)
+	}
 	if server, ok := c.pick(now, r); ok {
 		return c.dispatch(server)
 	}
@@ -343,14 +355,14 @@
 	}
 	slices.SortStableFunc(c.waiting, func(a, b *Request) int { return c.compare(now, a, b) })
 	kept := c.waiting[:0]
-	aheadOf := make(map[fairway.ServerID]int)
+	aheadOf := make(map[fairway.ServerID]backlog)
 	for _, r := range c.waiting {
 		required := c.requiredServer(now, r)
 		if refusal, refused := c.refuseWaiting(now, r, aheadOf[required]); refused {
 			resolved = append(resolved, Resolution{Request: r.ID, Decision: refusal})
 			continue
 		}
-		aheadOf[required]++
+		aheadOf[required] = c.plus(aheadOf[required], r)
 		kept = append(kept, r)
 	}
 	clear(c.waiting[len(kept):])
@@ -395,6 +407,7 @@
 // dispatch counts one more request at a server.
 func (c *Controller) dispatch(server *serverState) Decision {
 	server.window.inFlight++
+	server.sentSince++
 	if server.limit != nil {
 		server.limit.useSlot()
 	}
--- a/sluice/queue.go
+++ b/sluice/queue.go
@@ -35,15 +35,15 @@
 	return "none"
 }
 
-// ahead counts the waiting requests that are served before r.
-func (c *Controller) ahead(now mooring.Instant, r *Request) int {
-	required, n := c.requiredServer(now, r), 0
+// ahead returns the waiting requests that are served before r.
+func (c *Controller) ahead(now mooring.Instant, r *Request) backlog {
+	required, before := c.requiredServer(now, r), backlog{}
 	for _, other := range c.waiting {
 		if c.requiredServer(now, other) == required && c.compare(now, other, r) <= 0 {
-			n++
+			before = c.plus(before, other)
 		}
 	}
-	return n
+	return before
 }
 
 // compare orders the queue by priority, then requests that can still be
@@ -70,7 +70,7 @@
 // late reports whether a response to r would miss the soft deadline even if r
 // were sent now.
 func (c *Controller) late(now mooring.Instant, r *Request) bool {
-	return now.Add(c.meanLatency) > r.SoftDeadline
+	return now.Add(c.quick(r)) > r.SoftDeadline
 }
 
 func (c *Controller) insert(now mooring.Instant, r *Request) {
@@ -85,7 +85,7 @@
 
 // refuseNew decides whether a new request is refused: if it is expected to miss
 // its soft deadline or, if that cannot be met anyway, its deadline.
-func (c *Controller) refuseNew(now mooring.Instant, r *Request, ahead int) (Refuse, bool) {
+func (c *Controller) refuseNew(now mooring.Instant, r *Request, ahead backlog) (Refuse, bool) {
 	limit := r.SoftDeadline
 	if c.late(now, r) {
 		limit = r.Deadline
@@ -95,18 +95,19 @@
 
 // refuseWaiting decides whether a waiting request is refused: only if it is
 // expected to miss its deadline.
-func (c *Controller) refuseWaiting(now mooring.Instant, r *Request, ahead int) (Refuse, bool) {
+func (c *Controller) refuseWaiting(now mooring.Instant, r *Request, ahead backlog) (Refuse, bool) {
 	return c.refusal(now, r, ahead, r.Deadline)
 }
 
 // refusal returns the refusal of r if its response is expected after limit.
-func (c *Controller) refusal(now mooring.Instant, r *Request, ahead int, limit mooring.Instant) (Refuse, bool) {
+func (c *Controller) refusal(now mooring.Instant, r *Request, ahead backlog, limit mooring.Instant) (Refuse, bool) {
 	wait, reason := c.expectedWait(now, r, ahead)
-	end := now.Add(wait + c.meanLatency)
+	limit, took := c.relevantLimit(r, wait, limit)
+	end := now.Add(wait + took)
 	if end <= limit {
 		return Refuse{}, false
 	}
-	if reason == ReasonOverload && now.Add(c.meanLatency) > r.Deadline {
+	if reason == ReasonOverload && now.Add(c.mean(r)) > r.Deadline {
 		reason = ReasonTooLate
 	}
 	retryAfter := max(end.Sub(limit), minRetryAfter)
@@ -118,7 +119,7 @@
 	if reason == ReasonClosed {
 		retryAfter = spreadClosed(max(wait, minRetryAfter), r.ID)
 	}
-	refusal := Refuse{Reason: reason, RetryAfter: retryAfter, Ahead: ahead}
+	refusal := Refuse{Reason: reason, RetryAfter: retryAfter, Ahead: ahead.requests}
 	if r.Key != nil {
 		if server := c.ownerServer(now, *r.Key); server != nil {
 			refusal.Server = server.endpoint.ID
@@ -142,7 +143,7 @@
 
 // expectedWait estimates how long r waits for a server. The reason is the one
 // for a refusal if that is too long.
-func (c *Controller) expectedWait(now mooring.Instant, r *Request, ahead int) (time.Duration, Reason) {
+func (c *Controller) expectedWait(now mooring.Instant, r *Request, ahead backlog) (time.Duration, Reason) {
 	if r.Key != nil {
 		return c.expectedOwnerWait(now, *r.Key, ahead)
 	}
@@ -155,7 +156,7 @@
 			continue
 		}
 		if server.window.suspected(now) {
-			pause := max(server.window.suspectedUntil.Sub(now), c.meanLatency, server.notice.ClosedFor(now))
+			pause := max(server.window.suspectedUntil.Sub(now), c.mean(r), server.notice.ClosedFor(now))
 			if soonest == 0 || pause < soonest {
 				soonest = pause
 			}
@@ -173,17 +174,17 @@
 	}
 	switch {
 	case rate > 0:
-		return time.Duration(float64(ahead+1) / rate * float64(time.Second)), ReasonOverload
+		return time.Duration((ahead.weighted + 1) / rate * float64(time.Second)), ReasonOverload
 	case soonest > 0:
 		return soonest, reason
 	case opens > 0:
-		return closedWait(opens, ahead, closedRate), ReasonClosed
+		return closedWait(opens, ahead.weighted, closedRate), ReasonClosed
 	default:
 		return noServerRetryAfter, reason
 	}
 }
 
-func (c *Controller) expectedOwnerWait(now mooring.Instant, key mooring.Key, ahead int) (time.Duration, Reason) {
+func (c *Controller) expectedOwnerWait(now mooring.Instant, key mooring.Key, ahead backlog) (time.Duration, Reason) {
 	server := c.ownerServer(now, key)
 	if server == nil {
 		_, since, ok := c.cfg.Owners.Owner(key)
@@ -196,9 +197,9 @@
 			return max(since.Add(c.cfg.ReassignmentDelay).Sub(now), maxOwnerWait), ReasonNoOwner
 		}
 	}
-	wait := time.Duration(float64(ahead+1) / server.rate(now, c.meanLatency) * float64(time.Second))
+	wait := time.Duration((ahead.weighted + 1) / c.windowRate(now, server) * float64(time.Second))
 	if server.limit != nil {
-		wait = max(wait, server.limit.wait(now, ahead))
+		wait = max(wait, server.limit.wait(now, ahead.requests))
 	}
 	closed := server.notice.ClosedFor(now)
 	switch {
@@ -211,25 +212,30 @@
 	}
 }
 
-// ownerWait returns how long a handover of keys may take.
+// ownerWait returns how long a handover of keys may take. The requests in flight at the
+// former owner are of any route, so the slowest one counts.
 func (c *Controller) ownerWait() time.Duration {
-	return max(maxOwnerWait, ownerWaitLatencies*c.meanLatency)
+	mean := c.meanLatency
+	if c.expected.byRoute() {
+		mean = max(mean, c.expected.routes.slowest())
+	}
+	return max(maxOwnerWait, ownerWaitLatencies*mean)
 }
 
 // rate returns the number of requests per second from this host that a server is
 // expected to answer, of its limit the part of one host.
 func (c *Controller) rate(now mooring.Instant, server *serverState) float64 {
-	rate := server.rate(now, c.meanLatency)
+	rate := c.windowRate(now, server)
 	if server.limit != nil {
 		rate = min(rate, float64(max(server.limit.rate, minLimitRate))/float64(max(c.hosts, 1)))
 	}
 	return rate
 }
 
-// rate returns the number of requests per second from this host that the window of a
+// windowRate returns the number of requests per second from this host that the window of a
 // server allows.
-func (s *serverState) rate(now mooring.Instant, mean time.Duration) float64 {
-	return s.window.size / max(s.window.expectedLatency(now, mean).Seconds(), time.Millisecond.Seconds())
+func (c *Controller) windowRate(now mooring.Instant, server *serverState) float64 {
+	return server.window.size / max(c.latencyAt(now, server).Seconds(), time.Millisecond.Seconds())
 }
 
 // jitter lengthens a delay by up to a half, depending on a hash of the request
--- a/sluice/serverload.go
+++ b/sluice/serverload.go
@@ -49,5 +49,6 @@
 		server.told.known() && now < server.told.at {
 		return
 	}
-	server.told = toldLoad{ServerLoad: load, at: now}
+	server.told, server.sentSince = toldLoad{ServerLoad: load, at: now}, 0
+	c.expected.recordLoad(server.told)
 }
