--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -138,6 +138,9 @@
 	// meanLatency is the moving average of the latency of whole responses.
 	meanLatency time.Duration
 	expected    expectation
+	// keptRoom is the room for requests that are not restricted, while keepRoom is set.
+	keepRoom bool
+	keptRoom *room
 }
 
 // serverState is the state of one server and the window of this host at it.
@@ -356,6 +359,8 @@
 	slices.SortStableFunc(c.waiting, func(a, b *Request) int { return c.compare(now, a, b) })
 	kept := c.waiting[:0]
 	aheadOf := make(map[fairway.ServerID]backlog)
+	c.keepRoom = true
+	defer func() { c.keepRoom, c.keptRoom = false, nil }()
 	for _, r := range c.waiting {
 		required := c.requiredServer(now, r)
 		if refusal, refused := c.refuseWaiting(now, r, aheadOf[required]); refused {
@@ -419,11 +424,19 @@
 func (c *Controller) dispatchWaiting(now mooring.Instant) []Resolution {
 	var resolved []Resolution
 	kept := c.waiting[:0]
+	// Room only becomes less here, so once it lacks for a request that may go to any
+	// server, it lacks for all others without a key.
+	full := false
 	for _, r := range c.waiting {
+		if full && r.Key == nil {
+			kept = append(kept, r)
+			continue
+		}
 		if server, ok := c.pick(now, r); ok {
 			resolved = append(resolved, Resolution{Request: r.ID, Decision: c.dispatch(server)})
 			continue
 		}
+		full = full || r.Key == nil && !r.restricted()
 		kept = append(kept, r)
 	}
 	clear(c.waiting[len(kept):])
--- a/sluice/queue.go
+++ b/sluice/queue.go
@@ -147,40 +147,16 @@
 	if r.Key != nil {
 		return c.expectedOwnerWait(now, *r.Key, ahead)
 	}
-	rate, closedRate := 0.0, 0.0
-	soonest, opens := time.Duration(0), time.Duration(0)
-	reason := ReasonNoServer
-	usable := c.usableAt(now)
-	for _, server := range c.ranked {
-		if !usable(server) || r.excludes(server.endpoint.ID) {
-			continue
-		}
-		if server.window.suspected(now) {
-			pause := max(server.window.suspectedUntil.Sub(now), c.mean(r), server.notice.ClosedFor(now))
-			if soonest == 0 || pause < soonest {
-				soonest = pause
-			}
-			reason = ReasonSuspected
-			continue
-		}
-		if closed := server.notice.ClosedFor(now); closed > 0 {
-			if opens == 0 || closed < opens {
-				opens = closed
-			}
-			closedRate += c.rate(now, server)
-			continue
-		}
-		rate += c.rate(now, server)
-	}
+	servers := c.roomFor(now, r)
 	switch {
-	case rate > 0:
-		return time.Duration((ahead.weighted + 1) / rate * float64(time.Second)), ReasonOverload
-	case soonest > 0:
-		return soonest, reason
-	case opens > 0:
-		return closedWait(opens, ahead.weighted, closedRate), ReasonClosed
+	case servers.rate > 0:
+		return time.Duration((ahead.weighted + 1) / servers.rate * float64(time.Second)), ReasonOverload
+	case servers.suspected:
+		return max(servers.resumes, c.mean(r)), ReasonSuspected
+	case servers.opens > 0:
+		return closedWait(servers.opens, ahead.weighted, servers.closedRate), ReasonClosed
 	default:
-		return noServerRetryAfter, reason
+		return noServerRetryAfter, ReasonNoServer
 	}
 }
 
