Show the speed and the told load of each server to operators

Cause: a host now decides by the speed of servers and by the load that they tell, and operators could see neither.

--- a/jetty/admin.go
+++ b/jetty/admin.go
@@ -24,14 +24,15 @@
 	c.Status(http.StatusServiceUnavailable)
 }
 
-// adminHandler serves the operators' endpoints: readiness, metrics and the requests
-// that crash servers.
+// adminHandler serves the operators' endpoints: readiness, metrics, the requests
+// that crash servers, and the servers as this host sees them.
 func (h *Host) adminHandler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.GET("/readyz", h.serveReady)
 	engine.GET("/crashing_requests", h.listCrashingRequests)
 	engine.DELETE("/crashing_requests/:fingerprint", h.clearCrashingRequest)
+	engine.GET("/servers", h.listServers)
 	engine.GET("/metrics", gin.WrapH(gauge.MetricsHandler{Scope: h.metrics}))
 	return engine
 }
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -37,6 +37,7 @@
 	eventRequestSuspected     event = "request_suspected"
 	eventSendFailed           event = "send_failed"
 	eventServerClosed         event = "server_closed"
+	eventServerSpeed          event = "server_speed"
 	eventServerLeaving        event = "server_leaving"
 	eventServerRemoved        event = "server_gone"
 	eventServerRegistered     event = "server_sighted"
@@ -75,6 +76,7 @@
 	eventRequestSuspected,
 	eventSendFailed,
 	eventServerClosed,
+	eventServerSpeed,
 	eventServerLeaving,
 	eventServerRemoved,
 	eventServerRegistered,
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -375,6 +375,7 @@
 	defer timer.Stop()
 	last := time.Now()
 	logged := last
+	speeds := newSpeedLog(h.logs)
 	for {
 		select {
 		case <-ctx.Done():
@@ -401,6 +402,7 @@
 			if time.Since(logged) >= usageInterval {
 				logged = time.Now()
 				h.logs.hostUsage(h.usage.take())
+				speeds.update(h.admissions.all())
 			}
 		}
 	}
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -269,6 +269,17 @@
 		Msg(string(eventServerClosed))
 }
 
+// serverSpeed logs that the speed of a server relative to the others has changed.
+func (l *logs) serverSpeed(server sluice.ServerInstance, service fairway.ServiceName, former, speed float64) {
+	l.newLine(&l.system, false).
+		Str("server", string(server.Server)).
+		Int64("born", int64(server.Incarnation)).
+		Str("service", string(service)).
+		Float64("former_speed", former).
+		Float64("speed", speed).
+		Msg(string(eventServerSpeed))
+}
+
 func (l *logs) recordUnreadable(r UnreadableRecord) {
 	l.newLine(&l.system, true).Str("key", r.Key).Err(shortenError(r.Err)).Msg(string(eventEntryUnreadable))
 }
--- a/sluice/serverstatus.go
+++ b/sluice/serverstatus.go
@@ -10,6 +10,9 @@
 type ServerStatus struct {
 	Server   ServerInstance
 	InFlight int
+	// Speed is that of the server relative to the others, for requests of the same route. It
+	// is 0 if decisions are not made by route.
+	Speed float64
 	// Load is the load that the server last told, LoadAge ago. It is nil if the server has
 	// told none.
 	Load    *ServerLoad
@@ -21,6 +24,9 @@
 	statuses := make([]ServerStatus, 0, len(c.ranked))
 	for _, s := range c.ranked {
 		status := ServerStatus{Server: ServerInstanceOf(s.endpoint), InFlight: s.window.inFlight}
+		if c.expected.byRoute() {
+			status.Speed = 1 / s.speed.relativeTo(c.expected.meanRatio, now)
+		}
 		if s.told.known() {
 			load := s.told.ServerLoad
 			status.Load, status.LoadAge = &load, s.told.age(now)
