--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -124,8 +124,8 @@
 	return ok && owner.Server == server
 }
 
-// finish records the end of a dispatched request.
-func (a *admission) finish(instance sluice.ServerInstance, outcome sluice.Outcome, latency, objective time.Duration) {
+// finish records the end of a dispatched request on a route.
+func (a *admission) finish(instance sluice.ServerInstance, route fairway.RouteName, outcome sluice.Outcome, latency, objective time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch outcome {
@@ -135,7 +135,7 @@
 		a.recordSample(instance.Server, true)
 	default:
 	}
-	a.deliver(a.controller.Finish(monotonicNow(), instance, outcome, latency, objective))
+	a.deliver(a.controller.FinishRoute(monotonicNow(), instance, route, outcome, latency, objective))
 }
 
 // recordLate records the response to a request that was finished as overdue.
@@ -217,6 +217,13 @@
 	a.deliver(a.controller.Reevaluate(monotonicNow()))
 }
 
+// tellsLoad reports whether servers of the service tell their load.
+func (a *admission) tellsLoad() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.TellsLoad()
+}
+
 // setCold limits a server to a rate until an instant.
 func (a *admission) setCold(instance sluice.ServerInstance, rate sluice.Rate, until mooring.Instant) {
 	a.mu.Lock()
@@ -236,6 +243,20 @@
 	a.deliver(a.controller.Reevaluate(monotonicNow()))
 }
 
+// setLoad sets the load that a server told at an instant.
+func (a *admission) setLoad(at mooring.Instant, instance sluice.ServerInstance, load sluice.ServerLoad) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.SetLoad(at, instance, load)
+}
+
+// serverStatuses returns the state of the servers, for operators.
+func (a *admission) serverStatuses() []sluice.ServerStatus {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.ServerStatuses(monotonicNow())
+}
+
 // slotRequests returns the slots of limited servers to ask for.
 func (a *admission) slotRequests() []sluice.SlotRequest {
 	a.mu.Lock()
@@ -351,17 +372,21 @@
 	st.slowness += float64(latency) / float64(max(means.latency, time.Microsecond))
 }
 
-func (a *admission) retainRoutes(names map[fairway.RouteName]bool) {
+// setRoutes sets the routes of a configuration and those of the service among them. It
+// forgets what is known of others.
+func (a *admission) setRoutes(names map[fairway.RouteName]bool, own serviceRoutes) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.controller.SetRoutes(own.names, own.mixed)
 	maps.DeleteFunc(a.routeMeans, func(name fairway.RouteName, _ *routeMeans) bool { return !names[name] })
 }
 
-// meanLatency returns the mean latency of the service's responses.
-func (a *admission) meanLatency() time.Duration {
+// meanLatency returns the mean latency of the responses on a route, or of the service if its
+// routes are not told apart.
+func (a *admission) meanLatency(route fairway.RouteName) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.controller.MeanLatency()
+	return a.controller.MeanLatencyOf(route)
 }
 
 // allowRetry takes one retry from the budget, or reports false if none is left.
@@ -506,6 +531,10 @@
 		a.coordinated, cfg.Coordinated, cfg.MaxRate = true, true, s.cfg.Coordination.MaxRate
 	}
 	a.controller = sluice.NewController(cfg)
+	if s.config != nil {
+		own := routesOf(s.config, service.Name)
+		a.controller.SetRoutes(own.names, own.mixed)
+	}
 	return a
 }
 
@@ -532,7 +561,7 @@
 	s.hosts, s.reaching = hosts, reaching
 }
 
-// retainRoutes forgets the means of the routes that are not in a configuration.
+// retainRoutes passes on which routes there are and forgets the means of those that are not in a configuration.
 func (s *admissionSet) retainRoutes(c *fairway.Config) {
 	s.mu.Lock()
 	known := c == nil || c == s.config
@@ -542,8 +571,8 @@
 		return
 	}
 	names := c.RouteNames()
-	for _, a := range s.all() {
-		a.retainRoutes(names)
+	for service, a := range s.all() {
+		a.setRoutes(names, routesOf(c, service))
 	}
 }
 
@@ -567,6 +596,14 @@
 	return found
 }
 
+// tellsLoad reports whether servers of a service tell their load.
+func (s *admissionSet) tellsLoad(service fairway.ServiceName) bool {
+	s.mu.Lock()
+	a := s.admissions[service]
+	s.mu.Unlock()
+	return a != nil && a.tellsLoad()
+}
+
 // every returns the admissions of all services, of both kinds.
 func (s *admissionSet) every() []*admission {
 	found := slices.Collect(maps.Values(s.all()))
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -40,6 +40,7 @@
 	eventSendFailed           event = "send_failed"
 	eventServerClosed         event = "server_closed"
 	eventServerCold           event = "server_cold"
+	eventServerSpeed          event = "server_speed"
 	eventServerLeaving        event = "server_leaving"
 	eventServerRemoved        event = "server_gone"
 	eventServerRegistered     event = "server_sighted"
@@ -81,6 +82,7 @@
 	eventSendFailed,
 	eventServerClosed,
 	eventServerCold,
+	eventServerSpeed,
 	eventServerLeaving,
 	eventServerRemoved,
 	eventServerRegistered,
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -136,7 +136,7 @@
 	}
 	switch {
 	case !a.overdue:
-		a.exchange.adm.finish(instance, outcome, a.took, objective)
+		a.exchange.adm.finish(instance, a.exchange.r.route.Name, outcome, a.took, objective)
 	case outcome == sluice.OutcomeAnswered:
 		a.exchange.adm.recordLate(instance, a.took, objective)
 	}
@@ -148,7 +148,7 @@
 	if a.relay != nil {
 		return
 	}
-	a.exchange.adm.finish(sluice.ServerInstanceOf(a.server), sluice.OutcomeTimeout, time.Since(a.began), 0)
+	a.exchange.adm.finish(sluice.ServerInstanceOf(a.server), a.exchange.r.route.Name, sluice.OutcomeTimeout, time.Since(a.began), 0)
 	a.permit.overdue(time.Since(a.began))
 }
 
@@ -286,7 +286,7 @@
 
 // giveBack ends the admission of a request that is not sent.
 func (e *exchange) giveBack(s fairway.Endpoint, permit *permit) {
-	e.adm.finish(sluice.ServerInstanceOf(s), sluice.OutcomeCanceled, 0, 0)
+	e.adm.finish(sluice.ServerInstanceOf(s), e.r.route.Name, sluice.OutcomeCanceled, 0, 0)
 	permit.release(sluice.OutcomeCanceled, 0)
 }
 
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -133,6 +133,8 @@
 	notices *notices
 	// warmChecks asks servers whether they are cold; nil means that none is asked.
 	warmChecks *warmChecks
+	// loads passes on the loads that servers tell; nil means that they do not count.
+	loads *serverLoads
 	// bodies bounds the memory of request bodies; nil means no limit.
 	bodies  *bodyBudget
 	drain   *drain
@@ -152,6 +154,7 @@
 	defer unbind()
 	adm := f.admissions.get(r.service, f.clusterState.catalog())
 	req := &sluice.Request{
+		Route:         r.route.Name,
 		Priority:      r.route.Priority,
 		Key:           r.key,
 		Objective:     r.route.Objective,
@@ -370,7 +373,7 @@
 		return 0
 	}
 	left := time.Until(r.deadline)
-	return max(responseTimeoutFactor*adm.meanLatency(), time.Duration(minResponseTimeoutFraction*float64(left)))
+	return max(responseTimeoutFactor*adm.meanLatency(r.route.Name), time.Duration(minResponseTimeoutFraction*float64(left)))
 }
 
 // roundTrip sends r to s and reads the response.
@@ -417,6 +420,7 @@
 		f.limits.observe(s, sentAt, monotonicNow(), httpResp.Header)
 	}
 	f.notices.observe(s, r, httpResp, monotonicNow())
+	f.loads.observe(s, r, httpResp, monotonicNow())
 	return f.readResponse(ctx, r, s, c, p, httpResp)
 }
 
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -213,13 +213,14 @@
 	h.watcher.onFirstPlacer = h.reporter.notify
 	h.callers = newCallerConns()
 	h.bodies = newBodyBudget(s.MemoryMB)
+	loads := &serverLoads{protocol: cfg.Protocol, admissions: h.admissions, clusterState: h.clusterState}
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
-		reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, bodies: h.bodies, drain: h.drain, logs: h.logs, metrics: h.metrics,
+		reach: h.reach, limits: h.limits, notices: h.notices, loads: loads, crashes: h.crashes, bodies: h.bodies, drain: h.drain, logs: h.logs, metrics: h.metrics,
 		warmChecks: &warmChecks{protocol: cfg.Protocol, headers: cfg.Protocol.Headers(), cold: h.cold, upstream: h.upstream, metrics: h.metrics},
 		carriers:   h.carriers, permits: h.permits, recoverer: h.recoverer,
 		relay: &relayClient{
-			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices,
+			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices, loads: loads,
 		},
 	}
 	h.relayServer = &relayServer{forwarder: requests, stopping: h.shuttingDown.Load}
@@ -238,7 +239,7 @@
 func (h *Host) coordinate() {
 	s := h.cfg.Settings
 	h.coordinators = newCoordinators(s.Host, h.logs)
-	h.coordination = &coordination{clusterState: h.clusterState, carriers: h.carriers}
+	h.coordination = &coordination{clusterState: h.clusterState, carriers: h.carriers, telling: h.admissions.tellsLoad}
 	cfg := h.admissions.cfg
 	cfg.Carriers = nil
 	cfg.Coordination = &admissionCoordination{
@@ -421,6 +422,7 @@
 	defer timer.Stop()
 	last := time.Now()
 	logged := last
+	speeds := newSpeedLog(h.logs)
 	for {
 		select {
 		case <-ctx.Done():
@@ -450,6 +452,7 @@
 			if time.Since(logged) >= usageInterval {
 				logged = time.Now()
 				h.logs.hostUsage(h.usage.take())
+				speeds.update(h.admissions.all())
 			}
 		}
 	}
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -279,6 +279,17 @@
 		Msg(string(eventServerCold))
 }
 
+// serverSpeed logs that the speed of a server relative to the others has changed.
+func (l *logs) serverSpeed(server sluice.ServerInstance, service fairway.ServiceName, former, speed float64) {
+	l.newLine(&l.system, false).
+		Str("server", string(server.Server)).
+		Int64("born", int64(server.Incarnation)).
+		Str("service", string(service)).
+		Float64("former_speed", former).
+		Float64("speed", speed).
+		Msg(string(eventServerSpeed))
+}
+
 // coordinatorsChanged logs which hosts coordinate.
 func (l *logs) coordinatorsChanged(t *coordinatorTable) {
 	l.newLine(&l.system, false).Strs("coordinators", t.names()).Msg(string(eventCoordinatorsChanged))
--- a/jetty/protocol.go
+++ b/jetty/protocol.go
@@ -79,6 +79,9 @@
 	// DecodeColdStart returns how much longer the backend server is cold that sent a health
 	// response, or 0.
 	DecodeColdStart(header http.Header) time.Duration
+	// DecodeLoad returns the load that a response of a backend server tells. It returns false
+	// if the response tells none that can be read.
+	DecodeLoad(header http.Header) (load sluice.ServerLoad, ok bool)
 	// DecodeOrderResponse decodes the response to an order.
 	DecodeOrderResponse(status int, header http.Header) (result mooring.Result, handover string)
 }
--- a/sluice/choice.go
+++ b/sluice/choice.go
@@ -133,7 +133,7 @@
 // errors, for a server that has just started, and for responses that would be
 // transferred between failure domains.
 func (c *Controller) cost(now mooring.Instant, server *serverState, r *Request) float64 {
-	return c.raisedCost(now, server, r, float64(server.window.expectedLatency(now, c.meanLatency))*float64(server.window.inFlight+1))
+	return c.raisedCost(now, server, r, c.responseTime(now, server, r))
 }
 
 // raisedCost raises a cost as cost does.
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -23,7 +23,9 @@
 
 // Request describes a request to a [Controller].
 type Request struct {
-	ID       RequestID
+	ID RequestID
+	// Route is empty if it is not known.
+	Route    fairway.RouteName
 	Priority int
 	// Key is set for services that are divided by key.
 	Key *mooring.Key
@@ -43,6 +45,8 @@
 	// the host sees is enough to suspect a server. Domain is that host's failure domain.
 	From   uint64
 	Domain fairway.Domain
+	// estimate is that of the route.
+	estimate *routeEstimate
 }
 
 // excludes reports whether the request must not be sent to a server.
@@ -152,6 +156,10 @@
 	expired    int
 	workTimes  map[int]time.Duration
 	mostUrgent int
+	expected   expectation
+	// keptRoom is the room for requests that are not restricted, while keepRoom is set.
+	keepRoom bool
+	keptRoom *room
 }
 
 // serverState is the state of one server and the window of this host at it.
@@ -161,6 +169,10 @@
 	// limit is set while the server names a limit or is cold.
 	limit  *serverLimit
 	notice Notice
+	told   toldLoad
+	// sentSince is the number of requests sent since the server told its load.
+	sentSince int
+	speed     speedFactor
 	// weight is the preference of this host for the server.
 	weight uint64
 	// unconfirmed is set for servers that have not been registered since a
@@ -179,7 +191,7 @@
 func NewController(cfg ControllerConfig) *Controller {
 	return &Controller{
 		cfg: cfg, servers: make(map[fairway.ServerID]*serverState), limits: make(map[ServerInstance]Rate),
-		cold: make(map[ServerInstance]coldLimit), notices: make(map[ServerInstance]Notice), meanLatency: initialLatency,
+		cold: make(map[ServerInstance]coldLimit), notices: make(map[ServerInstance]Notice), meanLatency: initialLatency, expected: newExpectation(),
 		permits: make(map[RequestID]*permit), workTimes: make(map[int]time.Duration),
 	}
 }
@@ -221,6 +233,7 @@
 	}
 	c.rankServers()
 	c.updateUseUnconfirmed()
+	c.expected.told = slices.ContainsFunc(c.ranked, func(s *serverState) bool { return s.told.known() })
 }
 
 // newServer returns the state of a server that has got no requests yet.
@@ -262,6 +275,9 @@
 
 // Admit decides on a new request.
 func (c *Controller) Admit(now mooring.Instant, r *Request) Decision {
+	if r.Route != "" {
+		r.estimate = c.expected.routes.of(r.Route)
+	}
 	if server, ok := c.pick(now, r); ok {
 		return c.dispatch(now, server, r)
 	}
@@ -376,14 +392,16 @@
 	}
 	slices.SortStableFunc(c.waiting, func(a, b *Request) int { return c.compare(now, a, b) })
 	kept := c.waiting[:0]
-	aheadOf := make(map[fairway.ServerID]int)
+	aheadOf := make(map[fairway.ServerID]backlog)
+	c.keepRoom = true
+	defer func() { c.keepRoom, c.keptRoom = false, nil }()
 	for _, r := range c.waiting {
 		required := c.requiredServer(now, r)
 		if refusal, refused := c.refuseWaiting(now, r, aheadOf[required]); refused {
 			resolved = append(resolved, Resolution{Request: r.ID, Decision: refusal})
 			continue
 		}
-		aheadOf[required]++
+		aheadOf[required] = c.plus(aheadOf[required], r)
 		kept = append(kept, r)
 	}
 	clear(c.waiting[len(kept):])
@@ -468,6 +486,7 @@
 // dispatch counts one more request at a server.
 func (c *Controller) dispatch(now mooring.Instant, server *serverState, r *Request) Decision {
 	server.window.inFlight++
+	server.sentSince++
 	if server.limit != nil {
 		server.limit.useSlot()
 	}
@@ -485,11 +504,19 @@
 	}
 	var resolved []Resolution
 	kept := c.waiting[:0]
+	// Room only becomes less here, so once it lacks for a request that may go to any
+	// server, it lacks for all others without a key.
+	full := false
 	for _, r := range c.waiting {
+		if full && r.Key == nil {
+			kept = append(kept, r)
+			continue
+		}
 		if server, ok := c.pick(now, r); ok {
 			resolved = append(resolved, Resolution{Request: r.ID, Decision: c.dispatch(now, server, r)})
 			continue
 		}
+		full = full || r.Key == nil && !r.restricted()
 		kept = append(kept, r)
 	}
 	clear(c.waiting[len(kept):])
