--- a/jetty/permits_bench_test.go
+++ b/jetty/permits_bench_test.go
@@ -80,7 +80,7 @@
 				if _, ok := decision.(sluice.Dispatch); !ok || (permit == nil) != (by == "host") {
 					b.Fatalf("decision %#v, permit %v", decision, permit)
 				}
-				adm.finish(sluice.ServerInstanceOf(endpoint), sluice.OutcomeAnswered, time.Millisecond, time.Second)
+				adm.finish(sluice.ServerInstanceOf(endpoint), "", sluice.OutcomeAnswered, time.Millisecond, time.Second)
 				permit.release(sluice.OutcomeAnswered, time.Millisecond)
 			}
 		})
