Move the keys of evacuated servers to other failure domains

Cause: the platform can have a failure domain evacuated. Its servers stay registered and ready, so the placer would leave their keys with them.

Change: an endpoint says whether its failure domain is evacuated. The assigner takes such a server as one that must not own keys, with the reason owner_evacuated, and moves its keys by release and grant. Unlike those of a draining server, its grants are renewed until its keys have another owner: while the store is out, or every server is evacuated, the keys stay where they are and come back without a gap.

--- a/fairway/catalog.go
+++ b/fairway/catalog.go
@@ -30,6 +30,9 @@
 	// Slots is the number of requests that the server runs concurrently.
 	Slots    int
 	Draining bool
+	// Evacuated is set while the failure domain of the server is evacuated. It is not part
+	// of the registration.
+	Evacuated bool
 	// Unconfirmed is set for a server that is no longer registered, but only
 	// since a store outage, during which its registration may have expired.
 	Unconfirmed bool
--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -363,7 +363,7 @@
 	}
 	s := a.server(r.Owner)
 	due := !state.confirmed || a.now.Sub(state.grantedAt) >= a.cfg.Timing.RenewInterval
-	if due && state.newTokenFor == "" && s.canGrant(a.now) && a.ineligibleReason(r.Owner) == "" {
+	if due && state.newTokenFor == "" && s.canGrant(a.now) && a.keepsKeys(r.Owner) {
 		state.inFlight = true
 		a.send(Order{
 			KeyRange: r.KeyRange, Token: r.Token, To: r.Owner, Hold: a.cfg.Timing.Hold, Handover: handover, Session: state.session,
@@ -480,7 +480,7 @@
 	for i := range next.Assignments {
 		r := &next.Assignments[i]
 		reason := a.stateOf(r).newTokenFor
-		if reason == "" || r.Moving() || a.ineligibleReason(r.Owner) != "" {
+		if reason == "" || r.Moving() || !a.keepsKeys(r.Owner) {
 			continue
 		}
 		if token == 0 {
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -215,6 +215,7 @@
 const (
 	ReasonFirstOwner         Reason = "first_owner"
 	ReasonOwnerDraining      Reason = "owner_draining"
+	ReasonOwnerEvacuated     Reason = "owner_evacuated"
 	ReasonOwnerRemoved       Reason = "owner_gone"
 	ReasonOwnerUnresponsive  Reason = "owner_silent"
 	ReasonOwnerRestarted     Reason = "owner_restarted"
--- a/mooring/server.go
+++ b/mooring/server.go
@@ -128,11 +128,21 @@
 		return ReasonOwnerDraining
 	case a.unresponsive(a.server(instance)):
 		return ReasonOwnerUnresponsive
+	case e.Evacuated:
+		return ReasonOwnerEvacuated
 	default:
 		return ""
 	}
 }
 
+// keepsKeys reports whether the grants of an owner are renewed. Those of an evacuated one
+// are until its keys are assigned to another server, which is not possible while the store
+// is out or every server is evacuated.
+func (a *Assigner) keepsKeys(owner ServerInstance) bool {
+	reason := a.ineligibleReason(owner)
+	return reason == "" || reason == ReasonOwnerEvacuated
+}
+
 // unresponsive reports whether a server has been suspected for too long. It is
 // eligible again after avoidUntil.
 func (a *Assigner) unresponsive(s *server) bool {
--- a/mooring/simulation_test.go
+++ b/mooring/simulation_test.go
@@ -123,6 +123,8 @@
 	// listed is set for servers that are in the catalog.
 	listed   bool
 	draining bool
+	// evacuated is set while the failure domain of the server is evacuated.
+	evacuated bool
 	// tokens and heldUntil are indexed like sampledKeys.
 	tokens    []mooring.Token
 	heldUntil []mooring.Instant
@@ -573,7 +575,7 @@
 	for id, s := range sim.servers {
 		if s.listed {
 			endpoints = append(endpoints, fairway.Endpoint{
-				ID: id, Service: service, Address: s.registered.Address, Incarnation: s.registered.Incarnation, Slots: 6, Draining: s.draining,
+				ID: id, Service: service, Address: s.registered.Address, Incarnation: s.registered.Incarnation, Slots: 6, Draining: s.draining, Evacuated: s.evacuated,
 			})
 		}
 	}
