Admit no requests to evacuated servers

Cause: a host chose among all servers that are registered and ready, also those of a failure domain that is evacuated.

Change: a controller knows the evacuated failure domains, and until when their servers get requests for the keys that they own. Requests without a key go elsewhere at once. If all servers are evacuated, requests are refused at once with the reason servers_evacuated and a Retry-After, also those that wait; the refusal for no server let them wait while they had time.

--- a/sluice/choice.go
+++ b/sluice/choice.go
@@ -69,7 +69,7 @@
 	registered, unconfirmed := 0, 0
 	for _, server := range c.ranked {
 		switch {
-		case server.leaving:
+		case server.leaving, server.endpoint.Evacuated:
 		case server.unconfirmed:
 			unconfirmed++
 		default:
@@ -118,7 +118,7 @@
 // usableAt returns which servers may get requests that any server can answer. Those that say
 // that they leave get some for leavingGrace if there are no others.
 func (c *Controller) usableAt(now mooring.Instant) func(*serverState) bool {
-	listed := func(s *serverState) bool { return !s.leaving && (!s.unconfirmed || c.useUnconfirmed) }
+	listed := func(s *serverState) bool { return c.isListed(s) && !s.endpoint.Evacuated }
 	staying := func(s *serverState) bool { return listed(s) && s.notice.LeavingSince == 0 }
 	if slices.ContainsFunc(c.ranked, staying) {
 		return staying
@@ -158,8 +158,13 @@
 	}
 	server := c.servers[owner.Server]
 	if server == nil || server.endpoint.Incarnation != owner.Incarnation || server.leaving && now.Sub(server.leavingSince) > ownerGrace ||
-		server.notice.excludesArrival(now) {
+		server.notice.excludesArrival(now) || server.endpoint.Evacuated && (c.allEvacuated || c.evacuations.Excludes(now, server.endpoint.Domain, true)) {
 		return nil
 	}
 	return server
 }
+
+// isListed reports whether a server may get requests as far as its registration goes.
+func (c *Controller) isListed(s *serverState) bool {
+	return !s.leaving && (!s.unconfirmed || c.useUnconfirmed)
+}
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -57,6 +57,7 @@
 	ReasonSuspected Reason = "servers_suspected"
 	ReasonNoOwner   Reason = "key_without_owner"
 	ReasonClosed    Reason = "servers_closed"
+	ReasonEvacuated Reason = "servers_evacuated"
 )
 
 // Decision is the result of an admission decision. The set of decisions is
@@ -131,6 +132,10 @@
 	notices map[ServerInstance]Notice
 	// useUnconfirmed is set while unconfirmed servers get requests.
 	useUnconfirmed bool
+	// evacuations has the evacuated failure domains. allEvacuated is set while all servers
+	// that could get requests are in them.
+	evacuations  Evacuations
+	allEvacuated bool
 	// meanLatency is the moving average of the latency of whole responses.
 	meanLatency time.Duration
 }
@@ -195,6 +200,7 @@
 	}
 	c.rankServers()
 	c.updateUseUnconfirmed()
+	c.updateAllEvacuated()
 }
 
 // Restore ends the suspicion of all servers, since this host reaches them again after
--- a/sluice/queue.go
+++ b/sluice/queue.go
@@ -101,6 +101,9 @@
 
 // refusal returns the refusal of r if its response is expected after limit.
 func (c *Controller) refusal(now mooring.Instant, r *Request, ahead int, limit mooring.Instant) (Refuse, bool) {
+	if c.allEvacuated {
+		return Refuse{Reason: ReasonEvacuated, RetryAfter: jitter(noServerRetryAfter, r.ID), Ahead: ahead}, true
+	}
 	wait, reason := c.expectedWait(now, r, ahead)
 	end := now.Add(wait + c.meanLatency)
 	if end <= limit {
