--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -198,12 +198,13 @@
 	}
 }
 
-// setServers replaces the list of servers, the number of entry hosts, 0 if it is not
+// setServers replaces the list of servers, the evacuated failure domains, the number of entry hosts, 0 if it is not
 // known, and that of those which reach the servers. The latter share the servers.
-func (a *admission) setServers(servers []fairway.Endpoint, hosts, reaching int) {
+func (a *admission) setServers(servers []fairway.Endpoint, evacuations sluice.Evacuations, hosts, reaching int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := monotonicNow()
+	a.controller.SetEvacuations(evacuations)
 	a.controller.SetServers(now, servers, reaching)
 	a.retryBudget.SetHosts(now, hosts)
 	a.deliver(a.controller.Reevaluate(now))
@@ -448,6 +449,8 @@
 	OnQueued func()
 	// OnCreate, if set, is called with a new admission before it is told of the servers.
 	OnCreate func(service fairway.ServiceName, adm *admission)
+	// Evacuations, if set, returns the evacuated failure domains.
+	Evacuations func() sluice.Evacuations
 	// Carriers, if set, has the hosts that send requests with keys for others.
 	Carriers *carriers
 	// Coordination is set for the requests of all hosts that this host coordinates.
@@ -541,14 +544,14 @@
 // setServers passes the servers of a service on to its admission.
 func (s *admissionSet) setServers(a *admission, service fairway.ServiceName, catalog *fairway.Catalog, hosts, reaching int) {
 	if s.cfg.Coordination == nil {
-		a.setServers(catalog.ByService(service), hosts, s.sharing(service, reaching))
+		a.setServers(catalog.ByService(service), s.evacuations(), hosts, s.sharing(service, reaching))
 		return
 	}
 	a.setMostUrgent(s.cfg.Coordination.MostUrgent(service))
-	a.setServers(s.cfg.Coordination.Servers(service, catalog), hosts, 1)
+	a.setServers(s.cfg.Coordination.Servers(service, catalog), s.evacuations(), hosts, 1)
 }
 
-// refresh passes changed servers and numbers of hosts on to every admission.
+// refresh passes changed servers, evacuations and numbers of hosts on to every admission.
 func (s *admissionSet) refresh(catalog *fairway.Catalog, hosts, reaching int) {
 	for name, a := range s.all() {
 		s.setServers(a, name, catalog, hosts, reaching)
@@ -561,6 +564,13 @@
 	s.hosts, s.reaching = hosts, reaching
 }
 
+func (s *admissionSet) evacuations() sluice.Evacuations {
+	if s.cfg.Evacuations == nil {
+		return nil
+	}
+	return s.cfg.Evacuations()
+}
+
 // retainRoutes passes on which routes there are and forgets the means of those that are not in a configuration.
 func (s *admissionSet) retainRoutes(c *fairway.Config) {
 	s.mu.Lock()
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -153,6 +153,7 @@
 		OnWait:            h.limits.startWaiting,
 		OnQueued:          func() { signalOnce(h.queued) },
 		OnCreate:          func(service fairway.ServiceName, adm *admission) { h.cold.applyTo(service, adm) },
+		Evacuations:       h.clusterState.ownersUntil,
 		Carriers:          h.carriers,
 		Host:              s.Host,
 		Domain:            s.Domain,
@@ -171,7 +172,7 @@
 	h.watcher = &watcher{
 		store: cfg.Store, protocol: cfg.Protocol, clusterState: h.clusterState, admissions: h.admissions, logs: h.logs,
 		recoverer: h.recoverer, changeLog: newChangeLog(), memory: &memory{}, crashes: h.crashes, address: s.PeerAddress, onChange: h.refresh,
-		sources: newFeedSources(s.PeerAddress, rand.Float64),
+		sources: newFeedSources(s.PeerAddress, rand.Float64), evacuationBound: s.Bounds.Evacuation,
 	}
 	h.orderSender = newOrderSender(orderSenderConfig{Protocol: cfg.Protocol, Upstream: h.orderUpstream, Logs: h.logs, Metrics: h.metrics})
 	h.election = &election{
@@ -423,6 +424,7 @@
 	last := time.Now()
 	logged := last
 	speeds := newSpeedLog(h.logs)
+	emptied := make(map[fairway.Domain]time.Time)
 	for {
 		select {
 		case <-ctx.Done():
@@ -449,6 +451,7 @@
 			h.orderSender.grants.closeIdle()
 			h.closeIdleCallers()
 			h.updateGauges()
+			h.logEmptied(emptied)
 			if time.Since(logged) >= usageInterval {
 				logged = time.Now()
 				h.logs.hostUsage(h.usage.take())
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -61,6 +61,8 @@
 	metricPermitsInFlight   metricName = "permits_in_flight"
 	metricPermitsWaiting    metricName = "permits_waiting"
 	metricCoordinating      metricName = "coordinating"
+	metricEvacuatedDomains  metricName = "evacuated_domains"
+	metricEvacuatedRequests metricName = "evacuated_requests"
 )
 
 // metricNames has every metric. A test compares it with the operations page.
@@ -70,6 +72,7 @@
 	metricStoreCalls, metricStoreCallSeconds, metricStoreAge, metricConfigVersion, metricServersListed,
 	metricConnectionsOpen, metricConnectionsOpened, metricLinesLeftOut, metricPlacer, metricEntryHosts, metricServerEnds, metricSuspectedRequests,
 	metricServerNotices, metricHealthChecks, metricPanics, metricPermits, metricPermitFallbacks, metricPermitsExpired, metricPermitsInFlight, metricPermitsWaiting, metricCoordinating,
+	metricEvacuatedDomains, metricEvacuatedRequests,
 }
 
 // metrics keeps its values in a tally scope. It caches the scopes with tags,
@@ -274,6 +277,12 @@
 	}
 	m.gauge(metricStoreAge, time.Since(h.watcher.changeLog.lastUpdate()).Seconds())
 	m.gauge(metricServersListed, float64(h.clusterState.catalog().Len()))
+	evacuated, requests := h.evacuatedDomains(), 0
+	for _, d := range evacuated {
+		requests += d.Requests
+	}
+	m.gauge(metricEvacuatedDomains, float64(len(evacuated)))
+	m.gauge(metricEvacuatedRequests, float64(requests))
 	open, opened := h.upstream.count()
 	m.gauge(metricConnectionsOpen, float64(open))
 	for o, n := range opened {
--- a/jetty/settings.go
+++ b/jetty/settings.go
@@ -50,6 +50,9 @@
 	// ColdSlack requests in any second. There is no such bound if ColdOverage is 0.
 	ColdOverage float64
 	ColdSlack   float64
+	// Evacuation is the time from the store's acknowledgment of an evacuation until the
+	// servers of the failure domain get no more requests.
+	Evacuation time.Duration
 }
 
 // DefaultBounds returns the limits for a platform that sets none.
@@ -60,5 +63,6 @@
 		BudgetWindow: 10 * time.Second,
 		BudgetRatio:  0.1,
 		BudgetExtra:  10,
+		Evacuation:   5 * time.Second,
 	}
 }
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -65,6 +65,7 @@
 	ReasonSuspected Reason = "servers_suspected"
 	ReasonNoOwner   Reason = "key_without_owner"
 	ReasonClosed    Reason = "servers_closed"
+	ReasonEvacuated Reason = "servers_evacuated"
 )
 
 // Decision is the result of an admission decision. The set of decisions is
@@ -148,6 +149,10 @@
 	notices map[ServerInstance]Notice
 	// useUnconfirmed is set while unconfirmed servers get requests.
 	useUnconfirmed bool
+	// evacuations has the evacuated failure domains. allEvacuated is set while all servers
+	// that could get requests are in them.
+	evacuations  Evacuations
+	allEvacuated bool
 	// meanLatency is the moving average of the latency of whole responses.
 	meanLatency time.Duration
 	// permits has the requests in flight of a coordinating controller, and expired counts
@@ -234,6 +239,7 @@
 	c.rankServers()
 	c.updateUseUnconfirmed()
 	c.expected.told = slices.ContainsFunc(c.ranked, func(s *serverState) bool { return s.told.known() })
+	c.updateAllEvacuated()
 }
 
 // newServer returns the state of a server that has got no requests yet.
--- a/sluice/queue.go
+++ b/sluice/queue.go
@@ -101,6 +101,9 @@
 
 // refusal returns the refusal of r if its response is expected after limit.
 func (c *Controller) refusal(now mooring.Instant, r *Request, ahead backlog, limit mooring.Instant) (Refuse, bool) {
+	if c.allEvacuated {
+		return Refuse{Reason: ReasonEvacuated, RetryAfter: jitter(noServerRetryAfter, r.ID), Ahead: ahead.requests}, true
+	}
 	wait, reason := c.expectedWait(now, r, ahead)
 	limit, took := c.relevantLimit(r, wait, limit)
 	end := now.Add(wait + took)
