--- a/jetty/permits_test.go
+++ b/jetty/permits_test.go
@@ -214,15 +214,42 @@
 		expectEnded(hosts...)
 	})
 
-	It("gives the room of a permit whose host is lost to others at its deadline", func() {
-		hosts := fleet(2, 1, 0)
-		conn, err := newPeerConns().get(hosts[0].address)
+	// acquire asks a coordinator for a permit as another host would.
+	acquire := func(ctx context.Context, coordinator *permitHost, id uint64, left time.Duration) (*signal.PermitReply, error) {
+		conn, err := newPeerConns().get(coordinator.address)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(conn.Close)
+		return signal.NewPermitsClient(conn).Acquire(ctx, &signal.PermitRequest{
+			Session: 9, Id: id, Service: "readings", LeftMicros: uint64(left.Microseconds()), SoftLeftMicros: left.Microseconds(), WaitMicros: 200_000,
+		})
+	}
+
+	It("drops a request that waits and whose call is canceled at once", func() {
+		hosts := fleet(2, 1, 0)
+		for id := range uint64(2) {
+			_, err := acquire(context.Background(), hosts[0], id+1, 5*time.Second)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := acquire(ctx, hosts[0], 3, 5*time.Second)
+		Expect(err).To(HaveOccurred())
+		Eventually(func() int { _, waiting := hosts[0].held(); return waiting }).WithTimeout(abandonedAfter / 2).Should(BeZero())
+	})
+
+	It("ends a permit that was given up before the answer", func() {
+		hosts := fleet(2, 6, 0)
+		hosts[0].server.mu.Lock()
+		served(<-hosts[1].send(context.Background(), hosts[1].request(1, time.Minute)))
+		hosts[0].server.mu.Unlock()
+		Eventually(func() int { held, _ := hosts[0].held(); return held }).Should(Equal(1))
+		Eventually(func() int { held, _ := hosts[0].held(); return held }).WithTimeout(3 * coordinatorExclusion).Should(BeZero())
+	})
+
+	It("gives the room of a permit whose host is lost to others at its deadline", func() {
+		hosts := fleet(2, 1, 0)
 		for id := range uint64(2) {
-			reply, err := signal.NewPermitsClient(conn).Acquire(context.Background(), &signal.PermitRequest{
-				Session: 9, Id: id + 1, Service: "readings", LeftMicros: 300_000, SoftLeftMicros: 300_000, WaitMicros: 50_000,
-			})
+			reply, err := acquire(context.Background(), hosts[0], id+1, 300*time.Millisecond)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(reply.GetGranted().GetServer()).To(Equal("s"))
 		}
@@ -246,16 +273,21 @@
 	})
 
 	It("does not send to a server that the asking host knows to be closed", func() {
-		hosts := fleet(2, 6, 0)
+		hosts := fleet(2, 1, 20*time.Millisecond)
 		hosts[0].serve("closed", 6, work(0))
 		hosts[0].share(hosts[1])
 		coordinate(hosts[0], hosts...)
 		adm := hosts[1].admission()
 		adm.setNotice(sluice.ServerInstance{Server: "closed", Incarnation: 1}, sluice.Notice{ClosedUntil: monotonicNow().Add(time.Minute)})
+		var results []<-chan timedResult
 		for range 10 {
-			served(<-hosts[1].send(context.Background(), hosts[1].request(1, time.Second)))
+			results = append(results, hosts[1].send(context.Background(), hosts[1].request(1, 3*time.Second)))
+		}
+		for _, res := range results {
+			served(<-res)
 		}
 		Expect(hosts[1].servers["closed"].arrived.Load()).To(BeZero())
+		Expect(hosts[1].fallbacks(fallbackServer)).To(BeZero())
 		expectEnded(hosts...)
 	})
 })
