Bound what a coordinator does for each request, and what it takes from other hosts

Cause: a coordinator of a service with keys looked at every server with room for each evaluation of the queue, 540 times 1,000 requests in the worst case, and one without keys searched the whole queue for urgent requests that were not there. Times that another host states could overflow. A host kept the ends of permits for coordinators that are gone.

Change: the evaluation looks only at servers that waiting requests may go to, and stops at the first less urgent one when there is no room for it. Links to hosts that no longer coordinate are dropped. Tests that retries and requests of cut hosts take permits.

--- a/jetty/permitcodec.go
+++ b/jetty/permitcodec.go
@@ -1,6 +1,7 @@
 package jetty
 
 import (
+	"math"
 	"time"
 
 	"hornbeamwinch.example/fairway"
@@ -57,17 +58,31 @@
 	}
 }
 
+// decodeMicros returns a time that another host states, within maxPermitTime.
+func decodeMicros(micros uint64) time.Duration {
+	return time.Duration(min(micros, uint64(maxPermitTime.Microseconds()))) * time.Microsecond
+}
+
+// decodeSignedMicros is decodeMicros for a time that may have passed.
+func decodeSignedMicros(micros int64) time.Duration {
+	limit := maxPermitTime.Microseconds()
+	return time.Duration(min(max(micros, -limit), limit)) * time.Microsecond
+}
+
 // decodePermitRequest returns the request of another host, as of now.
 func decodePermitRequest(m *signal.PermitRequest, now mooring.Instant) *sluice.Request {
 	req := &sluice.Request{
 		Priority:      int(m.GetPriority()),
-		Objective:     time.Duration(m.GetObjectiveMicros()) * time.Microsecond,
-		SoftDeadline:  now.Add(time.Duration(m.GetSoftLeftMicros()) * time.Microsecond),
-		Deadline:      now.Add(time.Duration(min(m.GetLeftMicros(), uint64(maxPermitTime.Microseconds()))) * time.Microsecond),
-		ResponseBytes: m.GetResponseBytes(),
+		Objective:     decodeMicros(m.GetObjectiveMicros()),
+		SoftDeadline:  now.Add(decodeSignedMicros(m.GetSoftLeftMicros())),
+		Deadline:      now.Add(decodeMicros(m.GetLeftMicros())),
+		ResponseBytes: max(m.GetResponseBytes(), 0),
 		From:          m.GetSession(),
 		Domain:        fairway.Domain(m.GetDomain()),
 	}
+	if math.IsNaN(req.ResponseBytes) {
+		req.ResponseBytes = 0
+	}
 	if m.Key != nil {
 		key := mooring.Key(m.GetKey())
 		req.Key = &key
--- a/jetty/permitlink.go
+++ b/jetty/permitlink.go
@@ -93,6 +93,13 @@
 	return !l.telling && len(l.released) > 0
 }
 
+// isIdle reports whether there is nothing to tell, or the coordinator does not answer.
+func (l *permitLink) isIdle(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.telling && (len(l.released) == 0 || !now.After(l.excludedUntil))
+}
+
 // run tells the coordinator which permits have ended. A call that fails is repeated later,
 // unless the coordinator knows no permits.
 func (l *permitLink) run(ctx context.Context) {
--- a/jetty/permits.go
+++ b/jetty/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -147,6 +148,7 @@
 			}
 			left = left || link.pending()
 		}
+		p.forgetLinks()
 		if left {
 			timer.Reset(releaseRetryInterval)
 		}
@@ -163,6 +165,18 @@
 	return links
 }
 
+// forgetLinks forgets the ways to hosts that do not coordinate any more. Permits whose end they
+// have not been told expire.
+func (p *permits) forgetLinks() {
+	named := make(map[peerAddress]bool)
+	for _, address := range p.coordinators.current().addresses {
+		named[address] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.links, func(peer peerAddress, link *permitLink) bool { return !named[peer] && link.isIdle(time.Now()) })
+}
+
 // link returns the way to a coordinator.
 func (p *permits) link(peer peerAddress) (*permitLink, error) {
 	p.mu.Lock()
--- a/jetty/permits_test.go
+++ b/jetty/permits_test.go
@@ -272,6 +272,37 @@
 		expectEnded(hosts...)
 	})
 
+	It("admits retries, without the servers that were tried", func() {
+		hosts := fleet(2, 6, 0)
+		hosts[0].serve("rejects", 6, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Run", "y")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		hosts[0].share(hosts[1])
+		coordinate(hosts[0], hosts...)
+		var results []<-chan timedResult
+		for range 20 {
+			results = append(results, hosts[1].send(context.Background(), hosts[1].request(2, 3*time.Second)))
+		}
+		for _, res := range results {
+			served(<-res)
+		}
+		Expect(hosts[1].servers["rejects"].arrived.Load()).To(BeNumerically(">", 0))
+		for _, why := range []permitFallback{fallbackNoCoordinator, fallbackServer, fallbackPart} {
+			Expect(hosts[1].fallbacks(why)).To(BeZero(), string(why))
+		}
+		expectEnded(hosts...)
+	})
+
+	It("admits the requests that a cut host passes on", func() {
+		hosts := fleet(2, 6, 0)
+		peer, _ := serveRelay(&relayServer{forwarder: hosts[1].f, stopping: hosts[1].stopping.Load})
+		cut, _ := newCutHost(100, peer)
+		served(<-cut.send(context.Background(), cut.request(1, time.Second)))
+		Expect(hosts[0].f.metrics.Snapshot().Counters()).To(HaveKey(ContainSubstring("permits_total")))
+		expectEnded(hosts...)
+	})
+
 	It("does not send to a server that the asking host knows to be closed", func() {
 		hosts := fleet(2, 1, 20*time.Millisecond)
 		hosts[0].serve("closed", 6, work(0))
--- a/jetty/permitserver.go
+++ b/jetty/permitserver.go
@@ -137,7 +137,7 @@
 		place.calls = 1
 		s.keep(id, place)
 	}
-	return s.await(ctx, id, place, time.Duration(m.GetWaitMicros())*time.Microsecond)
+	return s.await(ctx, id, place, decodeMicros(m.GetWaitMicros()))
 }
 
 // await waits for the decision on a request for a time.
@@ -221,7 +221,7 @@
 			if r.GetLoad() != nil && s.onLoad != nil {
 				s.onLoad(place.service, place.req.ID, r.GetLoad())
 			}
-			s.settlePlace(place, decodeOutcome(r.GetOutcome()), time.Duration(r.GetTookMicros())*time.Microsecond)
+			s.settlePlace(place, decodeOutcome(r.GetOutcome()), decodeMicros(r.GetTookMicros()))
 		}
 	}
 }
--- a/sluice/coordinated.go
+++ b/sluice/coordinated.go
@@ -84,12 +84,28 @@
 // grantWaiting admits the waiting requests for which any server has room.
 func (c *Controller) grantWaiting(now mooring.Instant) []Resolution {
 	var resolved []Resolution
-	for _, server := range c.ranked {
+	for _, server := range c.awaited(now) {
 		resolved = append(resolved, c.grantAt(now, server)...)
 	}
 	return resolved
 }
 
+// awaited returns the servers that waiting requests may go to.
+func (c *Controller) awaited(now mooring.Instant) []*serverState {
+	if c.cfg.Owners == nil || len(c.waiting) == 0 {
+		return c.ranked
+	}
+	var servers []*serverState
+	seen := make(map[*serverState]bool)
+	for _, r := range c.waiting {
+		if server := c.ownerServer(now, *r.Key); server != nil && !seen[server] {
+			seen[server] = true
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
 // nextAt returns the index of the waiting request that a server gets next, or -1.
 func (c *Controller) nextAt(now mooring.Instant, server *serverState) int {
 	usable := c.usableAt(now)
@@ -101,7 +117,12 @@
 	if c.cfg.Owners == nil && !usable(server) {
 		return -1
 	}
+	full := server.window.failures == 0 && server.window.inFlight >= server.slots()
 	for i, r := range c.waiting {
+		if full && r.Priority > c.mostUrgent {
+			// So are the requests behind it.
+			break
+		}
 		if c.mayGo(now, server, r, usable) && c.hasRoomFor(now, server, r, false) {
 			return i
 		}
