Tell coordinators the load that servers state

Cause: the load header of a response is known only to the host that gets it.

Change: the end of a permit carries what permits.loadOf reads from the header, and permitServer.onLoad passes it on with the controller, which knows the server of a request (Controller.ServerOf). Neither is set yet. A test sets both, for a request of another host and one of the coordinator's own.

--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -290,6 +290,13 @@
 	a.deliver(a.controller.Settle(monotonicNow(), id, outcome, took))
 }
 
+// withController calls a function with the controller while nobody else uses it.
+func (a *admission) withController(use func(*sluice.Controller)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	use(a.controller)
+}
+
 // overdue records that the response to such a request is late.
 func (a *admission) overdue(id sluice.RequestID) {
 	a.mu.Lock()
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -128,10 +128,13 @@
 		return
 	}
 	instance, objective := sluice.ServerInstanceOf(a.server), a.exchange.r.route.Objective
-	if errors.Is(a.err, errConnectionLimit) {
+	switch {
+	case errors.Is(a.err, errConnectionLimit):
 		// The server has not rejected anything.
 		a.permit.release(sluice.OutcomeCanceled, a.took)
-	} else {
+	case a.resp != nil:
+		a.permit.releaseAnswered(outcome, a.took, a.resp.header)
+	default:
 		a.permit.release(outcome, a.took)
 	}
 	switch {
--- a/jetty/permits.go
+++ b/jetty/permits.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -73,6 +74,8 @@
 	server  *permitServer
 	logs    *logs
 	metrics *metrics
+	// loadOf, if set, returns what a response says of the load of its server, or nil.
+	loadOf func(http.Header) *signal.PermitServerLoad
 	// session identifies this run of the host to the coordinators.
 	session uint64
 	nextID  atomic.Uint64
@@ -100,16 +103,25 @@
 	place *permitPlace
 }
 
-// release ends the permit.
+// release ends the permit of a request without a response.
 func (p *permit) release(outcome sluice.Outcome, took time.Duration) {
+	p.releaseAnswered(outcome, took, nil)
+}
+
+// releaseAnswered ends the permit, with the header of the response if there is one.
+func (p *permit) releaseAnswered(outcome sluice.Outcome, took time.Duration, header http.Header) {
 	if p == nil {
 		return
 	}
+	var load *signal.PermitServerLoad
+	if header != nil && p.permits.loadOf != nil {
+		load = p.permits.loadOf(header)
+	}
 	if p.link == nil {
-		p.permits.server.settlePlace(p.place, outcome, took)
+		p.permits.server.settlePlace(p.place, outcome, took, load)
 		return
 	}
-	p.tell(encodeOutcome(outcome), took)
+	p.tell(encodeOutcome(outcome), took, load)
 }
 
 // overdue tells the coordinator that the response is late.
@@ -121,11 +133,11 @@
 		p.place.adm.overdue(p.place.req.ID)
 		return
 	}
-	p.tell(signal.PermitOutcome_PERMIT_OUTCOME_OVERDUE, took)
+	p.tell(signal.PermitOutcome_PERMIT_OUTCOME_OVERDUE, took, nil)
 }
 
-func (p *permit) tell(outcome signal.PermitOutcome, took time.Duration) {
-	p.link.add(&signal.ReleasedPermit{Id: p.id, Outcome: outcome, TookMicros: uint64(max(took, 0).Microseconds())})
+func (p *permit) tell(outcome signal.PermitOutcome, took time.Duration, load *signal.PermitServerLoad) {
+	p.link.add(&signal.ReleasedPermit{Id: p.id, Outcome: outcome, TookMicros: uint64(max(took, 0).Microseconds()), Load: load})
 	signalOnce(p.permits.wake)
 }
 
--- a/jetty/permits_test.go
+++ b/jetty/permits_test.go
@@ -272,6 +272,30 @@
 		expectEnded(hosts...)
 	})
 
+	// The controller of a coordinator weighs the load that servers state.
+	It("tells the coordinator the load that a server states", func() {
+		hosts := fleet(2, 6, 0)
+		var told atomic.Uint32
+		for _, h := range hosts {
+			h.f.permits.loadOf = func(header http.Header) *signal.PermitServerLoad {
+				if header.Get("Signed") == "" {
+					return nil
+				}
+				return &signal.PermitServerLoad{Running: 3}
+			}
+		}
+		hosts[0].server.onLoad = func(c *sluice.Controller, _ mooring.Instant, id sluice.RequestID, load *signal.PermitServerLoad) {
+			if server, ok := c.ServerOf(id); ok && server.Server == "s" {
+				told.Add(load.GetRunning())
+			}
+		}
+		for _, h := range hosts {
+			served(<-h.send(context.Background(), h.request(1, time.Second)))
+		}
+		Eventually(told.Load).Should(BeEquivalentTo(6))
+		expectEnded(hosts...)
+	})
+
 	It("admits retries, without the servers that were tried", func() {
 		hosts := fleet(2, 6, 0)
 		hosts[0].serve("rejects", 6, func(w http.ResponseWriter, _ *http.Request) {
--- a/jetty/permitserver.go
+++ b/jetty/permitserver.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/status"
 
 	"hornbeamwinch.example/fairway"
+	"hornbeamwinch.example/mooring"
 	"hornbeamwinch.example/signal"
 	"hornbeamwinch.example/sluice"
 )
@@ -51,8 +52,9 @@
 	coordinators *coordinators
 	stopping     func() bool
 	metrics      *metrics
-	// onLoad, if set, is called with what a response says of the load of its server.
-	onLoad func(fairway.ServiceName, sluice.RequestID, *signal.PermitServerLoad)
+	// onLoad, if set, is called with what a response says of the load of its server, before the
+	// permit ends; see [sluice.Controller.ServerOf].
+	onLoad func(c *sluice.Controller, now mooring.Instant, id sluice.RequestID, load *signal.PermitServerLoad)
 
 	mu     sync.Mutex
 	places map[permitID]*permitPlace
@@ -101,8 +103,11 @@
 	place.adm.settle(place.req.ID, sluice.OutcomeCanceled, 0)
 }
 
-// settlePlace ends a permit.
-func (s *permitServer) settlePlace(place *permitPlace, outcome sluice.Outcome, took time.Duration) {
+// settlePlace ends a permit. The load may be nil.
+func (s *permitServer) settlePlace(place *permitPlace, outcome sluice.Outcome, took time.Duration, load *signal.PermitServerLoad) {
+	if load != nil && s.onLoad != nil {
+		place.adm.withController(func(c *sluice.Controller) { s.onLoad(c, monotonicNow(), place.req.ID, load) })
+	}
 	if outcome == sluice.OutcomeCanceled {
 		s.abandon(place)
 		return
@@ -218,10 +223,7 @@
 		case overdue:
 			place.adm.overdue(place.req.ID)
 		default:
-			if r.GetLoad() != nil && s.onLoad != nil {
-				s.onLoad(place.service, place.req.ID, r.GetLoad())
-			}
-			s.settlePlace(place, decodeOutcome(r.GetOutcome()), decodeMicros(r.GetTookMicros()))
+			s.settlePlace(place, decodeOutcome(r.GetOutcome()), decodeMicros(r.GetTookMicros()), r.GetLoad())
 		}
 	}
 }
--- a/sluice/permit.go
+++ b/sluice/permit.go
@@ -184,6 +184,15 @@
 	return c.end(now, p)
 }
 
+// ServerOf returns the server to which a request in flight was admitted.
+func (c *Controller) ServerOf(id RequestID) (ServerInstance, bool) {
+	p := c.permits[id]
+	if p == nil {
+		return ServerInstance{}, false
+	}
+	return ServerInstanceOf(p.server.endpoint), true
+}
+
 // Overdue records that the response to a request is late. If the server has answered
 // nothing since the request was admitted, it counts as failed and the permit ends.
 func (c *Controller) Overdue(now mooring.Instant, id RequestID) []Resolution {
