Ask for a permit once a key has an owner

Cause: a request for a key without an owner waited at its host and was then sent from there. After a handover all hosts have such requests, and together they fill the new owner's queue.

Change: when the owner is known, the host gives its own admission back and asks the owner's coordinator. Test with three hosts and twelve requests that wait for an owner; red without the change (mutant).

--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -167,6 +167,18 @@
 // admit waits until a request is admitted or refused: by the coordinator of its server, or
 // by this host if there is none or it does not answer. It returns nil if ctx is done before.
 func (f *forwarder) admit(ctx context.Context, adm *admission, r *request, req *sluice.Request) (sluice.Decision, *permit) {
+	if decision, granted, ok := f.permits.acquire(ctx, adm, r, req); ok {
+		return decision, granted
+	}
+	awaitsOwner := f.permits.awaitsOwner(adm, r)
+	decision := adm.acquire(ctx, req)
+	dispatch, ok := decision.(sluice.Dispatch)
+	if !awaitsOwner || !ok {
+		return decision, nil
+	}
+	// The key has an owner now. All hosts have requests that waited for it, which together would
+	// fill its queue.
+	adm.finish(sluice.ServerInstanceOf(dispatch.Server), sluice.OutcomeCanceled, 0, 0)
 	if decision, granted, ok := f.permits.acquire(ctx, adm, r, req); ok {
 		return decision, granted
 	}
--- a/jetty/permits.go
+++ b/jetty/permits.go
@@ -273,6 +273,15 @@
 	return s.Slots + 1
 }
 
+// awaitsOwner reports whether a request of a coordinated service is for a key without an owner.
+func (p *permits) awaitsOwner(adm *admission, r *request) bool {
+	if p == nil || r.key == nil || !p.coordination.active(r.service.Name) {
+		return false
+	}
+	_, _, owned := adm.owners.Owner(*r.key)
+	return !owned
+}
+
 // isPartial reports whether a refusal need not hold for other servers of the service.
 func (c *permitCall) isPartial(refuse sluice.Refuse) bool {
 	switch refuse.Reason {
--- a/jetty/permits_test.go
+++ b/jetty/permits_test.go
@@ -327,6 +327,46 @@
 		expectEnded(hosts...)
 	})
 
+	// A handover ends at all hosts at once. Without it, each sends what has waited there.
+	It("admits requests that have waited for an owner of their key", func() {
+		hosts := fleet(3, 1, 20*time.Millisecond)
+		var results []<-chan timedResult
+		for _, h := range hosts {
+			h.service.Divided = true
+			h.f.admissions.ownersOf("readings").update(monotonicNow(), &mooring.Table{Service: "readings", NextToken: 1, Assignments: []mooring.Assignment{
+				{KeyRange: mooring.KeyRange{From: 0, To: mooring.MaxKey}},
+			}}, 1)
+		}
+		for i := range 12 {
+			h := hosts[i%3]
+			key := mooring.Key(7)
+			r := h.request(1, 3*time.Second)
+			r.key = &key
+			results = append(results, h.send(context.Background(), r))
+		}
+		for _, h := range hosts {
+			Eventually(func() int { return h.admission().usage().Waiting }).Should(Equal(4))
+		}
+		for _, h := range hosts {
+			owner, _ := h.f.clusterState.catalog().Get("s")
+			h.f.admissions.ownersOf("readings").update(monotonicNow(), &mooring.Table{Service: "readings", NextToken: 2, Assignments: []mooring.Assignment{{
+				KeyRange: mooring.KeyRange{From: 0, To: mooring.MaxKey}, Token: 1,
+				Owner: mooring.ServerInstance{Server: "s", Incarnation: owner.Incarnation, Address: owner.Address},
+			}}}, 2)
+		}
+		for _, res := range results {
+			served(<-res)
+		}
+		granted := int64(0)
+		for _, c := range hosts[0].f.metrics.Snapshot().Counters() {
+			if c.Name() == metricPrefix+"."+string(metricPermits) && c.Tags()["result"] == "granted" {
+				granted += c.Value()
+			}
+		}
+		Expect(granted).To(BeNumerically(">=", 12))
+		expectEnded(hosts...)
+	})
+
 	It("does not send to a server that the asking host knows to be closed", func() {
 		hosts := fleet(2, 1, 20*time.Millisecond)
 		hosts[0].serve("closed", 6, work(0))
