--- a/jetty/permits.go
+++ b/jetty/permits.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -72,6 +74,8 @@
 	server  *permitServer
 	logs    *logs
 	metrics *metrics
+	// loadOf, if set, returns what a response says of the load of its server, or nil.
+	loadOf func(http.Header) *signal.PermitServerLoad
 	// session identifies this run of the host to the coordinators.
 	session uint64
 	nextID  atomic.Uint64
@@ -99,16 +103,25 @@
 	place *permitPlace
 }
 
-// release ends the permit.
+// release ends the permit of a request without a response.
 func (p *permit) release(outcome sluice.Outcome, took time.Duration) {
+	p.releaseAnswered(outcome, took, nil)
+}
+
+// releaseAnswered ends the permit, with the header of the response if there is one.
+func (p *permit) releaseAnswered(outcome sluice.Outcome, took time.Duration, header http.Header) {
 	if p == nil {
 		return
 	}
+	var load *signal.PermitServerLoad
+	if header != nil && p.permits.loadOf != nil {
+		load = p.permits.loadOf(header)
+	}
 	if p.link == nil {
-		p.permits.server.settlePlace(p.place, outcome, took)
+		p.permits.server.settlePlace(p.place, outcome, took, load)
 		return
 	}
-	p.tell(encodeOutcome(outcome), took)
+	p.tell(encodeOutcome(outcome), took, load)
 }
 
 // overdue tells the coordinator that the response is late.
@@ -120,11 +133,11 @@
 		p.place.adm.overdue(p.place.req.ID)
 		return
 	}
-	p.tell(signal.PermitOutcome_PERMIT_OUTCOME_OVERDUE, took)
+	p.tell(signal.PermitOutcome_PERMIT_OUTCOME_OVERDUE, took, nil)
 }
 
-func (p *permit) tell(outcome signal.PermitOutcome, took time.Duration) {
-	p.link.add(&signal.ReleasedPermit{Id: p.id, Outcome: outcome, TookMicros: uint64(max(took, 0).Microseconds())})
+func (p *permit) tell(outcome signal.PermitOutcome, took time.Duration, load *signal.PermitServerLoad) {
+	p.link.add(&signal.ReleasedPermit{Id: p.id, Outcome: outcome, TookMicros: uint64(max(took, 0).Microseconds()), Load: load})
 	signalOnce(p.permits.wake)
 }
 
@@ -147,6 +160,7 @@
 			}
 			left = left || link.pending()
 		}
+		p.forgetLinks()
 		if left {
 			timer.Reset(releaseRetryInterval)
 		}
@@ -163,6 +177,18 @@
 	return links
 }
 
+// forgetLinks forgets the ways to hosts that do not coordinate any more. Permits whose end they
+// have not been told expire.
+func (p *permits) forgetLinks() {
+	named := make(map[peerAddress]bool)
+	for _, address := range p.coordinators.current().addresses {
+		named[address] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.links, func(peer peerAddress, link *permitLink) bool { return !named[peer] && link.isIdle(time.Now()) })
+}
+
 // link returns the way to a coordinator.
 func (p *permits) link(peer peerAddress) (*permitLink, error) {
 	p.mu.Lock()
@@ -247,6 +273,15 @@
 	return s.Slots + 1
 }
 
+// awaitsOwner reports whether a request of a coordinated service is for a key without an owner.
+func (p *permits) awaitsOwner(adm *admission, r *request) bool {
+	if p == nil || r.key == nil || !p.coordination.active(r.service.Name) {
+		return false
+	}
+	_, _, owned := adm.owners.Owner(*r.key)
+	return !owned
+}
+
 // isPartial reports whether a refusal need not hold for other servers of the service.
 func (c *permitCall) isPartial(refuse sluice.Refuse) bool {
 	switch refuse.Reason {
