Divide keys by the speed of servers without the wait there

Cause: the slowness from which the placer derives the speeds of owners contains the time that requests wait at the servers. A busy server looks slow and loses keys, the next one becomes busy, and keys move to and fro.

Change: where a server tells its load in a response, hosts leave the wait out of its slowness and of the mean of its route: the response time is divided by 1 + waiting / slots. Servers that tell nothing are measured as before.

--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -40,7 +40,7 @@
 
 // serverStats is what this host has measured of a server since its last report.
 // For each response, slowness adds its latency divided by the mean latency of
-// its route.
+// its route, both without the wait at servers that tell their load.
 type serverStats struct {
 	responses int
 	slowness  float64
@@ -268,6 +268,7 @@
 		means = &routeMeans{bytes: float64(n), latency: latency}
 		a.routeMeans[route] = means
 	}
+	latency = a.controller.WithoutWait(monotonicNow(), server, latency)
 	means.bytes += ewmaWeight * (float64(n) - means.bytes)
 	means.latency += time.Duration(ewmaWeight * float64(latency-means.latency))
 	st := a.statsOf(server)
--- a/sluice/expectation.go
+++ b/sluice/expectation.go
@@ -56,7 +56,7 @@
 func (e *expectation) record(now mooring.Instant, server *serverState, mean time.Duration, route *routeEstimate, elapsed time.Duration) {
 	work := elapsed
 	if server.told.known() && server.told.age(now) <= elapsed {
-		work = server.told.workOf(elapsed)
+		work = time.Duration(float64(server.told.WithoutWait(elapsed)) * float64(UsualPace) / float64(server.told.Pace))
 	}
 	factor := server.speed.relativeTo(e.meanRatio, now)
 	route.record(mean, time.Duration(float64(elapsed)/factor), time.Duration(float64(work)/factor))
--- a/sluice/serverspeed.go
+++ b/sluice/serverspeed.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/mooring"
 )
 
@@ -72,10 +73,19 @@
 	return float64(t.Running+t.Waiting) / float64(t.Slots)
 }
 
-// workOf returns the part of a response time that the server worked, at its usual pace. The
-// queue that a response leaves behind is on average as long as the one that its request
-// found, and each request that waits lengthens the response by one slot's part of the work.
-func (t toldLoad) workOf(response time.Duration) time.Duration {
-	wait := 1 + float64(t.Waiting)/float64(t.Slots)
-	return time.Duration(float64(response) / wait / (float64(t.Pace) / float64(UsualPace)))
+// WithoutWait returns the part of a response time that the server worked, given the load that
+// it told in the response. The queue that a response leaves behind is on average as long as
+// the one that its request found, and each request that waits lengthens the response by one
+// slot's part of the work.
+func (l ServerLoad) WithoutWait(response time.Duration) time.Duration {
+	return time.Duration(float64(response) / (1 + float64(l.Waiting)/float64(l.Slots)))
+}
+
+// WithoutWait returns the part of a response time that the server worked, if it told its load
+// in the response, and else the response time. The response has just been received.
+func (c *Controller) WithoutWait(now mooring.Instant, id fairway.ServerID, response time.Duration) time.Duration {
+	if server := c.servers[id]; server != nil && server.told.known() && server.told.age(now) <= response {
+		return server.told.WithoutWait(response)
+	}
+	return response
 }
