Let coordinators use the load that servers tell, and prefer servers below the rate that a cold one bears

The pace that servers tell in each response was not used.

Change: the rate is a preference among servers with room. A server that rejects requests although it answers fast keeps a window of all its slots. The pace of a server that tells it is its speed times the told pace.

--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -473,8 +473,8 @@
 	Servers func(fairway.ServiceName, *fairway.Catalog) []fairway.Endpoint
 	// MostUrgent returns the priority of the most urgent requests of a service.
 	MostUrgent func(fairway.ServiceName) int
-	// MaxRate, if set, bounds the requests a second to a server.
-	MaxRate func(sluice.ServerInstance) (perSecond float64, ok bool)
+	// PreferredRate, if set, is that of the controllers.
+	PreferredRate func(sluice.ServerInstance) (perSecond float64, ok bool)
 }
 
 func newAdmissionSet(cfg admissionSetConfig) *admissionSet {
@@ -539,7 +539,7 @@
 		cfg.ReassignmentDelay = s.cfg.ReassignmentDelay
 	}
 	if s.cfg.Coordination != nil {
-		a.coordinated, cfg.Coordinated, cfg.MaxRate = true, true, s.cfg.Coordination.MaxRate
+		a.coordinated, cfg.Coordinated, cfg.PreferredRate = true, true, s.cfg.Coordination.PreferredRate
 	}
 	a.controller = sluice.NewController(cfg)
 	if s.config != nil {
--- a/jetty/coldservers.go
+++ b/jetty/coldservers.go
@@ -10,8 +10,8 @@
 	"hornbeamwinch.example/sluice"
 )
 
-// warmFraction is the part of the bound of a cold server up to which coordinators use a warm
-// one. A server may turn cold at any moment, and hosts learn of it up to a second later.
+// warmFraction is the part of the bound of a cold server above which coordinators prefer others
+// to a warm one. A server may turn cold at any moment, and hosts learn of it up to a second later.
 const warmFraction = 0.9
 
 // coldServers keeps which servers are cold, as their registrations and health responses tell,
@@ -26,8 +26,9 @@
 	overage float64
 	slack   float64
 
-	// maxRates has the requests a second that coordinators send to each warm server.
-	maxRates atomic.Pointer[map[fairway.ServerID]float64]
+	// preferredRates has the requests a second above which coordinators prefer others to a warm
+	// server.
+	preferredRates atomic.Pointer[map[fairway.ServerID]float64]
 
 	// mu guards the fields below. No other lock is taken while it is held.
 	mu      sync.Mutex
@@ -61,14 +62,14 @@
 	if c == nil || config == nil || c.overage <= 0 {
 		return
 	}
-	maxRates := make(map[fairway.ServerID]float64)
-	defer c.maxRates.Store(&maxRates)
+	preferredRates := make(map[fairway.ServerID]float64)
+	defer c.preferredRates.Store(&preferredRates)
 	for name, service := range config.Services {
 		if _, bounded := c.rate(service); !bounded {
 			continue
 		}
 		for _, e := range catalog.ByService(name) {
-			maxRates[e.ID] = warmFraction * (service.ColdRate*c.overage + c.slack)
+			preferredRates[e.ID] = warmFraction * (service.ColdRate*c.overage + c.slack)
 			if e.WarmupRemaining > 0 {
 				c.set(now, e, service, instantOf(e.ReadAt).Add(e.WarmupRemaining))
 			}
@@ -82,10 +83,10 @@
 	})
 }
 
-// maxRate returns the requests a second that coordinators send to a server at most, or false
-// if nothing bounds them.
-func (c *coldServers) maxRate(server sluice.ServerInstance) (perSecond float64, ok bool) {
-	rates := c.maxRates.Load()
+// preferredRate returns the requests a second above which coordinators prefer other servers, or
+// false if nothing bounds the requests to the server while it is cold.
+func (c *coldServers) preferredRate(server sluice.ServerInstance) (perSecond float64, ok bool) {
+	rates := c.preferredRates.Load()
 	if rates == nil {
 		return 0, false
 	}
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -184,7 +184,7 @@
 	}
 	// The key has an owner now. All hosts have requests that waited for it, which together would
 	// fill its queue.
-	adm.finish(sluice.ServerInstanceOf(dispatch.Server), sluice.OutcomeCanceled, 0, 0)
+	adm.finish(sluice.ServerInstanceOf(dispatch.Server), r.route.Name, sluice.OutcomeCanceled, 0, 0)
 	if decision, granted, ok := f.permits.acquire(ctx, adm, r, req); ok {
 		return decision, granted
 	}
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -18,6 +18,7 @@
 
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
+	"hornbeamwinch.example/mooring"
 	"hornbeamwinch.example/signal"
 	"hornbeamwinch.example/sluice"
 )
@@ -244,9 +245,9 @@
 	cfg := h.admissions.cfg
 	cfg.Carriers = nil
 	cfg.Coordination = &admissionCoordination{
-		Owners:     h.admissions.ownersOf,
-		MostUrgent: h.coordination.mostUrgent,
-		MaxRate:    func(server sluice.ServerInstance) (float64, bool) { return h.cold.maxRate(server) },
+		Owners:        h.admissions.ownersOf,
+		MostUrgent:    h.coordination.mostUrgent,
+		PreferredRate: func(server sluice.ServerInstance) (float64, bool) { return h.cold.preferredRate(server) },
 		Servers: func(name fairway.ServiceName, catalog *fairway.Catalog) []fairway.Endpoint {
 			config := h.clusterState.activeConfig.Current()
 			if config == nil || config.Services[name] == nil {
@@ -260,7 +261,19 @@
 		admissions: h.admissions.coordinated, clusterState: h.clusterState, coordination: h.coordination, coordinators: h.coordinators,
 		stopping: h.shuttingDown.Load, metrics: h.metrics,
 	})
+	h.permitServer.onLoad = func(c *sluice.Controller, now mooring.Instant, id sluice.RequestID, load *signal.PermitServerLoad) {
+		if server, ok := c.ServerOf(id); ok {
+			c.SetLoad(now, server, decodePermitLoad(load))
+		}
+	}
 	h.permits = newPermits(&permits{
+		loadOf: func(header http.Header) *signal.PermitServerLoad {
+			load, ok := h.cfg.Protocol.DecodeLoad(header)
+			if !ok {
+				return nil
+			}
+			return encodePermitLoad(load)
+		},
 		host: s.Host, domain: s.Domain, coordination: h.coordination, coordinators: h.coordinators, clusterState: h.clusterState,
 		conns: h.peerConns, server: h.permitServer, logs: h.logs, metrics: h.metrics,
 	})
--- a/jetty/permitcodec.go
+++ b/jetty/permitcodec.go
@@ -115,3 +115,13 @@
 		Ahead: int(m.GetAhead()), Server: fairway.ServerID(m.GetServer()),
 	}
 }
+
+func encodePermitLoad(l sluice.ServerLoad) *signal.PermitServerLoad {
+	return &signal.PermitServerLoad{Running: uint32(l.Running), Waiting: uint32(l.Waiting), Slots: uint32(l.Slots), Pace: uint32(l.Pace)}
+}
+
+func decodePermitLoad(m *signal.PermitServerLoad) sluice.ServerLoad {
+	return sluice.ServerLoad{
+		Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: int(m.GetSlots()), Pace: sluice.Pace(m.GetPace()),
+	}
+}
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -127,9 +127,9 @@
 	// of hosts then counts as one, and requests end by [Controller.Settle] instead of
 	// [Controller.Finish].
 	Coordinated bool
-	// MaxRate, if set, returns how many requests a second a coordinating controller sends a
-	// server in any second, or false if there is no bound.
-	MaxRate func(ServerInstance) (perSecond float64, ok bool)
+	// PreferredRate, if set, returns the requests a second above which a coordinating
+	// controller sends a server more only if no other one has room, or false for none.
+	PreferredRate func(ServerInstance) (perSecond float64, ok bool)
 }
 
 // Controller is the admission controller of one service on one host.
--- a/sluice/coordinated.go
+++ b/sluice/coordinated.go
@@ -33,24 +33,36 @@
 	if !c.cfg.Coordinated {
 		return true
 	}
-	if c.cfg.MaxRate != nil {
-		perSecond, capped := c.cfg.MaxRate(ServerInstanceOf(server.endpoint))
-		if capped && !server.coordinated.withinRate(now, perSecond) {
-			return false
-		}
-	}
 	return turn || r.Priority <= c.mostUrgent || server.window.inFlight < server.slots()
 }
 
-// soonest returns the server with room at which a request is expected to end first.
+// exceedsPreferred reports whether one more request takes a server over its preferred rate.
+func (c *Controller) exceedsPreferred(now mooring.Instant, server *serverState) bool {
+	if c.cfg.PreferredRate == nil {
+		return false
+	}
+	perSecond, preferred := c.cfg.PreferredRate(ServerInstanceOf(server.endpoint))
+	return preferred && !server.coordinated.withinRate(now, perSecond)
+}
+
+// soonest returns the server with room at which a request is expected to end first. Servers
+// over their preferred rate come after all others.
 func (c *Controller) soonest(now mooring.Instant, r *Request, usable func(*serverState) bool) (*serverState, bool) {
 	var best *serverState
-	bestCost := math.Inf(1)
+	bestCost, bestExceeds := math.Inf(1), true
 	for _, server := range c.ranked {
 		if !usable(server) || r.excludes(server.endpoint.ID) || !c.hasRoomFor(now, server, r, false) {
 			continue
 		}
+		exceeds := c.exceedsPreferred(now, server)
+		if exceeds && !bestExceeds {
+			continue
+		}
 		cost := c.endCost(now, server, r)
+		if bestExceeds && !exceeds {
+			best, bestCost, bestExceeds = server, cost, false
+			continue
+		}
 		if cost < bestCost || cost == bestCost && server.coordinated.grantedAt < best.coordinated.grantedAt {
 			best, bestCost = server, cost
 		}
@@ -61,7 +73,7 @@
 // endCost estimates the time until the end of a request, with the same additions as cost.
 func (c *Controller) endCost(now mooring.Instant, server *serverState, r *Request) float64 {
 	s := server.coordinated
-	pace := s.paceAt(now)
+	pace := s.paceAt(now, server.told)
 	cost := float64(s.backlog(now, server.slots(), pace)) + pace*float64(c.workTime(r))
 	return c.raisedCost(now, server, r, cost)
 }
--- a/sluice/permit.go
+++ b/sluice/permit.go
@@ -15,15 +15,18 @@
 	// that share a machine change theirs within 0.4 s.
 	paceWeight = 0.5
 	paceDecay  = time.Second
+	// toldPaceWeight is the weight of a new response in the speed of a server that tells its pace:
+	// what is left of the time of work without the told pace hardly changes.
+	toldPaceWeight = 0.15
 	// minPace and maxPace bound the pace of a server, so that one outlier does not decide.
 	minPace = 0.3
 	maxPace = 5.0
 	// failureMemory is how long the failure that one host has seen at a server counts towards
 	// its suspicion. The path of one host may have failed rather than the server.
 	failureMemory = 5 * time.Second
-	// maxRateWindow is the time for which the sends to a server with a largest rate are
+	// rateWindow is the time for which the sends to a server with a preferred rate are
 	// counted.
-	maxRateWindow = time.Second
+	rateWindow = time.Second
 )
 
 // permit is a request in flight that a coordinating controller has admitted.
@@ -44,22 +47,28 @@
 	// pace is the moving average of the times of work relative to the usual ones, as of pacedAt.
 	pace    float64
 	pacedAt mooring.Instant
+	// speed is the moving average of the times of work relative to the usual ones and to the
+	// pace that the server told, or 0 if it tells none.
+	speed float64
 	// passed counts the grants in a row to more urgent requests than one that waited.
 	passed int
 	// grantedAt is when the last request was admitted.
 	grantedAt mooring.Instant
-	// sent has the sends within maxRateWindow, if there is a largest rate.
+	// sent has the sends within rateWindow, if there is a preferred rate.
 	sent []mooring.Instant
 	// failedFor is the host that has seen the last failure, at failedAt.
 	failedFor uint64
 	failedAt  mooring.Instant
 }
 
-// paceAt returns the pace of the server. A request that has run for longer than expected
-// counts like a response.
-func (s *coordinated) paceAt(now mooring.Instant) float64 {
+// paceAt returns the pace of the server, given the load that it told. A request that has run
+// for longer than expected counts like a response.
+func (s *coordinated) paceAt(now mooring.Instant, told toldLoad) float64 {
 	pace := 1.0
-	if s.pace != 0 {
+	switch {
+	case told.known() && s.speed != 0:
+		pace = s.speed * told.pace(now)
+	case s.pace != 0:
 		pace += (s.pace - 1) * math.Exp(-float64(now.Sub(s.pacedAt))/float64(paceDecay))
 	}
 	for _, p := range s.permits {
@@ -70,10 +79,18 @@
 	return min(pace, maxPace)
 }
 
-func (s *coordinated) updatePace(now mooring.Instant, took, expected time.Duration) {
-	pace := s.paceAt(now)
+func (s *coordinated) updatePace(now mooring.Instant, told toldLoad, took, expected time.Duration) {
+	pace := s.paceAt(now, toldLoad{})
 	measured := min(max(float64(took)/float64(expected), minPace), maxPace)
 	s.pace, s.pacedAt = pace+paceWeight*(measured-pace), now
+	if !told.known() {
+		return
+	}
+	if s.speed == 0 {
+		s.speed = 1
+	}
+	s.speed += toldPaceWeight * (measured/told.pace(now) - s.speed)
+	s.speed = min(max(s.speed, minPace), maxPace)
 }
 
 // backlog returns the time for which the requests in flight occupy one of the slots.
@@ -112,7 +129,7 @@
 
 // withinRate reports whether a send now keeps the sends within a second at most at a rate.
 func (s *coordinated) withinRate(now mooring.Instant, perSecond float64) bool {
-	for len(s.sent) > 0 && now.Sub(s.sent[0]) > max(maxRateWindow, spacing(perSecond)) {
+	for len(s.sent) > 0 && now.Sub(s.sent[0]) > max(rateWindow, spacing(perSecond)) {
 		s.sent = s.sent[1:]
 	}
 	return len(s.sent) < max(int(perSecond), 1)
@@ -135,7 +152,7 @@
 	}
 	s.permits = append(s.permits, p)
 	s.grantedAt = now
-	if c.cfg.MaxRate != nil {
+	if c.cfg.PreferredRate != nil {
 		s.sent = append(s.sent, now)
 	}
 	if c.waitsLessUrgent(now, server, r) {
@@ -232,7 +249,7 @@
 	}
 	s := p.server.coordinated
 	s.failedFor = 0
-	s.updatePace(now, work, p.expected)
+	s.updatePace(now, p.server.told, work, p.expected)
 	p.server.window.recordResponse(now, work, p.request.Objective)
 	c.meanLatency += time.Duration(meanLatencyWeight * float64(work-c.meanLatency))
 	mean, known := c.workTimes[p.request.Priority]
--- a/sluice/queue.go
+++ b/sluice/queue.go
@@ -216,7 +216,7 @@
 func (c *Controller) windowRate(now mooring.Instant, server *serverState) float64 {
 	if server.coordinated != nil {
 		// What exceeds the slots waits at the server.
-		return min(server.window.size, float64(server.slots())) / max(server.coordinated.paceAt(now)*c.meanLatency.Seconds(), time.Millisecond.Seconds())
+		return min(server.window.size, float64(server.slots())) / max(server.coordinated.paceAt(now, server.told)*c.meanLatency.Seconds(), time.Millisecond.Seconds())
 	}
 	return server.window.size / max(c.latencyAt(now, server).Seconds(), time.Millisecond.Seconds())
 }
--- a/sluice/window.go
+++ b/sluice/window.go
@@ -291,6 +291,11 @@
 	w.ignoreReportsUntil = now.Add(reportHoldoff)
 	w.setOverload()
 	smallest := 1.0
+	fast := w.latency != 0 && float64(w.latency) <= growBelow*float64(objective)
+	if w.coordinated && fast {
+		// No other host fills the server. A faulty one still runs as many requests as before.
+		smallest = w.limit - 1
+	}
 	if !w.coordinated && (w.latency == 0 || float64(w.latency) > growBelow*float64(objective)) {
 		smallest = minWindow
 	}
