Have hosts obey the key that evacuates a failure domain

Cause: the platform's operators evacuate a failure domain with the key op/evacuate/ZONE, which hosts ignored.

A host keeps the set that it has read last and marks the servers; admission and the placer act on it, and a request that has waited for a connection is looked at again. Owners get requests until 1 s before the bound, counted from the last contact with the store before the key was read, and none from a host that has just started. After such a change the watch is called again after 40 ms, since the table follows. Evacuated servers do not count for the trials of suspected requests. Log lines, two metrics and GET /status at the admin address show the state.

The test fails if the key is not decoded.

--- a/jetty/admin.go
+++ b/jetty/admin.go
@@ -5,6 +5,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/gauge"
 )
 
@@ -24,14 +25,38 @@
 	c.Status(http.StatusServiceUnavailable)
 }
 
-// adminHandler serves the operators' endpoints: readiness, metrics and the requests
+// Status is the state of a host, as operators see it.
+type Status struct {
+	Host    HostID          `json:"host"`
+	Domain  fairway.Domain  `json:"domain"`
+	Ready   bool            `json:"ready"`
+	Placer  bool            `json:"placer"`
+	Version fairway.Version `json:"config_version"`
+	Servers int             `json:"servers"`
+	// Evacuated has the evacuated failure domains.
+	Evacuated []EvacuatedDomain `json:"evacuated"`
+}
+
+// adminHandler serves the operators' endpoints: readiness, status, metrics and the requests
 // that crash servers.
 func (h *Host) adminHandler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.GET("/readyz", h.serveReady)
+	engine.GET("/status", h.serveStatus)
 	engine.GET("/crashing_requests", h.listCrashingRequests)
 	engine.DELETE("/crashing_requests/:fingerprint", h.clearCrashingRequest)
 	engine.GET("/metrics", gin.WrapH(gauge.MetricsHandler{Scope: h.metrics}))
 	return engine
 }
+
+func (h *Host) serveStatus(c *gin.Context) {
+	s := Status{
+		Host: h.cfg.Settings.Host, Domain: h.cfg.Settings.Domain, Ready: h.ready(), Placer: h.election.active(),
+		Servers: h.clusterState.catalog().Len(), Evacuated: h.evacuatedDomains(),
+	}
+	if config := h.clusterState.activeConfig.Current(); config != nil {
+		s.Version = config.Version
+	}
+	c.JSON(http.StatusOK, s)
+}
--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -178,12 +178,13 @@
 	}
 }
 
-// setServers replaces the list of servers, the number of entry hosts, 0 if it is not
+// setServers replaces the list of servers, the evacuated failure domains, the number of entry hosts, 0 if it is not
 // known, and that of those which reach the servers. The latter share the servers.
-func (a *admission) setServers(servers []fairway.Endpoint, hosts, reaching int) {
+func (a *admission) setServers(servers []fairway.Endpoint, evacuations sluice.Evacuations, hosts, reaching int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := monotonicNow()
+	a.controller.SetEvacuations(evacuations)
 	a.controller.SetServers(now, servers, reaching)
 	a.retryBudget.SetHosts(now, hosts)
 	a.deliver(a.controller.Reevaluate(now))
@@ -329,6 +330,8 @@
 	OnWait func()
 	// OnQueued, if set, is called when a request begins to wait.
 	OnQueued func()
+	// Evacuations, if set, returns the evacuated failure domains.
+	Evacuations func() sluice.Evacuations
 	// Carriers, if set, has the hosts that send requests with keys for others.
 	Carriers *carriers
 }
@@ -367,7 +370,7 @@
 	if a == nil || service.Divided != (a.owners != nil) {
 		a = s.newAdmission(service)
 		s.admissions[service.Name] = a
-		a.setServers(catalog.ByService(service.Name), s.hosts, s.sharing(service.Name, s.reaching))
+		a.setServers(catalog.ByService(service.Name), s.evacuations(), s.hosts, s.sharing(service.Name, s.reaching))
 	}
 	return a
 }
@@ -392,16 +395,24 @@
 	return a
 }
 
-// refresh passes changed servers and numbers of hosts on to every admission.
+// refresh passes changed servers, evacuations and numbers of hosts on to every admission.
 func (s *admissionSet) refresh(catalog *fairway.Catalog, hosts, reaching int) {
+	evacuations := s.evacuations()
 	for name, a := range s.all() {
-		a.setServers(catalog.ByService(name), hosts, s.sharing(name, reaching))
+		a.setServers(catalog.ByService(name), evacuations, hosts, s.sharing(name, reaching))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts, s.reaching = hosts, reaching
 }
 
+func (s *admissionSet) evacuations() sluice.Evacuations {
+	if s.cfg.Evacuations == nil {
+		return nil
+	}
+	return s.cfg.Evacuations()
+}
+
 // retainRoutes forgets the means of the routes that are not in a configuration.
 func (s *admissionSet) retainRoutes(c *fairway.Config) {
 	s.mu.Lock()
--- a/jetty/clusterstate.go
+++ b/jetty/clusterstate.go
@@ -31,6 +31,8 @@
 	lastPlacer string
 	// feed is where this host gets the store's changes.
 	feed feedPlan
+	// evacuations has the evacuated failure domains. It is replaced, not changed.
+	evacuations map[fairway.Domain]evacuation
 }
 
 // placerRecord is the record of the placer in the store.
@@ -47,6 +49,28 @@
 	return s
 }
 
+// currentEvacuations returns the evacuated failure domains. The map must not be changed.
+func (s *clusterState) currentEvacuations() map[fairway.Domain]evacuation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations
+}
+
+// setEvacuations replaces the evacuated failure domains, and marks their servers.
+func (s *clusterState) setEvacuations(next map[fairway.Domain]evacuation) {
+	s.mu.Lock()
+	s.evacuations = next
+	s.mu.Unlock()
+	var marked []fairway.Endpoint
+	for _, e := range s.catalog().All() {
+		if _, evacuated := next[e.Domain]; e.Evacuated != evacuated {
+			e.Evacuated = evacuated
+			marked = append(marked, e)
+		}
+	}
+	s.servers.Store(s.catalog().Apply(marked, nil))
+}
+
 // defaultHostCount is the assumed number of entry hosts until the placer has
 // reported the actual one.
 const defaultHostCount = 8
--- a/jetty/crashes.go
+++ b/jetty/crashes.go
@@ -158,7 +158,7 @@
 		return true
 	}
 	for _, other := range c.clusterState.catalog().ByService(s.Service) {
-		if other.ID != s.ID && !other.Draining && !other.Unconfirmed {
+		if other.ID != s.ID && !other.Draining && !other.Evacuated && !other.Unconfirmed {
 			return true
 		}
 	}
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -16,6 +16,9 @@
 	eventDependencyRegained   event = "dependency_regained"
 	eventEarlierPlacersEnded  event = "earlier_placers_ended"
 	eventEntryUnreadable      event = "entry_unreadable"
+	eventEvacuationBegan      event = "evacuation_began"
+	eventEvacuationEmpty      event = "evacuation_empty"
+	eventEvacuationEnded      event = "evacuation_ended"
 	eventFeedFailed           event = "feed_failed"
 	eventHTTPServerMessage    event = "http_server_message"
 	eventHostStarted          event = "host_started"
@@ -54,6 +57,9 @@
 	eventDependencyRegained,
 	eventEarlierPlacersEnded,
 	eventEntryUnreadable,
+	eventEvacuationBegan,
+	eventEvacuationEmpty,
+	eventEvacuationEnded,
 	eventFeedFailed,
 	eventHTTPServerMessage,
 	eventHostStarted,
@@ -137,7 +143,7 @@
 	reasonNoConfiguration, reasonNoRoute, reasonNoKey, reasonHeaderTooLarge, reasonBodyTooLarge, reasonServerRejected,
 	reasonRetryBudget, reasonDeadline, reasonServerFailed, reasonHostStopping, reasonUnsigned, reasonCrashesServers, reasonCrashSuspected, reasonCarrierFull, reasonNoMemory, reasonInternal, reasonStatus,
 	reason(sluice.ReasonOverload), reason(sluice.ReasonTooLate), reason(sluice.ReasonNoServer),
-	reason(sluice.ReasonSuspected), reason(sluice.ReasonNoOwner), reason(sluice.ReasonClosed),
+	reason(sluice.ReasonSuspected), reason(sluice.ReasonNoOwner), reason(sluice.ReasonClosed), reason(sluice.ReasonEvacuated),
 }
 
 // statusReason returns the reason for the status of a server's response.
--- a/jetty/fake_test.go
+++ b/jetty/fake_test.go
@@ -186,7 +186,10 @@
 // Decode implements Protocol.
 func (fakeProtocol) Decode(e ledger.Entry, _ time.Time) Record {
 	if id, ok := strings.CutPrefix(e.Key, "server/"); ok {
-		return ServerRecord{ID: fairway.ServerID(id), Endpoint: fairway.Endpoint{ID: fairway.ServerID(id), Service: "readings"}}
+		return ServerRecord{ID: fairway.ServerID(id), Endpoint: fairway.Endpoint{ID: fairway.ServerID(id), Service: "readings", Domain: "domain-" + fairway.Domain(id)}}
+	}
+	if domain, ok := strings.CutPrefix(e.Key, "evacuate/"); ok {
+		return EvacuationRecord{Domain: fairway.Domain(domain)}
 	}
 	if e.Key == "config" {
 		c, err := fairway.NewConfig(fairway.Version(len(e.Value)), fairway.Limits{}, nil, nil)
@@ -203,6 +206,9 @@
 	if id, ok := strings.CutPrefix(key, "server/"); ok {
 		return ServerRecord{ID: fairway.ServerID(id), Err: ErrRemoved}
 	}
+	if domain, ok := strings.CutPrefix(key, "evacuate/"); ok {
+		return EvacuationRecord{Domain: fairway.Domain(domain), Ended: true}
+	}
 	return nil
 }
 
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -112,7 +112,8 @@
 
 // forwarder sends requests to backend servers and decides on retries.
 type forwarder struct {
-	headers    Headers
+	headers Headers
+	// admissions has the admission of each service; nil means that evacuations do not count.
 	admissions *admissionSet
 	upstream   *upstream
 	// endChecks tells servers that have ended from those that have closed a connection;
@@ -370,7 +371,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if f.notices.excludes(s, r) {
+	if f.notices.excludes(s, r) || f.evacuates(s, r) {
 		f.upstream.put(p, c)
 		return nil, &Error{Op: "send", Kind: KindNotSent, Err: errServerExcluded}
 	}
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -147,6 +147,7 @@
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		OnWait:            h.limits.startWaiting,
 		OnQueued:          func() { signalOnce(h.queued) },
+		Evacuations:       h.clusterState.ownersUntil,
 		Carriers:          h.carriers,
 		Host:              s.Host,
 		Domain:            s.Domain,
@@ -160,7 +161,7 @@
 	h.watcher = &watcher{
 		store: cfg.Store, protocol: cfg.Protocol, clusterState: h.clusterState, admissions: h.admissions, logs: h.logs,
 		recoverer: h.recoverer, changeLog: newChangeLog(), memory: &memory{}, crashes: h.crashes, address: s.PeerAddress, onChange: h.refresh,
-		sources: newFeedSources(s.PeerAddress, rand.Float64),
+		sources: newFeedSources(s.PeerAddress, rand.Float64), evacuationBound: s.Bounds.Evacuation,
 	}
 	h.orderSender = newOrderSender(orderSenderConfig{Protocol: cfg.Protocol, Upstream: h.orderUpstream, Logs: h.logs, Metrics: h.metrics})
 	h.election = &election{
@@ -374,6 +375,7 @@
 	defer timer.Stop()
 	last := time.Now()
 	logged := last
+	emptied := make(map[fairway.Domain]time.Time)
 	for {
 		select {
 		case <-ctx.Done():
@@ -397,6 +399,7 @@
 			h.orderSender.grants.closeIdle()
 			h.closeIdleCallers()
 			h.updateGauges()
+			h.logEmptied(emptied)
 			if time.Since(logged) >= usageInterval {
 				logged = time.Now()
 				h.logs.hostUsage(h.usage.take())
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -225,6 +225,22 @@
 	l.newLine(&l.system, false).Uint64("version", uint64(c.Version)).Int("routes", len(c.Routes)).Dur("idle_timeout", c.Limits.IdleTimeout).Msg(string(eventConfigurationInForce))
 }
 
+// evacuationBegan logs that this host has read the key of an evacuation.
+func (l *logs) evacuationBegan(domain fairway.Domain, bound time.Duration) {
+	l.logger.Info().Str("evacuated_domain", string(domain)).Dur("bound", bound).Msg(string(eventEvacuationBegan))
+}
+
+// evacuationEmpty logs that the servers of an evacuated domain have no more requests of this
+// host, and get none.
+func (l *logs) evacuationEmpty(domain fairway.Domain, after time.Duration) {
+	l.logger.Info().Str("evacuated_domain", string(domain)).Dur("after", after).Msg(string(eventEvacuationEmpty))
+}
+
+// evacuationEnded logs that the key of an evacuation is gone.
+func (l *logs) evacuationEnded(domain fairway.Domain, lasted time.Duration) {
+	l.logger.Info().Str("evacuated_domain", string(domain)).Dur("lasted", lasted).Msg(string(eventEvacuationEnded))
+}
+
 func (l *logs) serverUpdated(r ServerRecord) {
 	e := l.newLine(&l.system, false).Str("server", string(r.ID))
 	if r.Err != nil {
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -54,6 +54,8 @@
 	metricSuspectedRequests metricName = "suspected_requests"
 	metricServerNotices     metricName = "server_notices_total"
 	metricPanics            metricName = "panics_total"
+	metricEvacuatedDomains  metricName = "evacuated_domains"
+	metricEvacuatedRequests metricName = "evacuated_requests"
 )
 
 // metricNames has every metric. A test compares it with the operations page.
@@ -62,7 +64,7 @@
 	metricRequestsWaiting, metricRetryBudgetLeft, metricKeyMoves, metricKeyRanges, metricTableRevision, metricOrders,
 	metricStoreCalls, metricStoreCallSeconds, metricStoreAge, metricConfigVersion, metricServersListed,
 	metricConnectionsOpen, metricConnectionsOpened, metricLinesLeftOut, metricPlacer, metricEntryHosts, metricServerEnds, metricSuspectedRequests,
-	metricServerNotices, metricPanics,
+	metricServerNotices, metricPanics, metricEvacuatedDomains, metricEvacuatedRequests,
 }
 
 // metrics keeps its values in a tally scope. It caches the scopes with tags,
@@ -234,6 +236,12 @@
 	}
 	m.gauge(metricStoreAge, time.Since(h.watcher.changeLog.lastUpdate()).Seconds())
 	m.gauge(metricServersListed, float64(h.clusterState.catalog().Len()))
+	evacuated, requests := h.evacuatedDomains(), 0
+	for _, d := range evacuated {
+		requests += d.Requests
+	}
+	m.gauge(metricEvacuatedDomains, float64(len(evacuated)))
+	m.gauge(metricEvacuatedRequests, float64(requests))
 	open, opened := h.upstream.count()
 	m.gauge(metricConnectionsOpen, float64(open))
 	for o, n := range opened {
--- a/jetty/notices.go
+++ b/jetty/notices.go
@@ -26,8 +26,8 @@
 	closedToMost = 0.5
 )
 
-// errServerExcluded means that the server has closed, or has begun to leave, since the
-// request was admitted.
+// errServerExcluded means that the server has closed, has begun to leave, or is evacuated
+// since the request was admitted.
 var errServerExcluded = errors.New("the server takes no more requests from this host")
 
 // Notice is what a response of a backend server tells besides the answer. The set of
--- a/jetty/protocol.go
+++ b/jetty/protocol.go
@@ -29,8 +29,8 @@
 }
 
 // Record is a decoded entry of the store, written by the platform or its
-// operator. The set of records is closed: [ConfigRecord], [ServerRecord] and
-// [UnreadableRecord].
+// operator. The set of records is closed: [ConfigRecord], [ServerRecord],
+// [EvacuationRecord] and [UnreadableRecord].
 type Record interface{ record() }
 
 // ConfigRecord is a version of the configuration.
@@ -46,6 +46,12 @@
 	Err      error
 }
 
+// EvacuationRecord says that a failure domain is evacuated, or no longer is.
+type EvacuationRecord struct {
+	Domain fairway.Domain
+	Ended  bool
+}
+
 // UnreadableRecord is any other entry that cannot be decoded.
 type UnreadableRecord struct {
 	Key string
@@ -54,6 +60,7 @@
 
 func (ConfigRecord) record()     {}
 func (ServerRecord) record()     {}
+func (EvacuationRecord) record() {}
 func (UnreadableRecord) record() {}
 
 // Protocol converts between this package and the formats of a platform: its
--- a/jetty/settings.go
+++ b/jetty/settings.go
@@ -46,6 +46,9 @@
 	BudgetWindow time.Duration
 	BudgetRatio  float64
 	BudgetExtra  float64
+	// Evacuation is the time from the store's acknowledgment of an evacuation until the
+	// servers of the failure domain get no more requests.
+	Evacuation time.Duration
 }
 
 // DefaultBounds returns the limits for a platform that sets none.
@@ -56,5 +59,6 @@
 		BudgetWindow: 10 * time.Second,
 		BudgetRatio:  0.1,
 		BudgetExtra:  10,
+		Evacuation:   5 * time.Second,
 	}
 }
--- a/jetty/suspect.go
+++ b/jetty/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"hornbeamwinch.example/fairway"
@@ -18,7 +19,7 @@
 	if _, ok := e.crashes.digest(e.r); !ok {
 		return sluice.SuspicionNone
 	}
-	servers := e.clusterState.catalog().ByService(e.r.service.Name)
+	servers := slices.DeleteFunc(slices.Clone(e.clusterState.catalog().ByService(e.r.service.Name)), func(s fairway.Endpoint) bool { return s.Evacuated })
 	if len(servers) == 0 {
 		return sluice.SuspicionPossible
 	}
--- a/jetty/upstream.go
+++ b/jetty/upstream.go
@@ -268,6 +268,18 @@
 	return open, opened
 }
 
+// inUse returns the number of connections to each server that carry requests, or are being
+// opened.
+func (u *upstream) inUse() map[fairway.ServerID]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	used := make(map[fairway.ServerID]int, len(u.pools))
+	for id, p := range u.pools {
+		used[id] = p.open - len(p.idle)
+	}
+	return used
+}
+
 // keepTime returns how long servers of a service keep unused connections, or 0 if this host
 // has not learned it.
 func (u *upstream) keepTime(service fairway.ServiceName) time.Duration {
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -76,6 +76,12 @@
 	recalled     atomic.Bool
 	// memory has what the store may have forgotten.
 	memory *memory
+	// evacuationsChanged is set if an evacuation has begun or ended with the last changes.
+	// The placer moves keys at once, and owners reject requests for them until this host
+	// has read the table.
+	evacuationsChanged bool
+	// evacuationBound is the time within which evacuated servers get no more requests.
+	evacuationBound time.Duration
 	// crashes, if set, has the requests that may crash servers.
 	crashes *crashes
 	// copied has the registrations of departed servers that may be from the copy, as
@@ -203,7 +209,7 @@
 	w.sources.storeAnswered()
 	w.advance(changes, revision, true)
 	if len(changes) > 0 {
-		pause(ctx, batchDelay(changes))
+		pause(ctx, w.batchDelay(changes))
 	}
 	return nil
 }
@@ -262,14 +268,17 @@
 	w.recordSuccess()
 }
 
-// batchDelay returns how long to wait before the next call. Requests for keys wait for
-// tables, and hosts without a placer for the next one.
-func batchDelay(changes []ledger.Change) time.Duration {
+// batchDelay returns how long to wait before the next call after changes that have been
+// applied. Requests for keys wait for tables, and hosts without a placer for the next one.
+func (w *watcher) batchDelay(changes []ledger.Change) time.Duration {
 	for _, c := range changes {
 		if strings.HasPrefix(c.Key, tablePrefix) || c.Key == placerKey {
 			return tableBatchDelay
 		}
 	}
+	if w.evacuationsChanged {
+		return tableBatchDelay
+	}
 	return otherBatchDelay
 }
 
@@ -300,6 +309,7 @@
 		w.copied, w.copiedUntil = make(map[fairway.ServerID]fairway.Endpoint), time.Now().Add(registrationExpiry)
 		w.clusterState.setRestored(bootTimeNow())
 	}
+	w.retainEvacuations(entries)
 	changes := make([]ledger.Change, 0, len(entries))
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -338,6 +348,7 @@
 	changed := false
 	var updated []fairway.Endpoint
 	var removed []fairway.ServerID
+	evacuations := make(map[fairway.Domain]bool)
 	readAt := time.Now()
 	for _, c := range changes {
 		if strings.HasPrefix(c.Key, internalPrefix) {
@@ -360,10 +371,14 @@
 				updated, removed = append(updated, record.Endpoint), removed[:len(removed)-1]
 			}
 			w.logs.serverUpdated(record)
+		case EvacuationRecord:
+			evacuations[record.Domain] = !record.Ended
 		case UnreadableRecord:
 			w.logs.recordUnreadable(record)
 		}
 	}
+	w.evacuationsChanged = w.updateEvacuations(evacuations)
+	changed = w.evacuationsChanged || changed
 	if w.updateServers(updated, removed) || changed {
 		w.onChange()
 	}
@@ -461,6 +476,10 @@
 			removedNow = append(removedNow, id)
 		}
 	}
+	evacuations := w.clusterState.currentEvacuations()
+	for i := range updated {
+		_, updated[i].Evacuated = evacuations[updated[i].Domain]
+	}
 	updated = slices.DeleteFunc(updated, func(e fairway.Endpoint) bool {
 		current, known := w.clusterState.catalog().Get(e.ID)
 		return known && e.Same(current) && !slices.Contains(removedNow, e.ID)
