Show evacuated failure domains in hornbeamwinch status

Cause: the command asked for the fleet, which hosts on the users' platform do not know, and failed there.

Change: it shows the state of the one host that it asks, and the evacuated failure domains, with their servers and this host's requests in progress.

It has no test that stays.

--- a/cmd/hornbeamwinch/client.go
+++ b/cmd/hornbeamwinch/client.go
@@ -56,11 +56,18 @@
 	return e.problem.Error
 }
 
+// errNoEndpoint means that the entry host has no such endpoint: hosts on the users' platform
+// have others than those of the project's own deployment.
+var errNoEndpoint = errors.New("the entry host has no such endpoint")
+
 // decodeError converts an error response into an error. A command that returns
 // it exits with exitRefused if the rules are invalid or in conflict.
 func decodeError(statusCode int, respBody []byte) error {
 	e := &apiError{statusCode: statusCode}
 	if err := json.Unmarshal(respBody, &e.problem); err != nil {
+		if statusCode == http.StatusNotFound {
+			return errNoEndpoint
+		}
 		return fmt.Errorf("entry host responded with status %d: %s", statusCode, respBody)
 	}
 	if statusCode == http.StatusUnprocessableEntity || statusCode == http.StatusConflict {
--- a/cmd/hornbeamwinch/status.go
+++ b/cmd/hornbeamwinch/status.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"hornbeamwinch.example/harbor"
+	"hornbeamwinch.example/jetty"
 )
 
 // statusCommand shows the state of the entry hosts and of the backend servers.
@@ -13,7 +16,11 @@
 // Execute implements flags.Commander.
 func (c *statusCommand) Execute([]string) error {
 	var fleet harbor.Fleet
-	if err := call(http.MethodGet, "/v1/fleet", nil, &fleet); err != nil {
+	err := call(http.MethodGet, "/v1/fleet", nil, &fleet)
+	if errors.Is(err, errNoEndpoint) {
+		return c.showPlatformHost()
+	}
+	if err != nil {
 		return err
 	}
 	if printJSON(fleet) {
@@ -29,6 +36,27 @@
 	return nil
 }
 
+// showPlatformHost shows the state of an entry host on the users' platform, and the failure
+// domains that are evacuated as far as it knows.
+func (c *statusCommand) showPlatformHost() error {
+	var s jetty.Status
+	if err := call(http.MethodGet, "/status", nil, &s); err != nil {
+		return err
+	}
+	if printJSON(s) {
+		return nil
+	}
+	printTable("DOMAIN\tHOST\tREADY\tPLACER\tCONFIG\tSERVERS",
+		[]string{fmt.Sprintf("%s\t%s\t%t\t%t\t%d\t%d", s.Domain, s.Host, s.Ready, s.Placer, s.Version, s.Servers)})
+	fmt.Println()
+	rows := make([]string, 0, len(s.Evacuated))
+	for _, d := range s.Evacuated {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%d", d.Domain, d.Since.Format(time.RFC3339), d.Servers, d.Requests))
+	}
+	printTable("EVACUATED\tSINCE\tSERVERS\tREQUESTS", rows)
+	return nil
+}
+
 func hostRow(host harbor.FleetHost) string {
 	if host.Status == nil {
 		return fmt.Sprintf("%s\t%s\tno answer\t\t\t\t\t", host.Domain, host.ID)
