--- a/sluice/expectation.go
+++ b/sluice/expectation.go
@@ -150,7 +150,7 @@
 		return float64(c.mean(r)) * ownFirst * c.slownessAt(now, server)
 	default:
 		slots := float64(server.told.Slots)
-		present := server.told.occupied(now, c.meanLatency, c.expected.occupancy)*slots + float64(server.sentSince)
+		present := server.told.occupied(now, c.meanLatency, c.expected.occupancy)*slots + float64(min(server.sentSince, server.window.inFlight))
 		ahead := max(present+1-slots, 0) / slots * float64(c.meanWork())
 		return (ahead + float64(c.work(r))) * c.slownessAt(now, server)
 	}
--- a/sluice/serverspeed.go
+++ b/sluice/serverspeed.go
@@ -22,6 +22,9 @@
 	// paceHalfLife is the age at which half of a told pace counts. Servers that share a
 	// machine change their pace in turns of 0.4 s.
 	paceHalfLife = 200 * time.Millisecond
+	// maxPerSlot bounds the requests for each slot that a server tells. Servers queue up to
+	// four; one that tells many more would distort the means over all servers.
+	maxPerSlot = 16.0
 )
 
 // speedFactor is the moving average of the response times of a server, each divided by the
@@ -70,7 +73,7 @@
 
 // perSlot returns the number of requests for each slot as of when it was told.
 func (t toldLoad) perSlot() float64 {
-	return float64(t.Running+t.Waiting) / float64(t.Slots)
+	return min(float64(t.Running+t.Waiting)/float64(t.Slots), maxPerSlot)
 }
 
 // WithoutWait returns the part of a response time that the server worked, given the load that
@@ -78,7 +81,7 @@
 // the one that its request found, and each request that waits lengthens the response by one
 // slot's part of the work.
 func (l ServerLoad) WithoutWait(response time.Duration) time.Duration {
-	return time.Duration(float64(response) / (1 + float64(l.Waiting)/float64(l.Slots)))
+	return time.Duration(float64(response) / (1 + min(float64(l.Waiting)/float64(l.Slots), maxPerSlot)))
 }
 
 // WithoutWait returns the part of a response time that the server worked, if it told its load
