Test that a told load reaches both hosts of a relayed response

Cause: without it, a host that sends through peers would judge servers by its own requests alone, and nothing would show it.

Change: a test in which a cut host gets the response of a server through a peer, and both know the load.

--- a/jetty/serverloads_test.go
+++ b/jetty/serverloads_test.go
@@ -15,6 +15,12 @@
 // another one.
 var _ = Describe("The load in a server's response", func() {
 	var b *exchangeBench
+	keepLoads := func(b *exchangeBench) {
+		b.f.loads = &serverLoads{protocol: fakeProtocol{}, admissions: b.f.admissions, clusterState: b.f.clusterState}
+		if b.f.relay != nil {
+			b.f.relay.loads = b.f.loads
+		}
+	}
 	toldBy := func(handler func(http.ResponseWriter, *http.Request)) *sluice.ServerLoad {
 		GinkgoHelper()
 		b.serve("s", 4, handler)
@@ -25,7 +31,7 @@
 	}
 	BeforeEach(func() {
 		b = newExchangeBench(0)
-		b.f.loads = &serverLoads{protocol: fakeProtocol{}, admissions: b.f.admissions, clusterState: b.f.clusterState}
+		keepLoads(b)
 	})
 
 	It("reaches the controller, and is passed on", func() {
@@ -35,6 +41,16 @@
 		Expect(res.result.(backendResponse).header.Get("Load")).To(Equal("7"))
 	})
 
+	It("reaches the controllers of both hosts if a peer has received it", func() {
+		p := newRelayPeer()
+		p.serve("s", 20, tell(http.StatusOK, "Load", "7"))
+		keepLoads(p.exchangeBench)
+		b, _ = newCutHost(0, p.address)
+		keepLoads(b)
+		Expect(toldBy(tell(http.StatusOK))).To(HaveField("Waiting", 7))
+		Expect(b.servers["s"].arrived.Load()).To(BeZero())
+	})
+
 	It("counts in a rejection", func() {
 		Expect(toldBy(tell(http.StatusTooManyRequests, "Load", "7", "Not-Run", "1"))).NotTo(BeNil())
 	})
