--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -152,6 +152,12 @@
 	leaving bool
 	// leavingSince is when the server was first seen as leaving.
 	leavingSince mooring.Instant
+	// overloaded is what the last report says.
+	overloaded bool
+	// losses counts the requests in a row that were canceled for second sends, the last of
+	// them at lostAt.
+	losses int
+	lostAt mooring.Instant
 }
 
 // NewController returns a controller without servers.
@@ -211,7 +217,8 @@
 // all hosts. Servers that are not in the map are not overloaded.
 func (c *Controller) SetOverloaded(now mooring.Instant, overloaded map[fairway.ServerID]bool) {
 	for id, server := range c.servers {
-		if overloaded[id] {
+		server.overloaded = overloaded[id]
+		if server.overloaded {
 			server.window.setOverload()
 		} else {
 			server.window.clearOverload(now)
