Send slow requests to a second server, if operators allow it

Cause: callers wait for the one request in 33 that is slow at its server by chance, while others are idle. Operators accept some extra work on the servers for that, within a limit.

A request in progress is sent to a second server when sluice.SecondSends says so; the first answer counts, and the other send is canceled. Metrics, the log line of the request and hornbeamwinch trace show it. docs/design/second-sends.md has what was weighed.

--- a/cmd/hornbeamwinch/trace.go
+++ b/cmd/hornbeamwinch/trace.go
@@ -61,6 +61,12 @@
 	ElapsedMS    float64 `json:"took"`
 	RetryAfterMS float64 `json:"retry_after"`
 
+	// FirstServer, SecondServer and CountedServer are set for a request that was at two
+	// servers at once; the last one is empty if neither answer counted.
+	FirstServer   string `json:"first_server"`
+	SecondServer  string `json:"second_server"`
+	CountedServer string `json:"counted_server"`
+
 	// Keys, From and To are set in the line of a move of keys.
 	Keys string `json:"keys"`
 	From string `json:"from"`
@@ -159,12 +165,24 @@
 	case "request_refused":
 		return fmt.Sprintf("refused: %s, %d ahead", l.Reason, l.Ahead)
 	case "request_answered":
-		return fmt.Sprintf("answered: %s %s after %.0f ms and %d sends", l.Outcome, l.Reason, l.ElapsedMS, l.Sends)
+		return fmt.Sprintf("answered: %s %s after %.0f ms and %d sends", l.Outcome, l.Reason, l.ElapsedMS, l.Sends) + l.describeSecond()
 	default:
 		return l.Message
 	}
 }
 
+// describeSecond returns which servers had a request at once, or nothing.
+func (l logLine) describeSecond() string {
+	switch {
+	case l.SecondServer == "":
+		return ""
+	case l.CountedServer == "":
+		return fmt.Sprintf("; at %s and %s at once, neither of which counted", l.FirstServer, l.SecondServer)
+	default:
+		return fmt.Sprintf("; at %s and %s at once, of which %s counted", l.FirstServer, l.SecondServer, l.CountedServer)
+	}
+}
+
 // cause returns a sentence that explains the outcome of a request.
 func cause(last logLine, lines, log []logLine) string {
 	switch last.Outcome {
--- a/cmd/hornbeamwinch/trace_test.go
+++ b/cmd/hornbeamwinch/trace_test.go
@@ -58,6 +58,15 @@
 		Expect(log(`{"time":"2026-12-04T10:59:01Z","host":"h","dependency":"store","message":"dependency_lost"}`)).NotTo(ContainSubstring("lost"))
 	})
 
+	// Failure: of a request at two servers, the trace names only the one that answered.
+	It("names both servers of a second send, and which one counted", func() {
+		var b bytes.Buffer
+		line := `{"time":"2026-12-06T10:12:07Z","host":"h","request_id":"x","sends":2,"outcome":"whole","server":"t","status":200,` +
+			`"first_server":"s","second_server":"t","counted_server":"t","message":"request_answered"}`
+		Expect(writeTrace(&b, "x", readLog(strings.NewReader(line)))).To(Succeed())
+		Expect(b.String()).To(ContainSubstring("2 sends; at s and t at once, of which t counted"))
+	})
+
 	It("says when a request is not in the logs", func() {
 		_, err := traceOf("0000000000000000")
 		Expect(err).To(MatchError(errNotLogged))
--- a/cmd/hornbeamwinchd/main.go
+++ b/cmd/hornbeamwinchd/main.go
@@ -6,15 +6,18 @@
 //	hornbeamwinchd --settings /etc/hornbeamwinch.json
 //	hornbeamwinchd --settings /etc/hornbeamwinch.json --check
 //	hornbeamwinchd --platform
+//	hornbeamwinchd --platform --second-send-share 0.05
 //	hornbeamwinchd --version
 //
 // With --platform, the host works with the store, the settings file and the
 // protocol of the platform that runs it and the backend servers (package
 // platform). The path of that settings file is the value of --settings or, without
-// that flag, of the environment variable HORNBEAMWINCH_NODE_FILE.
+// that flag, of the environment variable HORNBEAMWINCH_NODE_FILE. There,
+// --second-send-share allows second sends of slow requests (docs/design/second-sends.md).
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -24,6 +27,7 @@
 
 	"hornbeamwinch.example/charter"
 	"hornbeamwinch.example/harbor"
+	"hornbeamwinch.example/sluice"
 )
 
 // options are the command line flags.
@@ -32,6 +36,20 @@
 	Check    bool   `long:"check" description:"check the settings and exit"`
 	Version  bool   `long:"version" description:"print the version of the source and the id of the build, and exit"`
 	Platform bool   `long:"platform" description:"use the store, settings file and protocol of the platform that runs the hosts and backend servers"`
+	// SecondSendShare is passed on as [jetty.Settings.SecondSendShare].
+	SecondSendShare float64 `long:"second-send-share" description:"limit of second sends of slow requests to another server, as a part of the requests, from 0 (none) to 0.2; requires --platform" default:"0"`
+}
+
+// check returns an error if a flag has a value that is not allowed.
+func (o *options) check() error {
+	switch {
+	case !(o.SecondSendShare >= 0 && o.SecondSendShare <= sluice.MaxSecondSendShare):
+		return fmt.Errorf("--second-send-share is %v, and must be between 0 and %v", o.SecondSendShare, sluice.MaxSecondSendShare)
+	case o.SecondSendShare > 0 && !o.Platform:
+		return errors.New("--second-send-share requires --platform")
+	default:
+		return nil
+	}
 }
 
 func main() {
@@ -47,6 +65,10 @@
 		fmt.Println(b.Version, b.ID)
 		return
 	}
+	if err := o.check(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
 	s := newSignals()
 	if o.Platform {
 		runOnPlatform(o, s)
--- a/cmd/hornbeamwinchd/platform.go
+++ b/cmd/hornbeamwinchd/platform.go
@@ -21,6 +21,7 @@
 	}
 	settings, err := platform.LoadSettings(path)
 	exitOnError(err)
+	settings.SecondSendShare = o.SecondSendShare
 	if o.Check {
 		fmt.Println("settings are valid")
 		return
--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -17,6 +17,7 @@
 	mu          sync.Mutex
 	controller  *sluice.Controller
 	retryBudget *sluice.RetryBudget
+	secondSends *sluice.SecondSends
 	owners      *ownerTable
 	waiting     map[sluice.RequestID]chan sluice.Decision
 	nextID      sluice.RequestID
@@ -26,6 +27,9 @@
 	routeMeans map[fairway.RouteName]*routeMeans
 	// stats has the measurements of each server since the last report.
 	stats map[fairway.ServerID]*serverStats
+	// extraWork is the time that servers have spent on second sends and on first ones that
+	// lost to them, without an answer that counts.
+	extraWork time.Duration
 	// onWait, if set, is called when a request begins to wait while a server has a limit.
 	onWait func()
 	// onQueued, if set, is called when a request begins to wait.
@@ -235,7 +239,9 @@
 func (a *admission) recordArrival(route fairway.RouteName, key *mooring.Key) float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.retryBudget.RecordRequest(monotonicNow())
+	now := monotonicNow()
+	a.retryBudget.RecordRequest(now)
+	a.secondSends.RecordRequest(now)
 	if key != nil {
 		a.requestsByKey[*key]++
 	}
@@ -265,6 +271,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	maps.DeleteFunc(a.routeMeans, func(name fairway.RouteName, _ *routeMeans) bool { return !names[name] })
+	a.secondSends.RetainRoutes(names)
 }
 
 // meanLatency returns the mean latency of the service's responses.
@@ -285,12 +292,20 @@
 type admissionUsage struct {
 	sluice.Usage
 	budgetLeft float64
+	// secondLimitUsed and extraWork are set if there are second sends.
+	secondSends     bool
+	secondLimitUsed float64
+	extraWork       time.Duration
 }
 
 func (a *admission) usage() admissionUsage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return admissionUsage{Usage: a.controller.Usage(), budgetLeft: a.retryBudget.Remaining(monotonicNow())}
+	now := monotonicNow()
+	return admissionUsage{
+		Usage: a.controller.Usage(), budgetLeft: a.retryBudget.Remaining(now),
+		secondSends: a.secondSends.Enabled(), secondLimitUsed: a.secondSends.Used(now), extraWork: a.extraWork,
+	}
 }
 
 // takeLoad returns the measurements since the last call and resets them.
@@ -321,6 +336,8 @@
 	Host   HostID
 	Domain fairway.Domain
 	Budget sluice.RetryBudgetConfig
+	// SecondSendShare limits second sends; see [Settings].
+	SecondSendShare float64
 	// ReassignmentDelay is how long a key has no owner after its owner has
 	// become unresponsive.
 	ReassignmentDelay time.Duration
@@ -389,6 +406,7 @@
 		cfg.ReassignmentDelay = s.cfg.ReassignmentDelay
 	}
 	a.controller = sluice.NewController(cfg)
+	a.secondSends = sluice.NewSecondSends(sluice.SecondSendsConfig{Share: s.cfg.SecondSendShare, Controller: a.controller, Retries: a.retryBudget})
 	return a
 }
 
--- a/jetty/clock.go
+++ b/jetty/clock.go
@@ -22,6 +22,11 @@
 	return mooring.Instant(t.Sub(clockOrigin))
 }
 
+// timeOf converts an instant of the monotonic clock to a time.
+func timeOf(at mooring.Instant) time.Time {
+	return clockOrigin.Add(time.Duration(at))
+}
+
 // bootTimeNow reads a clock that also advances while the machine is suspended.
 // Leases and holds are timed with it, since they expire during a suspension too.
 func bootTimeNow() mooring.Instant {
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -29,6 +29,10 @@
 	// nextAt is when a further attempt begins beside the pending one; zero means
 	// never.
 	nextAt time.Time
+	// secondAt is when a second send beside the pending one is decided on; zero means
+	// never. secondHeld is why it was last held back.
+	secondAt   time.Time
+	secondHeld sluice.SecondSendReason
 	// fallback is the failure that a server reported while another attempt was
 	// pending.
 	fallback result
@@ -81,6 +85,10 @@
 	retry bool
 	// trial is set for an attempt of a request that may crash servers.
 	trial *sluice.Trial
+	// second is set for a second send, and lost for an attempt beside which a second send
+	// was answered first.
+	second bool
+	lost   bool
 
 	ctx  context.Context
 	resp *backendResponse
@@ -103,7 +111,7 @@
 	select {
 	case e.ended <- a:
 	case <-e.over:
-		a.finish(sluice.OutcomeCanceled)
+		a.abandon()
 		a.discard()
 	}
 }
@@ -392,6 +400,7 @@
 	}
 	e.pending = append(e.pending, a)
 	e.nextAt = e.pending[0].overdueAt
+	e.planSecond()
 	go a.run()
 }
 
@@ -443,11 +452,19 @@
 			defer timer.Stop()
 			next = timer.C
 		}
+		var second <-chan time.Time
+		if len(e.pending) == 1 && !e.secondAt.IsZero() {
+			timer := time.NewTimer(time.Until(e.secondAt))
+			defer timer.Stop()
+			second = timer.C
+		}
 		select {
 		case a := <-e.ended:
 			if res := e.handle(ctx, a); res != nil {
 				return res
 			}
+		case <-second:
+			e.trySecond(ctx)
 		case <-next:
 			a := e.pending[0]
 			if !a.overdue && !a.overdueAt.IsZero() && time.Now().After(a.overdueAt) {
@@ -479,6 +496,7 @@
 	var res result
 	var again bool
 	e.recordEnd(a)
+	e.recordSecondEnd(a)
 	if kindOf(a.err) == KindServerEnded {
 		e.recordCrash(a)
 	}
@@ -498,6 +516,7 @@
 	}
 	switch {
 	case answered && (resp.status < http.StatusInternalServerError || len(e.pending) == 0):
+		e.settleSecond(a)
 		return res
 	case answered && e.fallback == nil && resp.remaining == nil:
 		e.fallback = res
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -47,6 +47,8 @@
 	// token and tableRevision come from the latest lookup of the key's owner.
 	token         mooring.Token
 	tableRevision mooring.StoreRevision
+	// second is set once the request has been sent to a second server beside the first.
+	second *secondSend
 	// mayHaveRun is set once a server may have begun to execute the request.
 	mayHaveRun bool
 	// body is the room of the request's body, or nil.
@@ -208,6 +210,9 @@
 	}
 	if outcome == sluice.OutcomeAnswered {
 		adm.recordResponse(r.route.Name, a.server.ID, len(a.resp.body), a.took)
+		if !a.second {
+			adm.recordTime(r.route.Name, a.took)
+		}
 	}
 }
 
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -152,6 +152,7 @@
 		Domain:            s.Domain,
 		ReassignmentDelay: min(grantHold, s.Bounds.MaxHold) + holdMargin,
 		Budget:            sluice.RetryBudgetConfig{Window: s.Bounds.BudgetWindow, Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra},
+		SecondSendShare:   s.SecondSendShare,
 	})
 	h.limits.admissions = h.admissions
 	h.notices = newNotices(&notices{
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -428,9 +428,20 @@
 	default:
 		e.Str("reason", string(reason))
 	}
+	if r.second != nil {
+		e.Str("first_server", string(r.second.first)).Str("second_server", string(r.second.second)).Str("counted_server", string(countedServer(res)))
+	}
 	e.Msg(string(eventRequestAnswered))
 }
 
+// countedServer returns the server whose answer is passed on, or nothing.
+func countedServer(res result) fairway.ServerID {
+	if v, ok := res.(backendResponse); ok {
+		return v.server
+	}
+	return ""
+}
+
 // outcomeOf returns the outcome and the reason by which a result is logged and
 // counted.
 func outcomeOf(res result) (outcome, reason) {
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -10,6 +10,7 @@
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
 	"hornbeamwinch.example/mooring"
+	"hornbeamwinch.example/sluice"
 )
 
 // latencyBuckets are the upper bounds of the request latency histogram.
@@ -54,6 +55,10 @@
 	metricSuspectedRequests metricName = "suspected_requests"
 	metricServerNotices     metricName = "server_notices_total"
 	metricPanics            metricName = "panics_total"
+	metricSecondSends       metricName = "second_sends_total"
+	metricSecondSendsHeld   metricName = "second_sends_held_total"
+	metricSecondSendExtra   metricName = "second_send_extra_seconds"
+	metricSecondSendLimit   metricName = "second_send_limit_used"
 )
 
 // metricNames has every metric. A test compares it with the operations page.
@@ -62,7 +67,7 @@
 	metricRequestsWaiting, metricRetryBudgetLeft, metricKeyMoves, metricKeyRanges, metricTableRevision, metricOrders,
 	metricStoreCalls, metricStoreCallSeconds, metricStoreAge, metricConfigVersion, metricServersListed,
 	metricConnectionsOpen, metricConnectionsOpened, metricLinesLeftOut, metricPlacer, metricEntryHosts, metricServerEnds, metricSuspectedRequests,
-	metricServerNotices, metricPanics,
+	metricServerNotices, metricPanics, metricSecondSends, metricSecondSendsHeld, metricSecondSendExtra, metricSecondSendLimit,
 }
 
 // metrics keeps its values in a tally scope. It caches the scopes with tags,
@@ -197,6 +202,16 @@
 	m.withTags(metricTags{first: string(service), second: kind}, "service", "kind").Counter(string(metricSends)).Inc(1)
 }
 
+// secondSend counts a second send by what became of it: sent, won or canceled.
+func (m *metrics) secondSend(service fairway.ServiceName, kind string) {
+	m.withTags(metricTags{first: string(service), second: kind}, "service", "kind").Counter(string(metricSecondSends)).Inc(1)
+}
+
+// secondSendHeld counts a request whose second send is held back.
+func (m *metrics) secondSendHeld(service fairway.ServiceName, reason sluice.SecondSendReason) {
+	m.withTags(metricTags{first: string(service), second: string(reason)}, "service", "reason").Counter(string(metricSecondSendsHeld)).Inc(1)
+}
+
 // requestSuspected counts a server that has ended while a request was there.
 func (m *metrics) requestSuspected(service fairway.ServiceName) {
 	m.withTags(metricTags{first: string(service)}, "service").Counter(string(metricServerEnds)).Inc(1)
@@ -255,6 +270,10 @@
 		m.serviceGauge(metricRequestsAllowed, service, usage.WindowTotal)
 		m.serviceGauge(metricRequestsWaiting, service, float64(usage.Waiting))
 		m.serviceGauge(metricRetryBudgetLeft, service, usage.budgetLeft)
+		if usage.secondSends {
+			m.serviceGauge(metricSecondSendLimit, service, usage.secondLimitUsed)
+			m.serviceGauge(metricSecondSendExtra, service, usage.extraWork.Seconds())
+		}
 		if adm.owners != nil {
 			m.updateTableGauges(service, adm.owners)
 		}
--- a/jetty/settings.go
+++ b/jetty/settings.go
@@ -33,6 +33,10 @@
 	// MinLease is the shortest time to live of a lease in the store.
 	MinLease time.Duration
 	Bounds   Bounds
+	// SecondSendShare limits the second sends of slow requests, as a part of the requests
+	// of each service within 10 s, from 0 (no second sends) to
+	// [sluice.MaxSecondSendShare].
+	SecondSendShare float64
 }
 
 // Bounds are the limits that the platform sets.
