Make the test of second sends comparable with and without them

Cause: a second send that was due kept the older second attempt from being looked at in the same tick, so that runs without any second send differed by up to 10 in 100 in p99. The reports of the hosts were also spread without need.

Change: the older attempt is looked at first; the detector takes each response as it comes.

--- a/sluice/secondsend_fleet_test.go
+++ b/sluice/secondsend_fleet_test.go
@@ -27,18 +27,17 @@
 	servers     []*simServer
 	detector    *sluice.OverloadDetector
 	flying      []*simSend
+	waiting     map[sluice.RequestID]*simRequest
 
-	latencies                []time.Duration
-	lost                     int // refused or without an answer
-	sentAt, arrivedAt        []mooring.Instant
+	latencies         []time.Duration
+	lost              int // refused or without an answer
+	sentAt, arrivedAt []mooring.Instant
 }
 
 type simHost struct {
 	c       *sluice.Controller
 	retries *sluice.RetryBudget
 	sends   *sluice.SecondSends
-	reports map[fairway.ServerID]*hostReport
-	waiting map[sluice.RequestID]*simRequest
 }
 
 type simServer struct {
@@ -70,7 +69,7 @@
 )
 
 func newSecondSim(hosts int, load, share float64) *secondSim {
-	sim := &secondSim{load: load, share: share, rng: rand.New(rand.NewPCG(7, uint64(hosts))), detector: sluice.NewOverloadDetector()}
+	sim := &secondSim{load: load, share: share, rng: rand.New(rand.NewPCG(7, uint64(hosts))), detector: sluice.NewOverloadDetector(), waiting: make(map[sluice.RequestID]*simRequest)}
 	var all []fairway.Endpoint
 	for n := range max(hosts*4/3, 48) {
 		e := endpoint(fairway.ServerID(fmt.Sprint("s", n)), "a")
@@ -79,10 +78,11 @@
 		sim.servers = append(sim.servers, &simServer{e: e, n: n})
 	}
 	for n := range hosts {
-		h := &simHost{reports: make(map[fairway.ServerID]*hostReport), waiting: make(map[sluice.RequestID]*simRequest)}
-		h.c = sluice.NewController(sluice.ControllerConfig{Service: "invoices", Domain: "a", Host: fmt.Sprint("h", n)})
+		h := &simHost{
+			c:       sluice.NewController(sluice.ControllerConfig{Service: "invoices", Domain: "a", Host: fmt.Sprint("h", n)}),
+			retries: sluice.NewRetryBudget(sluice.RetryBudgetConfig{Window: 10 * time.Second, Ratio: 0.2}),
+		}
 		h.c.SetServers(start, all, hosts)
-		h.retries = sluice.NewRetryBudget(sluice.RetryBudgetConfig{Window: 10 * time.Second, Ratio: 0.2})
 		h.sends = sluice.NewSecondSends(sluice.SecondSendsConfig{Share: share, Controller: h.c, Retries: h.retries})
 		sim.hosts = append(sim.hosts, h)
 	}
@@ -116,12 +116,16 @@
 			sim.decide(now, r, r.h.c.Admit(now, &r.Request))
 		}
 		sim.check(now)
+		overloaded := make(map[fairway.ServerID]bool)
+		for _, id := range sim.detector.Overloaded(now) {
+			overloaded[id] = true
+		}
 		for n, h := range sim.hosts {
 			if (int(now.Sub(start)/tick)+n)%100 == 0 {
-				sim.report(now, h)
+				h.c.SetOverloaded(now, overloaded)
 			}
 			if h.c.Waiting() > 0 {
-				sim.resolve(now, h, h.c.Reevaluate(now))
+				sim.resolve(now, h.c.Reevaluate(now))
 			}
 		}
 	}
@@ -136,8 +140,6 @@
 		case now > r.Deadline:
 			sim.lost++
 			sim.end(now, r, nil)
-		case len(r.pending) == 1 && !send.second && r.checkAt != 0 && now >= r.checkAt:
-			sim.second(now, r, true)
 		case len(r.pending) == 1 && r.sends == 1 && now.Sub(send.began) > simDeadline*45/100 && r.h.retries.Allow(now):
 			// The second attempt of the last release.
 			sim.finish(now, send, sluice.OutcomeTimeout)
@@ -146,20 +148,17 @@
 			} else {
 				r.h.c.Cancel(r.ID)
 			}
+		case len(r.pending) == 1 && !send.second && r.checkAt != 0 && now >= r.checkAt:
+			sim.second(now, r)
 		}
 	}
 }
 
-// second plans a second send, or sends it.
-func (sim *secondSim) second(now mooring.Instant, r *simRequest, send bool) {
+func (sim *secondSim) second(now mooring.Instant, r *simRequest) {
 	c := sluice.SecondSendRequest{Repeatable: true, Sends: r.sends, MaxAttempts: 2, SentAt: r.pending[0].began, Deadline: r.Deadline}
-	d := r.h.sends.Plan(now, "list", c)
-	var e fairway.Endpoint
-	if send {
-		e, d = r.h.sends.Send(now, "list", c, &r.Request)
-	}
+	e, decision := r.h.sends.Send(now, "list", c, &r.Request)
 	r.checkAt = 0
-	switch d := d.(type) {
+	switch d := decision.(type) {
 	case sluice.SecondSendLater:
 		r.checkAt = d.At
 	case sluice.SecondSendNow:
@@ -186,7 +185,7 @@
 	s.queued = append(s.queued, send)
 	sim.startQueued(now, s)
 	if !second {
-		sim.second(now, r, false)
+		sim.second(now, r)
 	}
 }
 
@@ -219,7 +218,11 @@
 	if now.Sub(start) > 15*time.Second {
 		sim.latencies = append(sim.latencies, now.Sub(r.arrived))
 	}
-	r.h.reportOf(send.server.e.ID).count(sluice.IsOverloadSample(now.Sub(send.began), simObjective))
+	late := 0
+	if sluice.IsOverloadSample(now.Sub(send.began), simObjective) {
+		late = 1
+	}
+	sim.detector.Add(now, send.server.e.ID, 1, late)
 	if !send.second {
 		r.h.sends.RecordTime(now, "list", now.Sub(send.began))
 	}
@@ -235,7 +238,7 @@
 		case answered != nil && answered.second:
 			sim.leave(now, send)
 			r.h.sends.RecordTime(now, "list", now.Sub(send.began))
-			sim.resolve(now, r.h, r.h.c.FinishLost(now, sluice.ServerInstanceOf(send.server.e), now.Sub(send.began)))
+			sim.resolve(now, r.h.c.FinishLost(now, sluice.ServerInstanceOf(send.server.e), now.Sub(send.began)))
 		case answered != nil:
 			sim.finish(now, send, sluice.OutcomeCanceled)
 		default:
@@ -246,7 +249,7 @@
 
 func (sim *secondSim) finish(now mooring.Instant, send *simSend, o sluice.Outcome) {
 	sim.leave(now, send)
-	sim.resolve(now, send.r.h, send.r.h.c.Finish(now, sluice.ServerInstanceOf(send.server.e), o, now.Sub(send.began), simObjective))
+	sim.resolve(now, send.r.h.c.Finish(now, sluice.ServerInstanceOf(send.server.e), o, now.Sub(send.began), simObjective))
 }
 
 func (sim *secondSim) decide(now mooring.Instant, r *simRequest, d sluice.Decision) {
@@ -254,45 +257,24 @@
 	case sluice.Dispatch:
 		sim.send(now, r, d.Server, false)
 	case sluice.Wait:
-		r.h.waiting[r.ID] = r
+		sim.waiting[r.ID] = r
 	case sluice.Refuse:
 		sim.lost++
 	}
 }
 
-func (sim *secondSim) resolve(now mooring.Instant, h *simHost, resolved []sluice.Resolution) {
+func (sim *secondSim) resolve(now mooring.Instant, resolved []sluice.Resolution) {
 	for _, res := range resolved {
-		r := h.waiting[res.Request]
-		delete(h.waiting, res.Request)
-		sim.decide(now, r, res.Decision)
+		sim.decide(now, sim.waiting[res.Request], res.Decision)
+		delete(sim.waiting, res.Request)
 	}
 }
 
-func (h *simHost) reportOf(id fairway.ServerID) *hostReport {
-	if h.reports[id] == nil {
-		h.reports[id] = &hostReport{}
-	}
-	return h.reports[id]
-}
-
-func (sim *secondSim) report(now mooring.Instant, h *simHost) {
-	overloaded := make(map[fairway.ServerID]bool)
-	for id, r := range h.reports {
-		sim.detector.Add(now, id, r.requests, r.overloadSamples)
-	}
-	clear(h.reports)
-	for _, id := range sim.detector.Overloaded(now) {
-		overloaded[id] = true
-	}
-	h.c.SetOverloaded(now, overloaded)
-}
-
 func (sim *secondSim) quantile(q float64) time.Duration {
 	slices.Sort(sim.latencies)
 	return sim.latencies[int(q*float64(len(sim.latencies)-1))]
 }
 
-
 // expectLimit checks the limit in every window of 10 s.
 func expectLimit(share float64, sent, arrived []mooring.Instant) {
 	GinkgoHelper()
@@ -319,7 +301,7 @@
 		for _, sim := range sims {
 			sim.fails = fails
 			sim.run(30 * time.Second)
-			fmt.Fprintf(GinkgoWriter, "share %v: %d requests, median %v, p99 %v, lost %.4f, second sends %d, to the broken server %d\n",
+			GinkgoWriter.Printf("share %v: %d requests, median %v, p99 %v, lost %.4f, second sends %d, to the broken server %d\n",
 				sim.share, len(sim.arrivedAt), sim.quantile(0.5), sim.quantile(0.99), sim.lostShare(), len(sim.sentAt), sim.brokenSends)
 		}
 		expectLimit(0.1, sims[1].sentAt, sims[1].arrivedAt)
