Explain where a request would go now, without sending it

Cause: operators could see why a request had ended, but not what a host would do with one now.

It answers with the route, each service of a split, the owner or the candidates with their figures, and the decision with the Retry-After of a refusal. Admit and the new Preview share decide; parsing shares findRoute, readKey and deadline.

--- a/cmd/hornbeamwinch/explain.go
+++ b/cmd/hornbeamwinch/explain.go
@@ -11,16 +11,21 @@
 
 // explainCommand shows where requests for a key are routed: the rule that applies
 // and the home of the key. For a service divided by key, it also shows the shard
-// and its owner if the entry host belongs to the home domain.
+// and its owner if the entry host belongs to the home domain. On the users' platform, it shows
+// where a request would go.
 type explainCommand struct {
+	platformExplainOptions
 	Args struct {
-		Service string `positional-arg-name:"SERVICE" required:"true"`
-		Key     string `positional-arg-name:"KEY" required:"true"`
+		Service string `positional-arg-name:"SERVICE|HOST" required:"true"`
+		Key     string `positional-arg-name:"KEY|PATH" required:"true"`
 	} `positional-args:"true"`
 }
 
 // Execute implements flags.Commander.
 func (c *explainCommand) Execute([]string) error {
+	if c.Platform {
+		return c.explainOnPlatform(c.Args.Service, c.Args.Key)
+	}
 	query := url.Values{"service": {c.Args.Service}, "key": {c.Args.Key}}
 	var explanation harbor.Explanation
 	if err := call(http.MethodGet, "/v1/explain?"+query.Encode(), nil, &explanation); err != nil {
--- a/cmd/hornbeamwinch/main.go
+++ b/cmd/hornbeamwinch/main.go
@@ -7,6 +7,7 @@
 //	hornbeamwinch rules apply rules.txt --base 7 --by "Ana Silva"
 //	hornbeamwinch status
 //	hornbeamwinch explain tank_readings tank-71
+//	hornbeamwinch explain --platform --key 71 --admin 10.1.0.15:7621 tanks.example /readings/71
 //	hornbeamwinch domain abandon mvd_c --by "Ana Silva" --reason "hall burnt"
 //	hornbeamwinch drain mvd_a_tank_readings_1 --by "Ana Silva"
 //	hornbeamwinch crashing-requests list --admin 10.1.0.15:7621
@@ -51,7 +52,7 @@
 	globalOptions
 	Rules    rulesCommands            `command:"rules" description:"check, apply and read the rules file"`
 	Status   statusCommand            `command:"status" description:"show the state of entry hosts and backend servers"`
-	Explain  explainCommand           `command:"explain" description:"show which failure domain and server own a key, and why"`
+	Explain  explainCommand           `command:"explain" description:"show which failure domain and server own a key, or where a request would go, and why"`
 	Domain   domainCommands           `command:"domain" description:"commands for a whole failure domain"`
 	Drain    drainCommand             `command:"drain" description:"move all work off a backend server"`
 	Trace    traceCommand             `command:"trace" description:"show from logs how a request was handled and why it ended so"`
--- a/jetty/admin.go
+++ b/jetty/admin.go
@@ -24,12 +24,13 @@
 	c.Status(http.StatusServiceUnavailable)
 }
 
-// adminHandler serves the operators' endpoints: readiness, metrics and the requests
-// that crash servers.
+// adminHandler serves the operators' endpoints: readiness, metrics, explanations and the
+// requests that crash servers.
 func (h *Host) adminHandler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.GET("/readyz", h.serveReady)
+	engine.GET("/explain", h.serveExplanation)
 	engine.GET("/crashing_requests", h.listCrashingRequests)
 	engine.DELETE("/crashing_requests/:fingerprint", h.clearCrashingRequest)
 	engine.GET("/metrics", gin.WrapH(gauge.MetricsHandler{Scope: h.metrics}))
--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -245,6 +245,11 @@
 	if key != nil {
 		a.requestsByKey[*key]++
 	}
+	return a.expectedBytes(route)
+}
+
+// expectedBytes returns the expected size of a response on a route.
+func (a *admission) expectedBytes(route fairway.RouteName) float64 {
 	if means := a.routeMeans[route]; means != nil {
 		return means.bytes
 	}
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -149,19 +149,25 @@
 	ctx, unbind := f.drain.bind(ctx)
 	defer unbind()
 	adm := f.admissions.get(r.service, f.clusterState.catalog())
-	req := &sluice.Request{
+	req := admissionRequest(r, adm.recordArrival(r.route.Name, r.key))
+	e := &exchange{
+		forwarder: f, r: r, adm: adm, req: req, caller: caller,
+		ended: make(chan *attempt), over: make(chan struct{}),
+	}
+	return e.run(ctx)
+}
+
+// admissionRequest describes r, whose response is expected to have a size, to the admission
+// controller.
+func admissionRequest(r *request, responseBytes float64) *sluice.Request {
+	return &sluice.Request{
 		Priority:      r.route.Priority,
 		Key:           r.key,
 		Objective:     r.route.Objective,
 		SoftDeadline:  instantOf(r.arrived.Add(r.route.Objective)),
 		Deadline:      instantOf(r.deadline),
-		ResponseBytes: adm.recordArrival(r.route.Name, r.key),
-	}
-	e := &exchange{
-		forwarder: f, r: r, adm: adm, req: req, caller: caller,
-		ended: make(chan *attempt), over: make(chan struct{}),
+		ResponseBytes: responseBytes,
 	}
-	return e.run(ctx)
 }
 
 // stopped returns the result of a request that is not sent, or not sent again,
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -107,20 +107,14 @@
 	if host, _, err := net.SplitHostPort(hr.RemoteAddr); err == nil {
 		r.callerHost = host
 	}
-	if r.config == nil {
-		return refusal{reason: reasonNoConfiguration, retryAfter: startupRetryAfter}
-	}
 	target := hr.RequestURI
 	if !strings.HasPrefix(target, "/") {
 		target = hr.URL.RequestURI()
 	}
-	path, _, _ := strings.Cut(target, "?")
-	route, err := r.config.Match(hr.Host, path)
-	if err != nil {
-		return clientError{status: http.StatusNotFound, reason: reasonNoRoute}
+	if res := findRoute(r, hr.Host, target); res != nil {
+		return res
 	}
-	r.route = route
-	r.service = r.config.Services[route.Pick(in.random())]
+	r.service = r.config.Services[r.route.Pick(in.random())]
 	if res := in.readKey(r, hr); res != nil {
 		return res
 	}
@@ -129,6 +123,21 @@
 	return in.readBody(w, hr, r)
 }
 
+// findRoute sets the route of a request by its host and target. If there is none, it returns
+// the result for the caller.
+func findRoute(r *request, host, target string) result {
+	if r.config == nil {
+		return refusal{reason: reasonNoConfiguration, retryAfter: startupRetryAfter}
+	}
+	path, _, _ := strings.Cut(target, "?")
+	route, err := r.config.Match(host, path)
+	if err != nil {
+		return clientError{status: http.StatusNotFound, reason: reasonNoRoute}
+	}
+	r.route = route
+	return nil
+}
+
 // readKey parses the key of a request to a divided service.
 func (in *ingress) readKey(r *request, hr *http.Request) result {
 	if !r.service.Divided {
--- a/sluice/choice.go
+++ b/sluice/choice.go
@@ -99,15 +99,7 @@
 func (c *Controller) cheapest(now mooring.Instant, r *Request, usable func(*serverState) bool) (*serverState, bool) {
 	var best *serverState
 	bestCost := math.Inf(1)
-	found := 0
-	for _, server := range c.ranked {
-		if found == maxCandidates {
-			break
-		}
-		if !usable(server) || !server.hasRoom(now) || r.excludes(server.endpoint.ID) {
-			continue
-		}
-		found++
+	for _, server := range c.candidates(now, r, usable) {
 		if cost := c.cost(now, server, r); cost < bestCost {
 			best, bestCost = server, cost
 		}
@@ -115,6 +107,20 @@
 	return best, best != nil
 }
 
+// candidates returns the preferred servers with free capacity for which usable returns true.
+func (c *Controller) candidates(now mooring.Instant, r *Request, usable func(*serverState) bool) []*serverState {
+	found := make([]*serverState, 0, maxCandidates)
+	for _, server := range c.ranked {
+		if len(found) == maxCandidates {
+			break
+		}
+		if usable(server) && server.hasRoom(now) && !r.excludes(server.endpoint.ID) {
+			found = append(found, server)
+		}
+	}
+	return found
+}
+
 // usableAt returns which servers may get requests that any server can answer. Those that say
 // that they leave get some for leavingGrace if there are no others.
 func (c *Controller) usableAt(now mooring.Instant) func(*serverState) bool {
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -235,15 +235,25 @@
 
 // Admit decides on a new request.
 func (c *Controller) Admit(now mooring.Instant, r *Request) Decision {
-	if server, ok := c.pick(now, r); ok {
+	server, decision := c.decide(now, r)
+	switch decision.(type) {
+	case Dispatch:
 		return c.dispatch(server)
+	case Wait:
+		c.insert(now, r)
+	}
+	return decision
+}
+
+// decide returns the decision on a new request, and the server of a [Dispatch].
+func (c *Controller) decide(now mooring.Instant, r *Request) (*serverState, Decision) {
+	if server, ok := c.pick(now, r); ok {
+		return server, Dispatch{Server: server.endpoint}
 	}
-	ahead := c.ahead(now, r)
-	if refusal, refused := c.refuseNew(now, r, ahead); refused {
-		return refusal
+	if refusal, refused := c.refuseNew(now, r, c.ahead(now, r)); refused {
+		return nil, refusal
 	}
-	c.insert(now, r)
-	return Wait{}
+	return nil, Wait{}
 }
 
 // Cancel removes a request from the queue. It returns false if the request is
