Keep second sends within the limit in windows that end later, and from being followed by a third send

Cause: hosts that used all of their limits had 1,501 second sends in a window of 10 s that allowed 1,500, since a window that ends after the last second send may have fewer requests. And a send that failed beside another one had a third one follow at once, which no limit of second sends counted.

Change: a host uses 0.95 of its share. While one of two sends is left, there is no further one until it is overdue. The tests of the limit save up and then use all; those of the two sends have a third server.

Measured: the tests fail with either rule of the budget taken out, and with the third send let go.

--- a/cmd/hornbeamwinchd/options_test.go
+++ b/cmd/hornbeamwinchd/options_test.go
@@ -7,21 +7,13 @@
 	. "github.com/onsi/gomega"
 )
 
-var _ = Describe("The limit of second sends", func() {
-	// Failure: a mistyped limit, such as 5 for 5 in 100, sends every slow request twice.
-	DescribeTable("is checked", func(share float64, platform, ok bool) {
-		o := options{SecondSendShare: share, Platform: platform}
-		if ok {
-			Expect(o.check()).To(Succeed())
-		} else {
-			Expect(o.check()).To(MatchError(ContainSubstring("--second-send-share")))
-		}
-	},
-		Entry("off", 0.0, false, true),
-		Entry("highest", 0.2, true, true),
-		Entry("too high", 0.21, true, false),
-		Entry("negative", -0.1, true, false),
-		Entry("no number", math.NaN(), true, false),
-		Entry("of the project's own deployment", 0.1, false, false),
-	)
+// Failure: a mistyped limit, such as 5 for 5 in 100, sends every slow request twice.
+var _ = It("The limit of second sends is checked", func() {
+	for _, share := range []float64{0, 0.2} {
+		Expect((&options{SecondSendShare: share, Platform: true}).check()).To(Succeed())
+	}
+	for _, share := range []float64{0.21, -0.1, math.NaN()} {
+		Expect((&options{SecondSendShare: share, Platform: true}).check()).To(MatchError(ContainSubstring("must be between 0 and 0.2")))
+	}
+	Expect((&options{SecondSendShare: 0.1}).check()).To(MatchError("--second-send-share requires --platform"))
 })
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -528,7 +528,7 @@
 	}
 	if len(e.pending) > 0 {
 		e.nextAt = e.pending[0].overdueAt
-		if again {
+		if again && !a.second && !e.pending[0].second {
 			e.nextAt = time.Now()
 		}
 	}
--- a/jetty/secondsend_test.go
+++ b/jetty/secondsend_test.go
@@ -16,15 +16,16 @@
 
 type handler = func(w http.ResponseWriter, r *http.Request)
 
-// newSecondBench returns two servers, the first and the second request to which are handled as
+// newSecondBench returns three servers, the first and the second request to which are handled as
 // given, and a host whose route takes 20 ms as a rule. Its requests allow 10 second sends.
 func newSecondBench(first, second handler) *exchangeBench {
 	GinkgoHelper()
 	b := newExchangeBench(100)
 	b.f.admissions.cfg.SecondSendShare = 0.1
 	h := byArrival(first, second)
-	b.serve("s", 20, h)
-	b.serve("t", 20, h)
+	for _, id := range []fairway.ServerID{"s", "t", "u"} {
+		b.serve(id, 20, h)
+	}
 	for range 100 {
 		b.admission().recordArrival("list", nil)
 		b.admission().recordTime("list", 20*time.Millisecond)
@@ -38,7 +39,11 @@
 
 // arrived returns the number of requests that the servers got.
 func (b *exchangeBench) arrived() int64 {
-	return b.servers["s"].arrived.Load() + b.servers["t"].arrived.Load()
+	n := int64(0)
+	for _, s := range b.servers {
+		n += s.arrived.Load()
+	}
+	return n
 }
 
 // expectSecondSends checks the metric of second sends.
@@ -65,7 +70,7 @@
 		res := <-b.send(context.Background(), r)
 		Expect(res.result.(backendResponse).status).To(Equal(http.StatusOK))
 		Expect(res.after).To(BeNumerically("<", 500*time.Millisecond))
-		Eventually(func() int64 { return b.servers["s"].left.Load() + b.servers["t"].left.Load() }).WithTimeout(300 * time.Millisecond).Should(BeEquivalentTo(1))
+		Eventually(func() int64 { return b.servers[r.second.first].left.Load() }).WithTimeout(300 * time.Millisecond).Should(BeEquivalentTo(1))
 		b.expectNothingLeft()
 		b.expectSecondSends(secondWon, 1)
 		b.expectSecondSends(secondCanceled, 1)
@@ -92,17 +97,26 @@
 	It("leaves the outcome unknown if both fail", func() {
 		b := newSecondBench(abort(200*time.Millisecond), abort(100*time.Millisecond))
 		res := <-b.send(context.Background(), b.request(2, 2*time.Second))
+		b.expectSecondSends(secondSent, 1)
 		Expect(res.result).To(BeAssignableToTypeOf(gatewayError{}))
 		Expect(b.arrived()).To(BeEquivalentTo(2))
 		b.expectNothingLeft()
 	})
 
-	It("passes on the first answer if the second one is a server's error", func() {
-		b := newSecondBench(work(200*time.Millisecond), serverError)
-		res := <-b.send(context.Background(), b.request(2, 2*time.Second))
+	// Failure: a send that fails beside another one has a third one follow, outside of the limit.
+	DescribeTable("is enough if one of the two answers is a server's error", func(first, second handler) {
+		b := newSecondBench(first, second)
+		res := <-b.send(context.Background(), b.request(3, 2*time.Second))
 		Expect(res.result.(backendResponse).status).To(Equal(http.StatusOK))
+		Expect(b.arrived()).To(BeEquivalentTo(2))
 		b.expectNothingLeft()
-	})
+	},
+		Entry("the second one", work(200*time.Millisecond), serverError),
+		Entry("the first one", func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(100 * time.Millisecond)
+			serverError(w, r)
+		}, work(200*time.Millisecond)),
+	)
 
 	// Failure: servers work for a caller that has left.
 	It("is canceled with the first one when the caller leaves", func() {
@@ -112,6 +126,7 @@
 		Eventually(b.arrived).Should(BeEquivalentTo(2))
 		cancel()
 		Expect((<-results).result).To(Equal(callerLeft{}))
+		b.expectSecondSends(secondSent, 1)
 		b.expectNothingLeft()
 	})
 
--- a/sluice/secondbudget.go
+++ b/sluice/secondbudget.go
@@ -11,12 +11,17 @@
 	secondWindow = 10 * time.Second
 	// secondBuckets is the number of buckets that the window is divided into.
 	secondBuckets = 100
+	// usableShare is the part of the limit that a host uses. The remainder covers the
+	// differences between the requests of a window and those of one that begins a
+	// little later: without it, hosts that used all of their limits had 1,501 second sends
+	// in a window that allowed 1,500.
+	usableShare = 0.95
 	// steadyFraction is the part of the limit that each request adds to the allowance, and
 	// burstFraction the part of the limit of 10 s that may be saved up for requests that
-	// are slow together, as when a machine is slow for 0.4 s. Without these bounds, a host whose traffic
-	// ends could send all of 10 s in the last moment, and a window that begins later
-	// would be over the limit. With a burst of a quarter, the limit held back one in three second
-	// sends of hosts with 5 requests a second, and with a half one in six.
+	// are slow together, as when a machine is slow for 0.4 s. Without these bounds, a host
+	// whose traffic ends could send all of 10 s in the last moment, and a window that
+	// begins later would be over the limit. With a burst of a quarter, p99 at 84 hosts in the fleet
+	// test fell from 1,615 to 1,145 ms, and with a half to 1,005 ms.
 	steadyFraction = 0.75
 	burstFraction  = 0.5
 	// minBurst is the burst of hosts with few requests, in second sends.
@@ -30,9 +35,9 @@
 // requests. Since each host keeps to its own requests, all hosts together keep to the share
 // as well, however many there are and whether or not they are in touch.
 //
-// The share holds exactly in each window of 10 s that ends with a second send, this one
-// included. In one that ends later it holds unless the host's requests have become fewer
-// since; then it is exceeded by at most the burst.
+// In each window of 10 s that ends with a second send, this one included, a host uses at most
+// 0.95 of the share. In one that ends later the share holds unless the host's requests have
+// become fewer since; then it is exceeded by at most the burst.
 type SecondSendBudget struct {
 	share float64
 	// requests and sends count by buckets of the window. Requests of the oldest
@@ -66,7 +71,7 @@
 func (b *SecondSendBudget) Allows(now mooring.Instant) bool {
 	oldest := (b.advance(now) + 1) % len(b.requests)
 	const rounding = 1e-9
-	return b.saved >= 1-rounding && float64(b.totalSends+1) <= b.share*float64(b.totalRequests-b.requests[oldest])+rounding
+	return b.saved >= 1-rounding && float64(b.totalSends+1) <= usableShare*b.share*float64(b.totalRequests-b.requests[oldest])+rounding
 }
 
 // RecordSend counts a second send.
--- a/sluice/secondsend_fleet_test.go
+++ b/sluice/secondsend_fleet_test.go
@@ -92,7 +92,6 @@
 func (sim *secondSim) run(duration time.Duration) *secondSim {
 	const tick = 5 * time.Millisecond
 	rate := sim.load * float64(2*len(sim.servers)) / (simMean / 1000)
-	id := sluice.RequestID(0)
 	due := 0.0
 	for now := start; now < start.Add(duration); now = now.Add(tick) {
 		if sim.fails && sim.broken == nil && now.Sub(start) >= 20*time.Second {
@@ -106,9 +105,8 @@
 			}
 		}
 		for due += sim.rng.ExpFloat64() * rate * tick.Seconds(); due >= 1; due-- {
-			id++
 			r := &simRequest{h: sim.hosts[sim.rng.IntN(len(sim.hosts))], arrived: now, Request: sluice.Request{
-				ID: id, Objective: simObjective, SoftDeadline: now.Add(simObjective), Deadline: now.Add(simDeadline),
+				ID: sluice.RequestID(len(sim.arrivedAt)), Objective: simObjective, SoftDeadline: now.Add(simObjective), Deadline: now.Add(simDeadline),
 			}}
 			r.h.retries.RecordRequest(now)
 			r.h.sends.RecordRequest(now)
@@ -308,30 +306,26 @@
 		return sims[0], sims[1]
 	}
 	for _, hosts := range []int{3, 12, 84, 195} {
-		// Failure: callers wait for one request in 33 that is slow at its server, though others are idle.
-		It(fmt.Sprintf("shorten the slowest answers by a third at half of the capacity (%d hosts)", hosts), func() {
-			without, with := compare(hosts, 0.5, false)
-			Expect(with.quantile(0.99)).To(BeNumerically("<=", without.quantile(0.99)*2/3), "p99")
-			Expect(with.quantile(0.5)).To(BeNumerically("<=", without.quantile(0.5)*11/10), "median")
-			Expect(with.lostShare()).To(BeNumerically("<=", without.lostShare()+0.001), "lost")
-		})
+		for _, fails := range []bool{false, true} {
+			// Failures: callers wait for one request in 33 that is slow at its server, though others are idle. A server
+			// that never answers goes on getting its part of the requests, since each is canceled early.
+			It(fmt.Sprintf("shorten the slowest answers by a third at half of the capacity (%d hosts, one server fails: %v)", hosts, fails), func() {
+				without, with := compare(hosts, 0.5, fails)
+				Expect(with.quantile(0.99)).To(BeNumerically("<=", without.quantile(0.99)*2/3), "p99")
+				Expect(with.quantile(0.5)).To(BeNumerically("<=", without.quantile(0.5)*11/10), "median")
+				Expect(with.lostShare()).To(BeNumerically("<=", without.lostShare()+0.001), "lost")
+				Expect(with.brokenSends).To(BeNumerically("<=", len(with.arrivedAt)*2/9/len(with.servers)), "sends to the broken server")
+			})
+		}
 
 		// Failure: second sends take the room of first sends, which makes more responses late.
 		It(fmt.Sprintf("make nothing worse near and above the capacity (%d hosts)", hosts), func() {
 			for _, load := range []float64{0.9, 1.5} {
 				without, with := compare(hosts, load, false)
-				Expect(with.quantile(0.99)).To(BeNumerically("<=", without.quantile(0.99)*110/100), "p99 at %v", load)
-				Expect(with.quantile(0.5)).To(BeNumerically("<=", without.quantile(0.5)*110/100), "median at %v", load)
+				Expect(with.quantile(0.99)).To(BeNumerically("<=", without.quantile(0.99)*11/10), "p99 at %v", load)
+				Expect(with.quantile(0.5)).To(BeNumerically("<=", without.quantile(0.5)*11/10), "median at %v", load)
 				Expect(with.lostShare()).To(BeNumerically("<=", without.lostShare()+0.02), "lost at %v", load)
 			}
 		})
-
-		// Failure: a server that never answers goes on getting its part of the requests, since each is canceled early.
-		It(fmt.Sprintf("do not hide a server that answers nothing (%d hosts)", hosts), func() {
-			without, with := compare(hosts, 0.5, true)
-			Expect(with.quantile(0.99)).To(BeNumerically("<=", without.quantile(0.99)*2/3), "p99")
-			Expect(with.lostShare()).To(BeNumerically("<=", without.lostShare()+0.001), "lost")
-			Expect(with.brokenSends).To(BeNumerically("<=", len(with.arrivedAt)*2/9/len(with.servers)), "sends to the broken server")
-		})
 	}
 })
--- a/sluice/secondsend_test.go
+++ b/sluice/secondsend_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -44,38 +43,34 @@
 		Expect(sluice.DecideSecondSend(start, secondCase())).To(Equal(sluice.SecondSendNow{}))
 	})
 
-	// Failure: a request runs twice, or more often than its route allows, or is sent for nothing.
-	DescribeTable("rules one out", func(change func(c *sluice.SecondSendCase), reason sluice.SecondSendReason) {
-		c := secondCase()
-		change(&c)
-		Expect(sluice.DecideSecondSend(start, c)).To(Equal(sluice.SecondSendNever{Reason: reason}))
-	},
-		Entry("for a request that must not be repeated", func(c *sluice.SecondSendCase) { c.Repeatable = false }, sluice.SecondSendNotAllowed),
-		Entry("for a key, which has one owner", func(c *sluice.SecondSendCase) { c.Keyed = true }, sluice.SecondSendNotAllowed),
-		Entry("without a limit", func(c *sluice.SecondSendCase) { c.Budget = sluice.NewSecondSendBudget(0) }, sluice.SecondSendNotAllowed),
-		Entry("for a request that may crash servers", func(c *sluice.SecondSendCase) { c.Suspected = true }, sluice.SecondSendSuspected),
-		Entry("without attempts left", func(c *sluice.SecondSendCase) { c.MaxAttempts = 1 }, sluice.SecondSendAttempts),
-		Entry("without time for a response", func(c *sluice.SecondSendCase) { c.Deadline = start.Add(50 * time.Millisecond) }, sluice.SecondSendTooLate),
-		Entry("on a route that is not known well", func(c *sluice.SecondSendCase) { c.Times = sluice.NewRouteTimes() }, sluice.SecondSendFewTimes),
-	)
-
-	// Failure: second sends load a service that is short of room, or go beyond a limit.
-	DescribeTable("holds one back", func(change func(c *sluice.SecondSendCase), reason sluice.SecondSendReason) {
+	// Failure: a request runs twice that must not, or a second send loads a service that is short of room, or goes beyond a limit.
+	DescribeTable("holds one back or rules it out", func(change func(c *sluice.SecondSendCase), reason sluice.SecondSendReason, again bool) {
 		c := secondCase()
 		change(&c)
 		d := sluice.DecideSecondSend(start, c)
+		if !again {
+			Expect(d).To(Equal(sluice.SecondSendNever{Reason: reason}))
+			return
+		}
 		Expect(d).To(BeAssignableToTypeOf(sluice.SecondSendLater{}))
 		Expect(d.(sluice.SecondSendLater).Reason).To(Equal(reason))
 		Expect(d.(sluice.SecondSendLater).At).To(BeNumerically(">=", start.Add(20*time.Millisecond)))
 	},
-		Entry("before the response is late", func(c *sluice.SecondSendCase) { c.SentAt = start.Add(-50 * time.Millisecond) }, sluice.SecondSendNotDue),
-		Entry("while the service is short of room", func(c *sluice.SecondSendCase) { c.ShortOfRoom = true }, sluice.SecondSendNoRoom),
+		Entry("for a request that must not be repeated", func(c *sluice.SecondSendCase) { c.Repeatable = false }, sluice.SecondSendNotAllowed, false),
+		Entry("for a key, which has one owner", func(c *sluice.SecondSendCase) { c.Keyed = true }, sluice.SecondSendNotAllowed, false),
+		Entry("without a limit", func(c *sluice.SecondSendCase) { c.Budget = sluice.NewSecondSendBudget(0) }, sluice.SecondSendNotAllowed, false),
+		Entry("for a request that may crash servers", func(c *sluice.SecondSendCase) { c.Suspected = true }, sluice.SecondSendSuspected, false),
+		Entry("without attempts left", func(c *sluice.SecondSendCase) { c.MaxAttempts = 1 }, sluice.SecondSendAttempts, false),
+		Entry("without time for a response", func(c *sluice.SecondSendCase) { c.Deadline = start.Add(50 * time.Millisecond) }, sluice.SecondSendTooLate, false),
+		Entry("on a route that is not known well", func(c *sluice.SecondSendCase) { c.Times = sluice.NewRouteTimes() }, sluice.SecondSendFewTimes, false),
+		Entry("before the response is late", func(c *sluice.SecondSendCase) { c.SentAt = start.Add(-50 * time.Millisecond) }, sluice.SecondSendNotDue, true),
+		Entry("while the service is short of room", func(c *sluice.SecondSendCase) { c.ShortOfRoom = true }, sluice.SecondSendNoRoom, true),
 		Entry("while the limit is used up", func(c *sluice.SecondSendCase) {
 			for c.Budget.Allows(start) {
 				c.Budget.RecordSend(start)
 			}
-		}, sluice.SecondSendLimit),
-		Entry("while the budget of retries is used up", func(c *sluice.SecondSendCase) { c.Retries = 0.9 }, sluice.SecondSendRetryBudget),
+		}, sluice.SecondSendLimit, true),
+		Entry("while the budget of retries is used up", func(c *sluice.SecondSendCase) { c.Retries = 0.9 }, sluice.SecondSendRetryBudget, true),
 	)
 
 	It("forgets the times of a minute ago", func() {
@@ -121,6 +116,15 @@
 })
 
 var _ = Describe("The limit of second sends", func() {
+	// Failure: a host sends all of 10 s at once before its requests end, and the windows after that are far over the limit.
+	It("is not used up by a host at once", func() {
+		c, n := secondCase(), 0
+		for ; c.Budget.Allows(start); n++ {
+			c.Budget.RecordSend(start)
+		}
+		Expect(n).To(Equal(5), "second sends at once, of 10")
+	})
+
 	for _, hosts := range []int{3, 84, 300} {
 		// Failure: hosts that use all of their limit exceed it together, also while requests move from some hosts to others.
 		It(fmt.Sprintf("holds in every window when each host uses all of its own (%d hosts)", hosts), func() {
@@ -131,20 +135,19 @@
 			}
 			var sent, arrived []mooring.Instant
 			for now := start; now < start.Add(45*time.Second); now = now.Add(time.Second / 1500) {
-				// From 20 s on, a third of the hosts get nothing.
+				// All save up for 12 s. From 30 s on, a third of the hosts get nothing.
 				n := random.IntN(hosts)
-				for now.Sub(start) > 20*time.Second && n%3 == 0 {
+				for now.Sub(start) > 30*time.Second && n%3 == 0 {
 					n = random.IntN(hosts)
 				}
 				budgets[n].RecordRequest(now)
 				arrived = append(arrived, now)
-				if b := budgets[random.IntN(hosts)]; b.Allows(now) {
+				if b := budgets[random.IntN(hosts)]; now.Sub(start) > 12*time.Second && b.Allows(now) {
 					b.RecordSend(now)
 					sent = append(sent, now)
 				}
 			}
 			Expect(len(sent)).To(BeNumerically(">", len(arrived)/20))
-			Expect(slices.IsSorted(sent)).To(BeTrue())
 			expectLimit(0.1, sent, arrived)
 		})
 	}
