--- a/sluice/doc.go
+++ b/sluice/doc.go
@@ -16,7 +16,8 @@
 // from host to host. An [OverloadDetector] combines the reports of all hosts
 // about the servers, for hosts that send few requests to each.
 //
-// A [RetryBudget] limits the sends of requests after their first ones.
+// A [RetryBudget] limits the sends of requests after their first ones. [SecondSends] decides
+// which slow requests are sent to a second server beside the first, within a limit of its own.
 //
 // All decisions take the time as an argument. The package has no goroutines
 // and no clock; the caller serializes the calls.
--- a/sluice/secondsend_test.go
+++ b/sluice/secondsend_test.go
@@ -73,6 +73,18 @@
 		Entry("while the budget of retries is used up", func(c *sluice.SecondSendCase) { c.Retries = 0.9 }, sluice.SecondSendRetryBudget, true),
 	)
 
+	// Failure: the times of routes that are gone use up the memory of a host.
+	It("forgets the times of routes that are gone", func() {
+		s := sluice.NewSecondSends(sluice.SecondSendsConfig{Share: 0.1, Controller: newController(), Retries: sluice.NewRetryBudget(sluice.RetryBudgetConfig{})})
+		for range 40 {
+			s.RecordTime(start, "list", time.Millisecond)
+		}
+		r := secondCase().SecondSendRequest
+		Expect(s.Plan(start, "list", r)).To(BeAssignableToTypeOf(sluice.SecondSendLater{}))
+		s.RetainRoutes(map[fairway.RouteName]bool{"other": true})
+		Expect(s.Plan(start, "list", r)).To(Equal(sluice.SecondSendNever{Reason: sluice.SecondSendFewTimes}))
+	})
+
 	It("forgets the times of a minute ago", func() {
 		t := routeTimes()
 		_, ok := t.Quantile(start.Add(30*time.Second), 0.95)
