Take no memory for candidates where no server has room

Cause: the list of candidates, which the explanation shares, was made for each look at a waiting request. Change: it is made for the first candidate.

--- a/sluice/choice.go
+++ b/sluice/choice.go
@@ -109,14 +109,19 @@
 
 // candidates returns the preferred servers with free capacity for which usable returns true.
 func (c *Controller) candidates(now mooring.Instant, r *Request, usable func(*serverState) bool) []*serverState {
-	found := make([]*serverState, 0, maxCandidates)
+	var found []*serverState
 	for _, server := range c.ranked {
 		if len(found) == maxCandidates {
 			break
 		}
-		if usable(server) && server.hasRoom(now) && !r.excludes(server.endpoint.ID) {
-			found = append(found, server)
+		if !usable(server) || !server.hasRoom(now) || r.excludes(server.endpoint.ID) {
+			continue
 		}
+		if found == nil {
+			// Most calls for waiting requests find none, and need no memory.
+			found = make([]*serverState, 0, maxCandidates)
+		}
+		found = append(found, server)
 	}
 	return found
 }
