--- a/jetty/admin.go
+++ b/jetty/admin.go
@@ -37,13 +37,14 @@
 	Evacuated []EvacuatedDomain `json:"evacuated"`
 }
 
-// adminHandler serves the operators' endpoints: readiness, status, metrics, the requests
+// adminHandler serves the operators' endpoints: readiness, status, metrics, explanations, the requests
 // that crash servers, and the servers as this host sees them.
 func (h *Host) adminHandler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.GET("/readyz", h.serveReady)
 	engine.GET("/status", h.serveStatus)
+	engine.GET("/explain", h.serveExplanation)
 	engine.GET("/crashing_requests", h.listCrashingRequests)
 	engine.DELETE("/crashing_requests/:fingerprint", h.clearCrashingRequest)
 	engine.GET("/servers", h.listServers)
--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -18,6 +18,7 @@
 	mu          sync.Mutex
 	controller  *sluice.Controller
 	retryBudget *sluice.RetryBudget
+	secondSends *sluice.SecondSends
 	owners      *ownerTable
 	waiting     map[sluice.RequestID]chan sluice.Decision
 	nextID      sluice.RequestID
@@ -29,6 +30,9 @@
 	stats map[fairway.ServerID]*serverStats
 	// coordinated is set if the controller admits the requests of all hosts.
 	coordinated bool
+	// extraWork is the time that servers have spent on second sends and on first ones that
+	// lost to them, without an answer that counts.
+	extraWork time.Duration
 	// onWait, if set, is called when a request begins to wait while a server has a limit.
 	onWait func()
 	// onQueued, if set, is called when a request begins to wait.
@@ -218,13 +222,6 @@
 	a.deliver(a.controller.Reevaluate(monotonicNow()))
 }
 
-// tellsLoad reports whether servers of the service tell their load.
-func (a *admission) tellsLoad() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.controller.TellsLoad()
-}
-
 // setCold limits a server to a rate until an instant.
 func (a *admission) setCold(instance sluice.ServerInstance, rate sluice.Rate, until mooring.Instant) {
 	a.mu.Lock()
@@ -354,10 +351,17 @@
 func (a *admission) recordArrival(route fairway.RouteName, key *mooring.Key) float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.retryBudget.RecordRequest(monotonicNow())
+	now := monotonicNow()
+	a.retryBudget.RecordRequest(now)
+	a.secondSends.RecordRequest(now)
 	if key != nil {
 		a.requestsByKey[*key]++
 	}
+	return a.expectedBytes(route)
+}
+
+// expectedBytes returns the expected size of a response on a route.
+func (a *admission) expectedBytes(route fairway.RouteName) float64 {
 	if means := a.routeMeans[route]; means != nil {
 		return means.bytes
 	}
@@ -388,6 +392,7 @@
 	defer a.mu.Unlock()
 	a.controller.SetRoutes(own.names, own.mixed)
 	maps.DeleteFunc(a.routeMeans, func(name fairway.RouteName, _ *routeMeans) bool { return !names[name] })
+	a.secondSends.RetainRoutes(names)
 }
 
 // meanLatency returns the mean latency of the responses on a route, or of the service if its
@@ -409,12 +414,20 @@
 type admissionUsage struct {
 	sluice.Usage
 	budgetLeft float64
+	// secondLimitUsed and extraWork are set if there are second sends.
+	secondSends     bool
+	secondLimitUsed float64
+	extraWork       time.Duration
 }
 
 func (a *admission) usage() admissionUsage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return admissionUsage{Usage: a.controller.Usage(), budgetLeft: a.retryBudget.Remaining(monotonicNow())}
+	now := monotonicNow()
+	return admissionUsage{
+		Usage: a.controller.Usage(), budgetLeft: a.retryBudget.Remaining(now),
+		secondSends: a.secondSends.Enabled(), secondLimitUsed: a.secondSends.Used(now), extraWork: a.extraWork,
+	}
 }
 
 // takeLoad returns the measurements since the last call and resets them.
@@ -447,6 +460,8 @@
 	Host   HostID
 	Domain fairway.Domain
 	Budget sluice.RetryBudgetConfig
+	// SecondSendShare limits second sends; see [Settings].
+	SecondSendShare float64
 	// ReassignmentDelay is how long a key has no owner after its owner has
 	// become unresponsive.
 	ReassignmentDelay time.Duration
@@ -546,6 +561,7 @@
 		own := routesOf(s.config, service.Name)
 		a.controller.SetRoutes(own.names, own.mixed)
 	}
+	a.secondSends = sluice.NewSecondSends(sluice.SecondSendsConfig{Share: s.cfg.SecondSendShare, Controller: a.controller, Retries: a.retryBudget})
 	return a
 }
 
@@ -614,14 +630,6 @@
 	return found
 }
 
-// tellsLoad reports whether servers of a service tell their load.
-func (s *admissionSet) tellsLoad(service fairway.ServiceName) bool {
-	s.mu.Lock()
-	a := s.admissions[service]
-	s.mu.Unlock()
-	return a != nil && a.tellsLoad()
-}
-
 // every returns the admissions of all services, of both kinds.
 func (s *admissionSet) every() []*admission {
 	found := slices.Collect(maps.Values(s.all()))
--- a/jetty/coordination.go
+++ b/jetty/coordination.go
@@ -10,9 +10,6 @@
 type coordination struct {
 	clusterState *clusterState
 	carriers     *carriers
-	// telling reports whether the servers of a service state their load in responses; nil
-	// means that none does.
-	telling func(fairway.ServiceName) bool
 
 	mu sync.Mutex
 	// config is the configuration whose priorities are known.
@@ -46,10 +43,10 @@
 }
 
 // wanted reports whether a service is to have coordinators: if its routes have different
-// priorities, or its servers state their load.
+// priorities.
 func (c *coordination) wanted(service fairway.ServiceName) bool {
 	r := c.prioritiesOf(service)
-	return r.most != r.least || c.telling != nil && c.telling(service)
+	return r.most != r.least
 }
 
 // active reports whether this host asks coordinators for permits. A service that has carriers
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -29,6 +29,10 @@
 	// nextAt is when a further attempt begins beside the pending one; zero means
 	// never.
 	nextAt time.Time
+	// secondAt is when a second send beside the pending one is decided on; zero means
+	// never. secondHeld is why it was last held back.
+	secondAt   time.Time
+	secondHeld sluice.SecondSendReason
 	// fallback is the failure that a server reported while another attempt was
 	// pending.
 	fallback result
@@ -83,6 +87,10 @@
 	trial *sluice.Trial
 	// permit is that of the server's coordinator, or nil if this host has admitted the request.
 	permit *permit
+	// second is set for a second send, and lost for an attempt beside which a second send
+	// was answered first.
+	second bool
+	lost   bool
 
 	ctx  context.Context
 	resp *backendResponse
@@ -105,7 +113,7 @@
 	select {
 	case e.ended <- a:
 	case <-e.over:
-		a.finish(sluice.OutcomeCanceled)
+		a.abandon()
 		a.discard()
 	}
 }
@@ -411,6 +419,7 @@
 	}
 	e.pending = append(e.pending, a)
 	e.nextAt = e.pending[0].overdueAt
+	e.planSecond()
 	go a.run()
 }
 
@@ -462,11 +471,19 @@
 			defer timer.Stop()
 			next = timer.C
 		}
+		var second <-chan time.Time
+		if len(e.pending) == 1 && !e.secondAt.IsZero() {
+			timer := time.NewTimer(time.Until(e.secondAt))
+			defer timer.Stop()
+			second = timer.C
+		}
 		select {
 		case a := <-e.ended:
 			if res := e.handle(ctx, a); res != nil {
 				return res
 			}
+		case <-second:
+			e.trySecond(ctx)
 		case <-next:
 			a := e.pending[0]
 			if !a.overdue && !a.overdueAt.IsZero() && time.Now().After(a.overdueAt) {
@@ -498,6 +515,7 @@
 	var res result
 	var again bool
 	e.recordEnd(a)
+	e.recordSecondEnd(a)
 	if kindOf(a.err) == KindServerEnded {
 		e.recordCrash(a)
 	}
@@ -517,6 +535,7 @@
 	}
 	switch {
 	case answered && (resp.status < http.StatusInternalServerError || len(e.pending) == 0):
+		e.settleSecond(a)
 		return res
 	case answered && e.fallback == nil && resp.remaining == nil:
 		e.fallback = res
@@ -528,7 +547,7 @@
 	}
 	if len(e.pending) > 0 {
 		e.nextAt = e.pending[0].overdueAt
-		if again {
+		if again && !a.second && !e.pending[0].second {
 			e.nextAt = time.Now()
 		}
 	}
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -47,6 +47,8 @@
 	// token and tableRevision come from the latest lookup of the key's owner.
 	token         mooring.Token
 	tableRevision mooring.StoreRevision
+	// second is set once the request has been sent to a second server beside the first.
+	second *secondSend
 	// mayHaveRun is set once a server may have begun to execute the request.
 	mayHaveRun bool
 	// body is the room of the request's body, or nil.
@@ -154,15 +156,7 @@
 	ctx, unbind := f.drain.bind(ctx)
 	defer unbind()
 	adm := f.admissions.get(r.service, f.clusterState.catalog())
-	req := &sluice.Request{
-		Route:         r.route.Name,
-		Priority:      r.route.Priority,
-		Key:           r.key,
-		Objective:     r.route.Objective,
-		SoftDeadline:  instantOf(r.arrived.Add(r.route.Objective)),
-		Deadline:      instantOf(r.deadline),
-		ResponseBytes: adm.recordArrival(r.route.Name, r.key),
-	}
+	req := admissionRequest(r, adm.recordArrival(r.route.Name, r.key))
 	e := &exchange{
 		forwarder: f, r: r, adm: adm, req: req, caller: caller,
 		ended: make(chan *attempt), over: make(chan struct{}),
@@ -191,6 +185,20 @@
 	return adm.acquire(ctx, req), nil
 }
 
+// admissionRequest describes r, whose response is expected to have a size, to the admission
+// controller.
+func admissionRequest(r *request, responseBytes float64) *sluice.Request {
+	return &sluice.Request{
+		Route:         r.route.Name,
+		Priority:      r.route.Priority,
+		Key:           r.key,
+		Objective:     r.route.Objective,
+		SoftDeadline:  instantOf(r.arrived.Add(r.route.Objective)),
+		Deadline:      instantOf(r.deadline),
+		ResponseBytes: responseBytes,
+	}
+}
+
 // stopped returns the result of a request that is not sent, or not sent again,
 // since the host is stopping.
 func (f *forwarder) stopped(r *request) result {
@@ -237,6 +245,9 @@
 	}
 	if outcome == sluice.OutcomeAnswered {
 		adm.recordResponse(r.route.Name, a.server.ID, len(a.resp.body), a.took)
+		if !a.second {
+			adm.recordTime(r.route.Name, a.took)
+		}
 	}
 }
 
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -160,6 +160,7 @@
 		Domain:            s.Domain,
 		ReassignmentDelay: min(grantHold, s.Bounds.MaxHold) + holdMargin,
 		Budget:            sluice.RetryBudgetConfig{Window: s.Bounds.BudgetWindow, Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra},
+		SecondSendShare:   s.SecondSendShare,
 	})
 	h.limits.admissions = h.admissions
 	h.coordinate()
@@ -241,7 +242,7 @@
 func (h *Host) coordinate() {
 	s := h.cfg.Settings
 	h.coordinators = newCoordinators(s.Host, h.logs)
-	h.coordination = &coordination{clusterState: h.clusterState, carriers: h.carriers, telling: h.admissions.tellsLoad}
+	h.coordination = &coordination{clusterState: h.clusterState, carriers: h.carriers}
 	cfg := h.admissions.cfg
 	cfg.Carriers = nil
 	cfg.Coordination = &admissionCoordination{
--- a/jetty/permits.go
+++ b/jetty/permits.go
@@ -264,6 +264,17 @@
 	return res.decision, res.permit, true
 }
 
+// coordinatorOf returns the coordinator that would be asked first to admit a request, or
+// nothing if this host would admit it itself, and whether the coordinator is this host.
+func (p *permits) coordinatorOf(adm *admission, r *request) (host string, here bool) {
+	if p == nil || !p.coordination.active(r.service.Name) || len(p.coordinators.current().coordinators) == 0 {
+		return "", false
+	}
+	c := &permitCall{permits: p, adm: adm, r: r}
+	host, _ = c.next()
+	return host, host == string(p.host)
+}
+
 // connectionsTo returns how many requests of this host may be at a server if a coordinator
 // admits them, or 0 if none does. Then they need as many connections.
 func (p *permits) connectionsTo(service fairway.ServiceName, s fairway.Endpoint) int {
--- a/sluice/choice.go
+++ b/sluice/choice.go
@@ -102,20 +102,31 @@
 	}
 	var best *serverState
 	bestCost := math.Inf(1)
-	found := 0
+	for _, server := range c.candidates(now, r, usable) {
+		if cost := c.cost(now, server, r); cost < bestCost {
+			best, bestCost = server, cost
+		}
+	}
+	return best, best != nil
+}
+
+// candidates returns the preferred servers with free capacity for which usable returns true.
+func (c *Controller) candidates(now mooring.Instant, r *Request, usable func(*serverState) bool) []*serverState {
+	var found []*serverState
 	for _, server := range c.ranked {
-		if found == maxCandidates {
+		if len(found) == maxCandidates {
 			break
 		}
 		if !usable(server) || !server.hasRoom(now) || r.excludes(server.endpoint.ID) {
 			continue
 		}
-		found++
-		if cost := c.cost(now, server, r); cost < bestCost {
-			best, bestCost = server, cost
+		if found == nil {
+			// Most calls for waiting requests find none, and need no memory.
+			found = make([]*serverState, 0, maxCandidates)
 		}
+		found = append(found, server)
 	}
-	return best, best != nil
+	return found
 }
 
 // usableAt returns which servers may get requests that any server can answer. Those that say
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -190,6 +190,12 @@
 	leavingSince mooring.Instant
 	// coordinated is set in a coordinating controller.
 	coordinated *coordinated
+	// overloaded is what the last report says.
+	overloaded bool
+	// losses counts the requests in a row that were canceled for second sends, the last of
+	// them at lostAt.
+	losses int
+	lostAt mooring.Instant
 }
 
 // NewController returns a controller without servers.
@@ -264,7 +270,8 @@
 // all hosts. Servers that are not in the map are not overloaded.
 func (c *Controller) SetOverloaded(now mooring.Instant, overloaded map[fairway.ServerID]bool) {
 	for id, server := range c.servers {
-		if overloaded[id] {
+		server.overloaded = overloaded[id]
+		if server.overloaded {
 			server.window.setOverload()
 		} else {
 			server.window.clearOverload(now)
@@ -284,15 +291,25 @@
 	if r.Route != "" {
 		r.estimate = c.expected.routes.of(r.Route)
 	}
-	if server, ok := c.pick(now, r); ok {
+	server, decision := c.decide(now, r)
+	switch decision.(type) {
+	case Dispatch:
 		return c.dispatch(now, server, r)
+	case Wait:
+		c.insert(now, r)
+	}
+	return decision
+}
+
+// decide returns the decision on a new request, and the server of a [Dispatch].
+func (c *Controller) decide(now mooring.Instant, r *Request) (*serverState, Decision) {
+	if server, ok := c.pick(now, r); ok {
+		return server, Dispatch{Server: server.endpoint}
 	}
-	ahead := c.ahead(now, r)
-	if refusal, refused := c.refuseNew(now, r, ahead); refused {
-		return refusal
+	if refusal, refused := c.refuseNew(now, r, c.ahead(now, r)); refused {
+		return nil, refusal
 	}
-	c.insert(now, r)
-	return Wait{}
+	return nil, Wait{}
 }
 
 // Cancel removes a request from the queue. It returns false if the request is
--- a/sluice/expectation.go
+++ b/sluice/expectation.go
@@ -34,11 +34,6 @@
 	return e.mixed || e.told
 }
 
-// TellsLoad reports whether a listed server tells its load.
-func (c *Controller) TellsLoad() bool {
-	return c.expected.told
-}
-
 // SetRoutes sets the routes of the service in the active configuration, and whether they
 // have different priorities. The estimates of other routes are forgotten.
 func (c *Controller) SetRoutes(names map[fairway.RouteName]bool, mixed bool) {
--- a/sluice/permit.go
+++ b/sluice/permit.go
@@ -61,8 +61,8 @@
 	failedAt  mooring.Instant
 }
 
-// paceAt returns the pace of the server, given the load that it told. A request that has run
-// for longer than expected counts like a response.
+// paceAt returns the pace of the server, given the load that it told. Where it tells none, a
+// request that has run for longer than expected counts like a response.
 func (s *coordinated) paceAt(now mooring.Instant, told toldLoad) float64 {
 	pace := 1.0
 	switch {
@@ -71,6 +71,9 @@
 	case s.pace != 0:
 		pace += (s.pace - 1) * math.Exp(-float64(now.Sub(s.pacedAt))/float64(paceDecay))
 	}
+	if told.known() {
+		return min(pace, maxPace)
+	}
 	for _, p := range s.permits {
 		if p.startedAt != 0 {
 			pace = max(pace, float64(now.Sub(p.startedAt))/float64(p.expected))
