Build the parts of coordinated admission in one place

Cause: the host, the tests and the benchmark each put them together, so the tests did not show that the host does it right. No change of what the host does.

--- a/jetty/host.go
+++ b/jetty/host.go
@@ -102,10 +102,7 @@
 	reach         *reach
 	peerConns     *peerConns
 	carriers      *carriers
-	coordinators  *coordinators
-	coordination  *coordination
-	permits       *permits
-	permitServer  *permitServer
+	coordinated   *coordinatedAdmission
 	relayServer   *relayServer
 	limits        *limits
 	crashes       *crashes
@@ -158,7 +155,10 @@
 		Budget:            sluice.RetryBudgetConfig{Window: s.Bounds.BudgetWindow, Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra},
 	})
 	h.limits.admissions = h.admissions
-	h.coordinate()
+	h.coordinated = newCoordinatedAdmission(coordinatedConfig{
+		Host: s.Host, Domain: s.Domain, ClusterState: h.clusterState, Carriers: h.carriers, Admissions: h.admissions,
+		Conns: h.peerConns, Logs: h.logs, Metrics: h.metrics, Stopping: h.shuttingDown.Load,
+	})
 	h.notices = newNotices(&notices{
 		protocol: cfg.Protocol, admissions: h.admissions, clusterState: h.clusterState, logs: h.logs, metrics: h.metrics,
 	})
@@ -182,8 +182,8 @@
 		crashes:       h.crashes,
 		notices:       h.notices,
 		carriers:      h.carriers,
-		coordination:  h.coordination,
-		coordinators:  h.coordinators,
+		coordination:  h.coordinated.coordination,
+		coordinators:  h.coordinated.coordinators,
 		keepTime:      h.upstream.keepTime,
 		address:       s.PeerAddress,
 		linkMbps:      s.LinkMbps,
@@ -200,7 +200,7 @@
 	h.reporter = &reporter{
 		host: s.Host, domain: s.Domain, address: s.PeerAddress, linkMbps: s.LinkMbps,
 		clusterState: h.clusterState, admissions: h.admissions, loadCollector: h.loadCollector, changeLog: h.watcher.changeLog, reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, logs: h.logs,
-		carriers: h.carriers, coordinators: h.coordinators, capacity: carryingCapacity(s.Cores),
+		carriers: h.carriers, coordinators: h.coordinated.coordinators, capacity: carryingCapacity(s.Cores),
 		onPeers: h.watcher.recallOnce, onHostsChange: h.refresh, shuttingDown: h.shuttingDown.Load, wake: make(chan struct{}, 1),
 	}
 	h.crashes.onChange = h.reporter.notify
@@ -210,7 +210,7 @@
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
 		reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, bodies: h.bodies, drain: h.drain, logs: h.logs, metrics: h.metrics,
-		carriers: h.carriers, permits: h.permits, recoverer: h.recoverer,
+		carriers: h.carriers, permits: h.coordinated.permits, recoverer: h.recoverer,
 		relay: &relayClient{
 			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices,
 		},
@@ -227,35 +227,6 @@
 	return h, nil
 }
 
-// coordinate sets up the admission of requests by coordinators.
-func (h *Host) coordinate() {
-	s := h.cfg.Settings
-	h.coordinators = newCoordinators(s.Host, h.logs)
-	h.coordination = &coordination{clusterState: h.clusterState, carriers: h.carriers}
-	cfg := h.admissions.cfg
-	cfg.Carriers = nil
-	cfg.Coordination = &admissionCoordination{
-		Owners:     h.admissions.ownersOf,
-		MostUrgent: h.coordination.mostUrgent,
-		Servers: func(name fairway.ServiceName, catalog *fairway.Catalog) []fairway.Endpoint {
-			config := h.clusterState.activeConfig.Current()
-			if config == nil || config.Services[name] == nil {
-				return nil
-			}
-			return h.coordinators.serversOf(config.Services[name], catalog)
-		},
-	}
-	h.admissions.coordinated = newAdmissionSet(cfg)
-	h.permitServer = newPermitServer(&permitServer{
-		admissions: h.admissions.coordinated, clusterState: h.clusterState, coordination: h.coordination, coordinators: h.coordinators,
-		stopping: h.shuttingDown.Load, metrics: h.metrics,
-	})
-	h.permits = newPermits(&permits{
-		host: s.Host, domain: s.Domain, coordination: h.coordination, coordinators: h.coordinators, clusterState: h.clusterState,
-		conns: h.peerConns, server: h.permitServer, logs: h.logs, metrics: h.metrics,
-	})
-}
-
 // RecordStoreCall records the result and duration of a call to the store. The
 // store's client is to call it after each call.
 func (h *Host) RecordStoreCall(op string, err error, elapsed time.Duration) {
@@ -300,7 +271,7 @@
 	h.launch(ctx, h.election.run)
 	h.launch(ctx, h.reporter.run)
 	h.launch(ctx, h.limits.run)
-	h.launch(ctx, h.permits.run)
+	h.launch(ctx, h.coordinated.permits.run)
 	h.launch(ctx, h.sweepLoop)
 	h.launch(ctx, h.reach.run)
 	h.launch(ctx, h.reloadLoop)
@@ -381,7 +352,7 @@
 	signal.RegisterMemoryServer(h.peerServer, h.watcher.memory)
 	signal.RegisterRelayServer(h.peerServer, h.relayServer)
 	signal.RegisterLimitsServer(h.peerServer, h.limits)
-	signal.RegisterPermitsServer(h.peerServer, h.permitServer)
+	signal.RegisterPermitsServer(h.peerServer, h.coordinated.server)
 	signal.RegisterTrialsServer(h.peerServer, h.crashes)
 	signal.RegisterTermsServer(h.peerServer, &termsServer{election: h.election})
 	l := &serverLoop{serve: h.peerServer.Serve, listener: listener, logs: h.logs}
@@ -427,7 +398,7 @@
 				next = sweepInterval
 			}
 		}
-		if h.permitServer.sweep() {
+		if h.coordinated.server.sweep() {
 			next = sweepInterval
 		}
 		timer.Reset(next)
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -283,7 +283,7 @@
 	m.gauge(metricPlacer, placer)
 	m.gauge(metricEntryHosts, float64(h.clusterState.knownHostCount()))
 	m.gauge(metricSuspectedRequests, float64(h.crashes.size.Load()))
-	m.updatePermitGauges(h.permitServer)
+	m.updatePermitGauges(h.coordinated.server)
 	for service, adm := range h.admissions.all() {
 		usage := adm.usage()
 		m.serviceGauge(metricRequestsInFlight, service, float64(usage.InFlight))
--- a/jetty/permits_bench_test.go
+++ b/jetty/permits_bench_test.go
@@ -31,43 +31,33 @@
 		b.Fatal(err)
 	}
 	told := []*signal.Carrier{{Host: "host-0", Address: listener.Addr().String(), Capacity: 16}}
-	host := func(name HostID) (*forwarder, *permitServer, *permits) {
+	host := func(name HostID) (*forwarder, *coordinatedAdmission) {
 		f := benchForwarder(b, endpoint)
 		f.clusterState.activeConfig = fairway.NewActiveConfig()
 		f.clusterState.activeConfig.SetIfNewer(config)
 		f.clusterState.setHostCounts(2, 2)
-		table := newCoordinators(name, quietLogs())
-		table.set(newCoordinatorTable(told, 7))
-		coordination := &coordination{clusterState: f.clusterState, carriers: newCarriers(name)}
-		f.admissions.coordinated = newAdmissionSet(admissionSetConfig{Host: name, Coordination: &admissionCoordination{
-			Owners: f.admissions.ownersOf, MostUrgent: coordination.mostUrgent,
-			Servers: func(_ fairway.ServiceName, catalog *fairway.Catalog) []fairway.Endpoint {
-				return table.serversOf(service, catalog)
-			},
-		}})
-		server := newPermitServer(&permitServer{
-			admissions: f.admissions.coordinated, clusterState: f.clusterState, coordination: coordination, coordinators: table,
-			stopping: func() bool { return false }, metrics: f.metrics,
-		})
 		conns := newPeerConns()
 		b.Cleanup(conns.close)
-		return f, server, newPermits(&permits{
-			host: name, coordination: coordination, coordinators: table, clusterState: f.clusterState, conns: conns, server: server, logs: quietLogs(), metrics: f.metrics,
+		c := newCoordinatedAdmission(coordinatedConfig{
+			Host: name, ClusterState: f.clusterState, Carriers: newCarriers(name), Admissions: f.admissions, Conns: conns,
+			Logs: quietLogs(), Metrics: f.metrics, Stopping: func() bool { return false },
 		})
+		c.coordinators.set(newCoordinatorTable(told, 7))
+		return f, c
 	}
-	_, server, _ := host("host-0")
-	f, _, permits := host("host-1")
+	_, coordinator := host("host-0")
+	f, asking := host("host-1")
 	peers := grpc.NewServer(append((&recoverer{}).options(), grpc.ReadBufferSize(relayBufferBytes))...)
-	signal.RegisterPermitsServer(peers, server)
+	signal.RegisterPermitsServer(peers, coordinator.server)
 	go func() { _ = peers.Serve(listener) }()
 	b.Cleanup(peers.Stop)
 	ctx, cancel := context.WithCancel(context.Background())
 	b.Cleanup(cancel)
-	go permits.run(ctx)
+	go asking.permits.run(ctx)
 	for _, by := range []string{"host", "coordinator"} {
 		b.Run(by, func(b *testing.B) {
 			if by == "coordinator" {
-				f.permits = permits
+				f.permits = asking.permits
 			}
 			adm := f.admissions.get(service, f.clusterState.catalog())
 			key := mooring.Key(7)
--- a/jetty/permits_test.go
+++ b/jetty/permits_test.go
@@ -39,24 +39,13 @@
 	}, []*fairway.Service{h.service})
 	Expect(err).NotTo(HaveOccurred())
 	h.f.clusterState.activeConfig.SetIfNewer(config)
-	h.table = newCoordinators(name, quietLogs())
-	coordination := &coordination{clusterState: h.f.clusterState, carriers: newCarriers(name)}
-	h.f.admissions.coordinated = newAdmissionSet(admissionSetConfig{Host: name, Coordination: &admissionCoordination{
-		Owners: h.f.admissions.ownersOf, MostUrgent: coordination.mostUrgent,
-		Servers: func(_ fairway.ServiceName, catalog *fairway.Catalog) []fairway.Endpoint {
-			return h.table.serversOf(h.service, catalog)
-		},
-	}})
-	h.server = newPermitServer(&permitServer{
-		admissions: h.f.admissions.coordinated, clusterState: h.f.clusterState, coordination: coordination, coordinators: h.table,
-		stopping: h.stopping.Load, metrics: h.f.metrics,
-	})
 	conns := newPeerConns()
 	DeferCleanup(conns.close)
-	h.f.permits = newPermits(&permits{
-		host: name, coordination: coordination, coordinators: h.table, clusterState: h.f.clusterState,
-		conns: conns, server: h.server, logs: quietLogs(), metrics: h.f.metrics,
+	c := newCoordinatedAdmission(coordinatedConfig{
+		Host: name, ClusterState: h.f.clusterState, Carriers: newCarriers(name), Admissions: h.f.admissions, Conns: conns,
+		Logs: quietLogs(), Metrics: h.f.metrics, Stopping: h.stopping.Load,
 	})
+	h.table, h.server, h.f.permits = c.coordinators, c.server, c.permits
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	go h.f.permits.run(ctx)
