Play the loss of a coordinator and today's policy as they are, and fuzz what coordinators decode

Cause: the load test of coordinated admission merged the reports of all servers for today's policy, took a quarter of the time after which a lost coordinator is noticed, and lost what waited there. Permits that expire together ended in the order of a map.

Change: reports by server; 150 ms, then 1 s without a call, per host; what waited is admitted by its host after 300 ms. Expired permits end in the order of their ids, so that runs are alike.

--- a/jetty/fuzz_test.go
+++ b/jetty/fuzz_test.go
@@ -8,7 +8,9 @@
 
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
+	"hornbeamwinch.example/mooring"
 	"hornbeamwinch.example/signal"
+	"hornbeamwinch.example/sluice"
 )
 
 // marshaled returns messages in their form on the wire, as seeds.
@@ -41,6 +43,7 @@
 		l := newLoadCollector()
 		l.isPlacer = func() bool { return true }
 		l.continueCarriers(map[fairway.ServiceName]bool{"readings": true})
+		l.continueCoordinators(3)
 		for range 2 {
 			if _, err := l.Report(t.Context(), &r); err != nil {
 				t.Fatal(err)
@@ -66,6 +69,9 @@
 		c := newCarriers("h")
 		c.set(table)
 		c.peersFor("readings", "s")
+		coordinators := newCoordinators("h", quietLogs())
+		coordinators.set(newCoordinatorTable(reply.Coordinators, reply.CoordinatorsVersion))
+		coordinators.of(&fairway.Service{Name: "readings"}, "s", fairway.NewCatalog(nil))
 		table.sharing("readings", 12)
 		s := newFeedSources("h:1", noDelay)
 		s.setPlan(decodeFeedPlan(&reply), int(reply.Hosts))
@@ -127,3 +133,27 @@
 		}
 	})
 }
+
+// FuzzPermitRequest has a coordinator decide on any request of another host.
+func FuzzPermitRequest(f *testing.F) {
+	marshaled(f,
+		&signal.PermitRequest{Session: 1, Id: 2, Service: "readings", LeftMicros: 1 << 63, SoftLeftMicros: -1 << 63, ObjectiveMicros: 1 << 63, ResponseBytes: -1, Excluded: []string{"s"}},
+		&signal.PermitRequest{Priority: -1 << 31, Released: []*signal.ReleasedPermit{{Id: 1 << 63, TookMicros: 1 << 63, Outcome: 99}}},
+	)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var m signal.PermitRequest
+		if proto.Unmarshal(data, &m) != nil {
+			return
+		}
+		m.Key = nil
+		c := sluice.NewController(sluice.ControllerConfig{Service: "readings", Coordinated: true})
+		now := mooring.Instant(time.Hour)
+		c.SetServers(now, []fairway.Endpoint{{ID: "t", Service: "readings", Incarnation: 1}}, 1)
+		req := decodePermitRequest(&m, now)
+		encodeDecision(c.Admit(now, req))
+		for _, r := range m.GetReleased() {
+			c.Settle(now, req.ID, decodeOutcome(r.GetOutcome()), decodeMicros(r.GetTookMicros()))
+		}
+		c.Reevaluate(now.Add(time.Hour))
+	})
+}
--- a/sluice/coordinated_load_test.go
+++ b/sluice/coordinated_load_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -144,8 +145,11 @@
 	hosts    []sluice.Carrier
 	backends []*loadServer
 	detector *sluice.OverloadDetector
-	counts   []hostReport
-	result   loadResult
+	// counts has what each host has not reported yet of each server.
+	counts [][]hostReport
+	// leftAlone has until when each host asks no lost coordinator.
+	leftAlone []mooring.Instant
+	result    loadResult
 }
 
 func (s *loadSim) at(delay time.Duration, run func()) {
@@ -156,11 +160,12 @@
 func serverName(i int) fairway.ServerID { return fairway.ServerID(fmt.Sprintf("s%d", i)) }
 
 func newLoadSim(c loadCase) *loadSim {
-	s := &loadSim{loadCase: c, rng: rand.New(rand.NewPCG(20261206, uint64(c.hosts))), now: start, detector: sluice.NewOverloadDetector(), counts: make([]hostReport, c.hosts)}
+	s := &loadSim{loadCase: c, rng: rand.New(rand.NewPCG(20261206, uint64(c.hosts))), now: start, detector: sluice.NewOverloadDetector(), counts: make([][]hostReport, c.hosts), leftAlone: make([]mooring.Instant, c.hosts)}
 	for i := range c.servers {
 		s.backends = append(s.backends, &loadServer{index: i})
 	}
 	for i := range c.hosts {
+		s.counts[i] = make([]hostReport, c.servers)
 		s.own = append(s.own, &loadAdmitter{controller: s.newController(fmt.Sprint("host", i), false), jobs: make(map[sluice.RequestID]*loadJob)})
 	}
 	for i := range c.coordinators {
@@ -229,6 +234,10 @@
 	if s.lostCoordinator && len(s.coord) > 0 {
 		lost := s.coordinatorOf(0)
 		s.coord[lost].lost = true
+		for _, id := range slices.Sorted(maps.Keys(s.coord[lost].jobs)) {
+			j := s.coord[lost].jobs[id]
+			s.at(2*lossNoticed, func() { s.offer(s.own[j.host], j) })
+		}
 		s.at(coordinatorsRenamed, func() {
 			s.hosts = slices.DeleteFunc(s.hosts, func(c sluice.Carrier) bool { return c.Host == fmt.Sprint("host", lost) })
 			s.assign()
@@ -259,7 +268,12 @@
 		}
 		admitter = s.coord[s.coordinatorOf(server)]
 		if admitter.lost {
-			s.at(lossNoticed/4, func() { s.offer(s.own[j.host], j) })
+			delay := time.Duration(0)
+			if s.now >= s.leftAlone[j.host] {
+				delay = lossNoticed
+				s.leftAlone[j.host] = s.now.Add(lossNoticed + time.Second)
+			}
+			s.at(delay, func() { s.offer(s.own[j.host], j) })
 			return
 		}
 	}
@@ -379,7 +393,7 @@
 	k := loadKinds[j.kind]
 	latency := s.now.Sub(send.began)
 	if !send.overdue {
-		s.counts[j.host].count(outcome == sluice.OutcomeRejected || sluice.IsOverloadSample(latency, k.objective))
+		s.counts[j.host][send.server.index].count(outcome == sluice.OutcomeRejected || sluice.IsOverloadSample(latency, k.objective))
 	}
 	s.finish(send, outcome)
 	switch {
@@ -424,13 +438,13 @@
 
 // report tells the load that a host has seen, as hosts do.
 func (s *loadSim) report(host int) {
-	s.detector.Add(s.now, "s0", s.counts[host].requests, s.counts[host].overloadSamples)
-	s.counts[host] = hostReport{}
+	for i, c := range s.counts[host] {
+		s.detector.Add(s.now, serverName(i), c.requests, c.overloadSamples)
+	}
+	clear(s.counts[host])
 	overloaded := make(map[fairway.ServerID]bool)
-	if len(s.detector.Overloaded(s.now)) > 0 {
-		for i := range s.backends {
-			overloaded[serverName(i)] = true
-		}
+	for _, id := range s.detector.Overloaded(s.now) {
+		overloaded[id] = true
 	}
 	s.own[host].controller.SetOverloaded(s.now, overloaded)
 	s.at(500*time.Millisecond, func() { s.report(host) })
--- a/sluice/permit.go
+++ b/sluice/permit.go
@@ -1,7 +1,9 @@
 package sluice
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"hornbeamwinch.example/mooring"
@@ -213,13 +215,19 @@
 
 // expire ends the permits whose deadline has passed.
 func (c *Controller) expire(now mooring.Instant) []Resolution {
-	var resolved []Resolution
+	var ended []*permit
 	for _, p := range c.permits {
 		if p.request.Deadline <= now {
-			c.expired++
-			resolved = append(resolved, c.end(now, p)...)
+			ended = append(ended, p)
 		}
 	}
+	// Decisions must not depend on the order of a map.
+	slices.SortFunc(ended, func(a, b *permit) int { return cmp.Compare(a.id, b.id) })
+	c.expired += len(ended)
+	var resolved []Resolution
+	for _, p := range ended {
+		resolved = append(resolved, c.end(now, p)...)
+	}
 	return resolved
 }
 
