Answer 502 to a server's status that is none

Cause: net/http parses any three characters that strconv.Atoi takes as a status. Below 100 its server panics when a handler writes one, so the caller's connection closed without an answer (000, 042, 099, +20); 101, 600 and 999 were passed on. In the project's own deployment an informational response counted as the final one, and a probe's response with any status that said ready counted as alive.

Change: the head of a final response has a status from 200 to 599; anything else but an informational response is invalid. The same holds for orders, relayed responses (checked again by the host that asked, since hosts of the last release pass on what they get), probes, and quay.

--- a/harbor/forwarder.go
+++ b/harbor/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -130,6 +131,10 @@
 		}
 		switch part := chunk.GetPart().(type) {
 		case *signal.ForwardChunk_Head:
+			// Hosts of earlier releases pass on invalid statuses.
+			if part.Head.GetStatus() > math.MaxUint16 || !quay.IsFinalStatus(int(part.Head.GetStatus())) {
+				return nil, quay.ErrInvalidStatus
+			}
 			err = sink.Head(int(part.Head.GetStatus()), decodeHeader(part.Head.GetHeaders()))
 		case *signal.ForwardChunk_Data:
 			_, err = sink.Write(part.Data)
--- a/harbor/prober.go
+++ b/harbor/prober.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"hornbeamwinch.example/berth"
+	"hornbeamwinch.example/quay"
 	"hornbeamwinch.example/roster"
 	"hornbeamwinch.example/signal"
 )
@@ -260,6 +261,10 @@
 		return status, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if !quay.IsFinalStatus(response.StatusCode) {
+		// The body is not read, so that the connection is closed.
+		return status, quay.ErrInvalidStatus
+	}
 	err = json.NewDecoder(io.LimitReader(response.Body, maxProbeResponseBytes)).Decode(&status)
 	if err != nil {
 		return status, err
--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -299,8 +299,8 @@
 	}
 }
 
-// readHead reads the head of a response. The informational responses that it
-// skips count towards the limit.
+// readHead reads the head of a final response. The informational responses that it
+// skips count towards the limit. It fails with errInvalidStatus at any other response.
 func (c *connection) readHead(r *http.Request, limit int) (*http.Response, error) {
 	c.readingHead, c.headLeft = true, limit
 	defer func() { c.readingHead = false }()
@@ -309,12 +309,31 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < 100 || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case isFinalStatus(resp.StatusCode):
 			return resp, nil
+		case !isInformationalStatus(resp.StatusCode):
+			return nil, errInvalidStatus
 		}
 	}
 }
 
+// errInvalidStatus means that the status of a response is not one that HTTP defines for it.
+var errInvalidStatus = errors.New("response has an invalid status")
+
+// isFinalStatus reports whether a status ends an exchange. net/http also parses statuses of
+// three characters that are no such status, like "000", "+20" and "999", and it panics when a
+// handler writes one below 100.
+func isFinalStatus(status int) bool {
+	return status >= 200 && status <= 599
+}
+
+// isInformationalStatus reports whether a status announces a final response. A switch of protocols,
+// which no request of a host asks for, does not.
+func isInformationalStatus(status int) bool {
+	return status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
+}
+
 // readBody reads the body of a response, but no more than limit bytes of it. It
 // fails when ctx is done.
 func (c *connection) readBody(ctx context.Context, resp *http.Response, limit int64) ([]byte, error) {
--- a/jetty/relayclient.go
+++ b/jetty/relayclient.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -374,6 +375,10 @@
 // readResponse reads a response: whole, or up to maxBufferedBytes if it is longer.
 func (c *relayCall) readResponse(ctx context.Context, hop *relayHop, head *signal.RelayHead) (*backendResponse, error) {
 	c.server = fairway.ServerID(head.GetServer())
+	// Hosts of earlier releases pass on invalid statuses.
+	if head.GetStatus() > math.MaxUint16 || !isFinalStatus(int(head.GetStatus())) {
+		return nil, &Error{Op: "relay", Kind: KindInvalidResponse, Err: errInvalidStatus}
+	}
 	resp := &backendResponse{status: int(head.GetStatus()), header: make(http.Header), server: c.server}
 	for _, h := range head.GetHeaders() {
 		resp.header.Add(h.GetName(), string(h.GetValue()))
--- a/quay/conn.go
+++ b/quay/conn.go
@@ -53,7 +53,7 @@
 	if err := r.Write(c); err != nil {
 		return nil, newError("send", c.failureKind(), err)
 	}
-	resp, err := http.ReadResponse(c.reader, r)
+	resp, err := c.readHead(r)
 	if err != nil {
 		return nil, newError("receive", KindMayHaveRun, err)
 	}
@@ -65,6 +65,34 @@
 	return resp, nil
 }
 
+// maxInterim bounds the informational responses that precede a final one.
+const maxInterim = 16
+
+// ErrInvalidStatus means that the status of a response is not one that HTTP defines for it.
+var ErrInvalidStatus = errors.New("response has an invalid status")
+
+// IsFinalStatus reports whether a status ends an exchange. net/http also parses statuses of three
+// characters that are no such status, like "000", "+20" and "999", and it panics when a handler
+// writes one below 100.
+func IsFinalStatus(status int) bool {
+	return status >= 200 && status <= 599
+}
+
+// readHead reads the head of a final response and skips informational ones. It fails with
+// [ErrInvalidStatus] at any other response, also at a switch of protocols, which no request asks for.
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	for range maxInterim {
+		resp, err := http.ReadResponse(c.reader, r)
+		switch {
+		case err != nil || IsFinalStatus(resp.StatusCode):
+			return resp, err
+		case resp.StatusCode < 100 || resp.StatusCode > 199 || resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, ErrInvalidStatus
+		}
+	}
+	return nil, ErrInvalidStatus
+}
+
 // interrupt makes the running request fail. The caller closes the connection
 // afterwards, from which the server detects that the request was abandoned.
 func (c *conn) interrupt() {
--- a/quay/dispatch.go
+++ b/quay/dispatch.go
@@ -164,6 +164,8 @@
 		return Reason(refusal.Kind.String())
 	case errors.Is(err, errMismatchedResponse):
 		return ReasonMismatchedResponse
+	case errors.Is(err, ErrInvalidStatus):
+		return ReasonInvalidStatus
 	case kindOf(err) == KindNotRun:
 		return ReasonConnectFailed
 	case isTimeout(err):
--- a/quay/outcome.go
+++ b/quay/outcome.go
@@ -70,6 +70,7 @@
 	ReasonServerUnresponsive   Reason = "server_silent"
 	ReasonConnectionLost       Reason = "connection_lost"
 	ReasonMismatchedResponse   Reason = "answer_of_another_request"
+	ReasonInvalidStatus        Reason = "invalid_status"
 	ReasonAttemptsExceeded     Reason = "retry_budget_exhausted"
 	ReasonForwardLost          Reason = "forward_lost"
 	ReasonHostStopping         Reason = "host_stopping"
