Bound the memory, descriptors and time that clients may take

Cause: nothing bounded connections, and max_fds of the settings was not read. Heads, and responses that nobody read, were outside the budget of memory; responses that nobody read had no time limit, nor had heads at the addresses for health checks and operators. A request without a route whose body did not come got no response.

Change: the budget of bodies also has heads, charged as their bytes arrive, and responses until they are read; a response without room is passed on as it comes. Connections are bounded by max_fds and memory_mb; the one that has been idle or slow for longest is closed for a new one, never one at work. header_timeout_s ends heads, and 16 KiB in 30 s is the least progress of a response. connections_closed_total counts by reason, and connection_closed is logged 5 times a second at most.

--- a/jetty/bodybudget.go
+++ b/jetty/bodybudget.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// bodyMemoryFraction is the part of the host's memory that request bodies may take. A
-	// host of 184 MiB still takes a body of 64 MiB.
+	// bodyMemoryFraction is the part of the host's memory that requests may take: their heads and
+	// bodies, and responses until their callers have read them.
 	bodyMemoryFraction = 0.4
 	// smallBodyBytes is the size up to which a body may take the part of the budget that is
 	// kept free of larger ones, so that uploads do not keep out other requests.
@@ -27,9 +27,9 @@
 	meanTimeWeight = 0.2
 )
 
-// bodyBudget bounds the memory of the request bodies in a host: those of its callers and of
-// other hosts' requests. Room is reserved before a body is read. A nil bodyBudget has no
-// limit.
+// bodyBudget bounds the memory of the requests in a host: the heads and bodies of its callers'
+// requests, the bodies of other hosts' requests, and the responses that callers read. Room is
+// reserved before it is used. A nil bodyBudget has no limit.
 type bodyBudget struct {
 	// collect frees the memory of released bodies.
 	collect func()
@@ -104,6 +104,36 @@
 	return true
 }
 
+// extend takes further room, to which nothing moves.
+func (r *bodyReservation) extend(bytes int64) bool {
+	if r == nil || r.budget == nil {
+		return true
+	}
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.hasRoom(bytes) {
+		return false
+	}
+	b.reserved += bytes
+	r.bytes += bytes
+	return true
+}
+
+// shrink gives back all but some bytes, which have not been used.
+func (r *bodyReservation) shrink(bytes int64) {
+	b := r.budget
+	if b == nil || bytes >= r.bytes {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved -= r.bytes - bytes
+	r.bytes = bytes
+	// What is read grows by copies.
+	b.garbage += bytes
+}
+
 // hasRoom reports whether there is room for a body. The caller holds mu.
 func (b *bodyBudget) hasRoom(bytes int64) bool {
 	limit := b.limit
--- a/jetty/callers.go
+++ b/jetty/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -15,15 +16,98 @@
 // connected.
 const firstRequestGrace = time.Second
 
+const (
+	// writeProgress and writePieceBytes are the least progress that a caller makes with a response. The
+	// kernel takes the next piece once a third of its buffer is free, so less time would cut callers that read
+	// 12 KB/s of a response of 1 MB.
+	writeProgress   = 30 * time.Second
+	writePieceBytes = 16 << 10
+	// closingSlack is how many connections above the limit are accepted while those that were chosen to
+	// be closed end.
+	closingSlack = 16
+)
+
 // callerConns tracks the connections of callers, so that idle ones can be
 // closed without losing a request that is just arriving.
 type callerConns struct {
+	// limit bounds the connections; 0 means no bound.
+	limit int
+	// writeProgress is how long a caller may take to read a piece of writePieceBytes.
+	writeProgress time.Duration
+	// budget has the memory for the heads of requests; nil means no limit.
+	budget *bodyBudget
+	// onClosed, if set, is called with the reason for which a connection is closed early.
+	onClosed func(closeReason)
+
 	mu    sync.Mutex
 	conns map[*callerConn]bool
 }
 
+// closeReason says why a connection is closed early.
+type closeReason string
+
+const (
+	// closeFull means that the limit of connections was reached, and that this one had been idle or slow
+	// for longest; closeRefused that no other one could be closed.
+	closeFull    closeReason = "full"
+	closeRefused closeReason = "refused"
+	// closeNoMemory means that there was no memory for the head of a request.
+	closeNoMemory closeReason = "no_memory"
+	// closeSlowHead means that the head of a request did not come in time.
+	closeSlowHead closeReason = "slow_head"
+	// closeUnread means that the caller did not read its response.
+	closeUnread closeReason = "unread"
+)
+
 func newCallerConns() *callerConns {
-	return &callerConns{conns: make(map[*callerConn]bool)}
+	return &callerConns{writeProgress: writeProgress, conns: make(map[*callerConn]bool)}
+}
+
+// closed reports a connection that is closed early.
+func (cs *callerConns) closed(reason closeReason) {
+	if cs != nil && cs.onClosed != nil {
+		cs.onClosed(reason)
+	}
+}
+
+// setLimit sets the bound of the connections.
+func (cs *callerConns) setLimit(limit int) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.limit = limit
+}
+
+// add tracks a new connection. If the limit is reached, it first closes the connection that has been
+// idle or slow for longest. It returns false if there is none.
+func (cs *callerConns) add(c *callerConn) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if cs.limit > 0 && len(cs.conns) >= cs.limit {
+		cs.closeOldest()
+		if len(cs.conns) >= cs.limit+closingSlack {
+			return false
+		}
+	}
+	cs.conns[c] = true
+	return true
+}
+
+// closeOldest closes the connection that has been idle or slow for longest. The caller holds mu.
+func (cs *callerConns) closeOldest() {
+	var oldest *callerConn
+	var since time.Time
+	for c := range cs.conns {
+		if t, ok := c.waitingSince(); ok && (oldest == nil || t.Before(since)) {
+			oldest, since = c, t
+		}
+	}
+	if oldest == nil {
+		return
+	}
+	cs.closed(closeFull)
+	if oldest.abort() {
+		delete(cs.conns, oldest)
+	}
 }
 
 // callerListener accepts connections and tracks them.
@@ -34,15 +118,19 @@
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &callerConn{Conn: nc, callers: l.callers, idle: true, unused: true, idleSince: time.Now()}
+		c.head.room = &bodyReservation{budget: l.callers.budget}
+		if l.callers.add(c) {
+			return c, nil
+		}
+		l.callers.closed(closeRefused)
+		_ = nc.Close()
 	}
-	c := &callerConn{Conn: nc, idle: true, unused: true, idleSince: time.Now()}
-	l.callers.mu.Lock()
-	l.callers.conns[c] = true
-	l.callers.mu.Unlock()
-	return c, nil
 }
 
 // onStateChange is the http.Server.ConnState hook.
@@ -55,6 +143,7 @@
 	case http.StateIdle:
 		c.setAnswered()
 	case http.StateClosed, http.StateHijacked:
+		c.setClosed()
 		cs.mu.Lock()
 		delete(cs.conns, c)
 		cs.mu.Unlock()
@@ -79,6 +168,17 @@
 	return len(conns)
 }
 
+// closeSlowHeads closes the connections on which a head has been on its way for longer than limit.
+func (cs *callerConns) closeSlowHeads(now time.Time, limit time.Duration) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.conns {
+		if c.closeSlowHead(now, limit) {
+			cs.closed(closeSlowHead)
+		}
+	}
+}
+
 // callerConnKey is the key of the connection in the context of a request.
 type callerConnKey struct{}
 
@@ -104,6 +204,28 @@
 	}
 }
 
+// beginRequest states that the head of a request is complete. It returns false if there is no memory
+// for it.
+func beginRequest(hr *http.Request) bool {
+	c, ok := hr.Context().Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return true
+	}
+	fields := 0
+	for _, values := range hr.Header {
+		fields += len(values)
+	}
+	return c.beginRequest(int64(fields*headFieldBytes + headerBytes(hr)*headTextCopies))
+}
+
+// setSlow states whether the connection of a request waits for its caller, which sends a body. Such
+// connections are closed if there are too many.
+func setSlow(ctx context.Context, slow bool) {
+	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
+		c.setSlow(slow)
+	}
+}
+
 // callerConn is one connection of a caller. Closing it while idle never loses a
 // request: closeIdle interrupts the read in progress, and net/http closes the
 // connection if that has read nothing. Otherwise a request has begun to arrive, and
@@ -116,8 +238,17 @@
 // it does first on each connection, and otherwise into what is left of it.
 type callerConn struct {
 	net.Conn
+	callers *callerConns
 
 	mu sync.Mutex
+	// head is the memory of the present request's head, which is complete once headRead is set.
+	head     callerHead
+	headRead bool
+	// slowSince is when the connection began to wait for the caller to send a head or a body or to read
+	// a response; zero if it does not wait for any of them.
+	slowSince time.Time
+	// writeDeadline is that which net/http has set.
+	writeDeadline time.Time
 	// idle means that no request is being read or answered, and unused that
 	// there has not been a request yet.
 	idle   bool
@@ -146,6 +277,12 @@
 			c.closing = false
 			err = errors.Join(err, c.Conn.SetReadDeadline(c.readDeadline))
 		}
+		if !c.headRead && err == nil {
+			if err = c.head.add(data[:n]); err != nil {
+				c.callers.closed(closeNoMemory)
+				return 0, err
+			}
+		}
 		return n, err
 	case c.closing:
 		return 0, io.EOF
@@ -154,6 +291,122 @@
 	}
 }
 
+// Write implements net.Conn. It fails if the caller does not read a piece within writeProgress.
+func (c *callerConn) Write(data []byte) (int, error) {
+	written := 0
+	for written < len(data) {
+		n, err := c.writePiece(data[written:min(len(data), written+writePieceBytes)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+func (c *callerConn) writePiece(piece []byte) (int, error) {
+	limit := time.Now().Add(c.callers.writeProgress)
+	c.mu.Lock()
+	unread := c.writeDeadline.IsZero() || limit.Before(c.writeDeadline)
+	if !unread {
+		limit = c.writeDeadline
+	}
+	wasSlow := c.slowSince
+	c.slowSince = time.Now()
+	err := c.Conn.SetWriteDeadline(limit)
+	c.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(piece)
+	c.mu.Lock()
+	c.slowSince = wasSlow
+	c.mu.Unlock()
+	if unread && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.callers.closed(closeUnread)
+	}
+	return n, err
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *callerConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// beginRequest states that the head of a request is complete, and reserves the memory of what came
+// together with the request before. It returns false if there is none.
+func (c *callerConn) beginRequest(bytes int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headRead, c.slowSince = true, time.Time{}
+	return c.head.atLeast(bytes)
+}
+
+func (c *callerConn) setSlow(slow bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slowSince = time.Time{}
+	if slow {
+		c.slowSince = time.Now()
+	}
+}
+
+// setClosed gives back the memory of the head.
+func (c *callerConn) setClosed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.end()
+	c.headRead = true
+}
+
+// waitingSince returns since when the connection has been idle, or has waited for its caller. It reports
+// false if the host is at work on a request, or if the connection is about to close.
+func (c *callerConn) waitingSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closing:
+		return time.Time{}, false
+	case c.idle:
+		return c.idleSince, true
+	default:
+		return c.slowSince, !c.slowSince.IsZero()
+	}
+}
+
+// abort closes a connection that is idle or waits for its caller. It returns false if the host is at work
+// on a request by now, or if the connection ends later, unless a request has begun to arrive.
+func (c *callerConn) abort() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		c.closing = true
+		_ = c.Conn.SetReadDeadline(pastDeadline)
+		return false
+	}
+	if c.slowSince.IsZero() {
+		return false
+	}
+	_ = c.Conn.Close()
+	return true
+}
+
+// closeSlowHead closes the connection if a head has been on its way for longer than limit. It reports
+// whether it does.
+func (c *callerConn) closeSlowHead(now time.Time, limit time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle || c.headRead || c.slowSince.IsZero() || now.Sub(c.slowSince) < limit {
+		return false
+	}
+	_ = c.Conn.Close()
+	c.headRead = true
+	return true
+}
+
 // beginRead marks the connection as idle if this read, of up to size bytes, waits
 // for the first byte of a request.
 func (c *callerConn) beginRead(size int) {
@@ -165,6 +418,9 @@
 	if c.answered && size == c.bufferSize {
 		c.idle = true
 	}
+	if !c.idle && !c.headRead && c.slowSince.IsZero() {
+		c.slowSince = time.Now()
+	}
 }
 
 // SetReadDeadline implements net.Conn. After an answer, net/http sets a deadline
@@ -187,6 +443,9 @@
 	defer c.mu.Unlock()
 	c.answered = true
 	c.idleSince = time.Now()
+	c.slowSince, c.writeDeadline = time.Time{}, time.Time{}
+	c.head.end()
+	c.headRead = false
 }
 
 // closeIdle has the connection closed if it has been idle for too long.
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -18,6 +18,7 @@
 	eventEntryUnreadable      event = "entry_unreadable"
 	eventFeedFailed           event = "feed_failed"
 	eventHTTPServerMessage    event = "http_server_message"
+	eventConnectionClosed     event = "connection_closed"
 	eventHostStarted          event = "host_started"
 	eventHostStopped          event = "host_stopped"
 	eventHostStopping         event = "host_stopping"
@@ -55,7 +56,7 @@
 	eventEarlierPlacersEnded,
 	eventEntryUnreadable,
 	eventFeedFailed,
-	eventHTTPServerMessage,
+	eventHTTPServerMessage, eventConnectionClosed,
 	eventHostStarted,
 	eventHostStopped,
 	eventHostStopping,
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -51,6 +51,8 @@
 	mayHaveRun bool
 	// body is the room of the request's body, or nil.
 	body *bodyReservation
+	// answers is the room of the responses to the request.
+	answers answerRooms
 	// bodyLeft is set if the rest of the body is discarded after the response.
 	bodyLeft bool
 	// callerHost is the address of the caller, without its port.
@@ -425,7 +427,16 @@
 	if httpResp.Header.Get("Content-Encoding") != "" {
 		return invalid(errUnexpectedEncoding)
 	}
-	body, err := c.readBody(ctx, httpResp, maxBufferedBytes+1)
+	// A response that finds no room is passed on as it comes, so that its caller sees if it breaks off.
+	limit := int64(maxBufferedBytes)
+	room := r.answers.reserve(f.bodies, httpResp.ContentLength)
+	if room == nil {
+		limit = unreservedBytes
+	}
+	body, err := c.readBody(ctx, httpResp, limit+1)
+	if room != nil {
+		room.shrink(int64(len(body)))
+	}
 	if err != nil {
 		f.upstream.discard(p, c)
 		return nil, f.checkEnd(r, s, err)
@@ -434,7 +445,7 @@
 	if f.mayComeAgain(resp) {
 		c.recordRefused(r.id)
 	}
-	if len(body) > maxBufferedBytes {
+	if int64(len(body)) > limit {
 		resp.remaining = httpResp.Body
 		_ = c.SetDeadline(r.deadline)
 		resp.interrupt = c.interrupt
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -46,6 +46,14 @@
 	// maxHeaderBytes bounds how much of a request's headers is read before the
 	// limit of the configuration is applied.
 	maxHeaderBytes = 1 << 18
+	// sideHeaderBytes, sideHeaderTimeout, sideBodyTimeout and sideIdleTime are the limits at the addresses
+	// for health checks and for operators.
+	sideHeaderBytes   = 16 << 10
+	sideHeaderTimeout = 3 * time.Second
+	sideBodyTimeout   = 3 * time.Second
+	sideIdleTime      = 15 * time.Second
+	// peerHandshakeTimeout bounds the time in which another host begins a connection.
+	peerHandshakeTimeout = 5 * time.Second
 	// memoryLimitFraction is the fraction of the memory that is set as the soft
 	// limit of the Go runtime, above which it collects garbage more often.
 	memoryLimitFraction = 0.7
@@ -98,15 +106,17 @@
 	loadCollector *loadCollector
 	ingress       *ingress
 	callers       *callerConns
-	drain         *drain
-	reach         *reach
-	peerConns     *peerConns
-	carriers      *carriers
-	relayServer   *relayServer
-	limits        *limits
-	crashes       *crashes
-	notices       *notices
-	bodies        *bodyBudget
+	// sides has the connections to the addresses that are not for callers or hosts.
+	sides       []*callerConns
+	drain       *drain
+	reach       *reach
+	peerConns   *peerConns
+	carriers    *carriers
+	relayServer *relayServer
+	limits      *limits
+	crashes     *crashes
+	notices     *notices
+	bodies      *bodyBudget
 
 	httpServers     []*http.Server
 	ingressListener net.Listener
@@ -198,8 +208,8 @@
 	}
 	h.crashes.onChange = h.reporter.notify
 	h.watcher.onFirstPlacer = h.reporter.notify
-	h.callers = newCallerConns()
 	h.bodies = newBodyBudget(s.MemoryMB)
+	h.callers = h.newConns(newConnLimits(s.MaxFDs, s.MemoryMB).callers)
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
 		reach: h.reach, limits: h.limits, notices: h.notices, crashes: h.crashes, bodies: h.bodies, drain: h.drain, logs: h.logs, metrics: h.metrics,
@@ -277,18 +287,59 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryMB) * (1 << 20)))
 	}
-	if err := h.serve(newCallerServer(h.ingress, h.callers, h.logs), s.CallerAddress); err != nil {
+	if err := h.serveConns(newCallerServer(h.ingress, h.callers, h.logs), h.callers, s.CallerAddress); err != nil {
 		return err
 	}
-	if err := h.serve(&http.Server{Handler: h.readyHandler(), ErrorLog: h.logs.stdLogger()}, s.ReadyAddress); err != nil {
+	if err := h.serveSide(h.readyHandler(), s.ReadyAddress); err != nil {
 		return err
 	}
-	if err := h.serve(&http.Server{Handler: h.adminHandler(), ErrorLog: h.logs.stdLogger()}, s.AdminAddress); err != nil {
+	if err := h.serveSide(h.adminHandler(), s.AdminAddress); err != nil {
 		return err
 	}
 	return h.servePeers(s.PeerAddress)
 }
 
+// newConns returns the connections of one address; a limit of 0 means no bound.
+func (h *Host) newConns(limit int) *callerConns {
+	conns := newCallerConns()
+	conns.limit, conns.budget = limit, h.bodies
+	conns.onClosed = func(reason closeReason) {
+		h.metrics.connectionClosed(reason)
+		h.logs.connectionClosed(reason)
+	}
+	return conns
+}
+
+// serveSide serves an address that is not for callers.
+func (h *Host) serveSide(handler http.Handler, address string) error {
+	conns := h.newConns(newConnLimits(h.cfg.Settings.MaxFDs, h.cfg.Settings.MemoryMB).side)
+	h.sides = append(h.sides, conns)
+	server := newCallerServer(boundedHandler{next: handler}, conns, h.logs)
+	server.MaxHeaderBytes, server.ReadHeaderTimeout = sideHeaderBytes, sideHeaderTimeout
+	return h.serveConns(server, conns, address)
+}
+
+// boundedHandler serves requests whose bodies are not used. It does not wait for them.
+type boundedHandler struct {
+	next http.Handler
+}
+
+// ServeHTTP implements http.Handler.
+func (b boundedHandler) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	if !beginRequest(hr) {
+		panic(http.ErrAbortHandler)
+	}
+	if hr.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+		controller := http.NewResponseController(w)
+		// They fail if the connection is closed, which later reads and writes find as well.
+		_ = controller.EnableFullDuplex()
+		_ = controller.SetReadDeadline(time.Now().Add(sideBodyTimeout))
+		setSlow(hr.Context(), true)
+	}
+	b.next.ServeHTTP(w, hr)
+}
+
 // newCallerServer returns a server whose connections callers tracks.
 func newCallerServer(handler http.Handler, callers *callerConns, logs *logs) *http.Server {
 	return &http.Server{
@@ -315,14 +366,14 @@
 	h.loops.Go(func() { h.recoverer.loop(ctx, run) })
 }
 
-// serve listens on address and serves it in a goroutine; see [serverLoop].
-func (h *Host) serve(server *http.Server, address string) error {
+// serveConns listens on address and serves it in a goroutine; see [serverLoop].
+func (h *Host) serveConns(server *http.Server, conns *callerConns, address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
-	if server.Handler == h.ingress {
-		listener = &callerListener{Listener: listener, callers: h.callers}
+	listener = &callerListener{Listener: listener, callers: conns}
+	if conns == h.callers {
 		h.ingressListener = listener
 	}
 	h.httpServers = append(h.httpServers, server)
@@ -336,7 +387,8 @@
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
-	options := append(h.recoverer.options(), grpc.ReadBufferSize(relayBufferBytes), grpc.InitialWindowSize(peerWindowBytes), grpc.InitialConnWindowSize(peerWindowBytes),
+	listener = newPeerListener(listener, newConnLimits(h.cfg.Settings.MaxFDs, h.cfg.Settings.MemoryMB).peers, h.callers.closed)
+	options := append(h.recoverer.options(), grpc.ConnectionTimeout(peerHandshakeTimeout), grpc.ReadBufferSize(relayBufferBytes), grpc.InitialWindowSize(peerWindowBytes), grpc.InitialConnWindowSize(peerWindowBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: peerKeepAlive, PermitWithoutStream: true}))
 	h.peerServer = grpc.NewServer(options...)
 	signal.RegisterLoadsServer(h.peerServer, h.loadCollector)
@@ -409,9 +461,19 @@
 // longer than the active configuration allows. The limit may change while a
 // connection is unused; http.Server.IdleTimeout would not apply the change.
 func (h *Host) closeIdleCallers() {
-	if c := h.clusterState.activeConfig.Current(); c != nil && c.Limits.IdleTimeout > 0 {
+	for _, side := range h.sides {
+		side.closeIdle(sideIdleTime, sideHeaderTimeout)
+	}
+	c := h.clusterState.activeConfig.Current()
+	if c == nil {
+		return
+	}
+	if c.Limits.IdleTimeout > 0 {
 		h.callers.closeIdle(c.Limits.IdleTimeout, headerTimeout)
 	}
+	if c.Limits.HeaderTimeout > 0 {
+		h.callers.closeSlowHeads(time.Now(), c.Limits.HeaderTimeout)
+	}
 }
 
 // reloadLoop reads the settings again at each of the reload signals.
@@ -436,6 +498,7 @@
 	if err == nil && s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryMB) * (1 << 20)))
 		h.bodies.setMemory(s.MemoryMB)
+		h.callers.setLimit(newConnLimits(h.cfg.Settings.MaxFDs, s.MemoryMB).callers)
 	}
 	h.logs.settingsReloaded(err)
 }
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -22,6 +22,8 @@
 	startupRetryAfter = 500 * time.Millisecond
 	// defaultRouteTimeout applies to routes without a timeout of their own.
 	defaultRouteTimeout = 30 * time.Second
+	// discardTime bounds the time in which the body of a request without a route is read after the response.
+	discardTime = 3 * time.Second
 )
 
 // ingress is the HTTP handler for callers: it parses and checks a request, has
@@ -53,6 +55,7 @@
 	r, res := in.handle(w, hr, arrived)
 	// A server may still be sent the body while its response is passed on.
 	defer r.body.release()
+	defer r.answers.end()
 	in.recordResult(r, res, time.Since(arrived))
 	in.writeResult(w, hr, r, res)
 	if r.bodyLeft {
@@ -72,6 +75,7 @@
 	if controller.Flush() != nil || controller.SetReadDeadline(r.deadline) != nil {
 		return
 	}
+	setSlow(hr.Context(), true)
 	// It fails if the caller leaves, or at its deadline.
 	_, _ = io.Copy(io.Discard, hr.Body)
 }
@@ -80,8 +84,15 @@
 func (in *ingress) handle(w http.ResponseWriter, hr *http.Request, arrived time.Time) (r *request, res result) {
 	r = &request{id: hr.Header.Get(in.headers.RequestID), arrived: arrived, config: in.activeConfig.Current()}
 	defer in.forwarder.recoverer.at(placeRequest, func() { res = gatewayError{status: http.StatusBadGateway, reason: reasonInternal} })
-	if res = in.parseRequest(w, hr, r); res == nil {
-		res = in.forwarder.forward(hr.Context(), r)
+	if !beginRequest(hr) {
+		res = refusal{reason: reasonNoMemory, retryAfter: in.forwarder.bodies.retryAfter(time.Now())}
+	} else if res = in.parseRequest(w, hr, r); res == nil {
+		return r, in.forwarder.forward(hr.Context(), r)
+	}
+	if hr.ContentLength != 0 && hr.Body != nil && r.deadline.IsZero() {
+		// Otherwise net/http would wait for the body before it responds.
+		r.deadline = arrived.Add(discardTime)
+		in.leaveBody(w, r)
 	}
 	return r, res
 }
@@ -161,6 +172,9 @@
 func (in *ingress) readBody(w http.ResponseWriter, hr *http.Request, r *request) result {
 	limits := r.config.Limits
 	if limits.HeaderBytes > 0 && headerBytes(hr) > limits.HeaderBytes {
+		if hr.ContentLength != 0 {
+			in.leaveBody(w, r)
+		}
 		return clientError{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderTooLarge}
 	}
 	switch {
@@ -173,6 +187,8 @@
 		in.leaveBody(w, r)
 		return clientError{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
 	}
+	setSlow(hr.Context(), true)
+	defer setSlow(hr.Context(), false)
 	b := &bodyReader{reader: hr.Body, length: hr.ContentLength, budget: in.forwarder.bodies}
 	if limits.BodyBytes > 0 {
 		b.reader, b.limit = http.MaxBytesReader(w, hr.Body, limits.BodyBytes), limits.BodyBytes
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -24,6 +24,7 @@
 	successLinesPerSecond = 5
 	failureLinesPerSecond = 60
 	systemLinesPerSecond  = 100
+	closedLinesPerSecond  = 5
 )
 
 // logs writes the decision log, one JSON object per line. Each class of lines
@@ -34,6 +35,7 @@
 	success lineLimiter
 	failed  lineLimiter
 	system  lineLimiter
+	closed  lineLimiter
 	// leftOut counts the dropped lines since the metrics were last updated.
 	leftOut atomic.Int64
 }
@@ -83,6 +85,7 @@
 		success: lineLimiter{limit: successLinesPerSecond},
 		failed:  lineLimiter{limit: failureLinesPerSecond},
 		system:  lineLimiter{limit: systemLinesPerSecond},
+		closed:  lineLimiter{limit: closedLinesPerSecond},
 	}
 }
 
@@ -179,6 +182,11 @@
 	l.logger.Info().Str("dependency", dependency).Dur("after", after).Msg(string(eventDependencyRegained))
 }
 
+// connectionClosed logs a connection to the host that is closed early.
+func (l *logs) connectionClosed(reason closeReason) {
+	l.newLine(&l.closed, true).Str("reason", string(reason)).Msg(string(eventConnectionClosed))
+}
+
 func (l *logs) operationFailed(op string, err error) {
 	l.newLine(&l.system, true).Str("op", op).Err(err).Msg(string(eventOperationFailed))
 }
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -54,6 +54,7 @@
 	metricSuspectedRequests metricName = "suspected_requests"
 	metricServerNotices     metricName = "server_notices_total"
 	metricPanics            metricName = "panics_total"
+	metricConnectionsClosed metricName = "connections_closed_total"
 )
 
 // metricNames has every metric. A test compares it with the operations page.
@@ -62,7 +63,7 @@
 	metricRequestsWaiting, metricRetryBudgetLeft, metricKeyMoves, metricKeyRanges, metricTableRevision, metricOrders,
 	metricStoreCalls, metricStoreCallSeconds, metricStoreAge, metricConfigVersion, metricServersListed,
 	metricConnectionsOpen, metricConnectionsOpened, metricLinesLeftOut, metricPlacer, metricEntryHosts, metricServerEnds, metricSuspectedRequests,
-	metricServerNotices, metricPanics,
+	metricServerNotices, metricPanics, metricConnectionsClosed,
 }
 
 // metrics keeps its values in a tally scope. It caches the scopes with tags,
@@ -160,6 +161,11 @@
 	m.withTags(metricTags{first: kind}, "kind").Counter(string(metricServerNotices)).Inc(1)
 }
 
+// connectionClosed counts a connection to the host that is closed early.
+func (m *metrics) connectionClosed(reason closeReason) {
+	m.withTags(metricTags{first: string(reason)}, "reason").Counter(string(metricConnectionsClosed)).Inc(1)
+}
+
 func (m *metrics) keysMoved(service fairway.ServiceName, moves []mooring.Move) {
 	for _, move := range moves {
 		m.withTags(metricTags{first: string(service), second: string(move.Reason)}, "service", "reason").
--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -95,6 +95,7 @@
 		return refuseRelay(stream, sluice.Refuse{Reason: sluice.Reason(reasonNoMemory), RetryAfter: s.forwarder.bodies.retryAfter(time.Now())})
 	}
 	defer r.body.release()
+	defer r.answers.end()
 	adm := s.forwarder.admissions.get(r.service, s.forwarder.clusterState.catalog())
 	req := &sluice.Request{
 		Priority:      r.route.Priority,
--- a/jetty/settings.go
+++ b/jetty/settings.go
@@ -24,6 +24,8 @@
 	StoreAddress string
 	// MemoryMB limits the memory of the process, in MiB; 0 means no limit.
 	MemoryMB int
+	// MaxFDs limits the descriptors of the process; 0 means unknown.
+	MaxFDs int
 	// LinkMbps is the bandwidth of the host's network link; 0 means unknown.
 	LinkMbps int
 	// Cores is the host's share of processor time, in cores; 0 means unknown.
