Serve the largest body on the smallest host

Cause: the budget of a host of 144 MiB has 50 MiB for larger bodies, so it refused one of 64 MiB in calm. One in chunks needed room for 96 MiB at once, since its buffer doubles, which a host below 275 MiB never has.

Change: hosts below 184 MiB offer up to 73.6 MiB, as one of 184 MiB does, if 60 MiB are left besides. Where doubling could never reach the largest body, the buffer grows to that size at once as soon as it could not later, and a body that stays far below it moves into a smaller one.

Measured: a real daemon with memory_mb 144 answered both forms with 503, and answers them with 200, three times each.

--- a/cmd/hornbeamwinchd/crowd_test.go
+++ b/cmd/hornbeamwinchd/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -86,12 +87,13 @@
 	peakFDs            int
 }
 
-func startCrowdHost(binary string) *crowdHost {
+// startCrowdHost starts a daemon with a memory limit, in MiB.
+func startCrowdHost(binary string, memoryMB int, configuration string) *crowdHost {
 	GinkgoHelper()
 	store := platformtest.NewStore()
 	server := httptest.NewServer(store)
 	DeferCleanup(server.Close)
-	store.Put("op/config", []byte(crowdConfiguration))
+	store.Put("op/config", []byte(configuration))
 	backend, err := platformtest.StartBackendServer(platformtest.BackendServerConfig{Store: store, ID: "b0", Service: "billing", Domain: "zone-a", Slots: 20})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(backend.Kill)
@@ -101,7 +103,7 @@
 		Name: "host-0", IP: loopbackIP(), Domain: "zone-a", CallerAddress: addresses[0], ReadyAddress: addresses[1],
 		InternalPorts: [2]int{portOf(addresses[2]), portOf(addresses[2]) + 1}, StoreAddress: strings.TrimPrefix(server.URL, "http://"),
 	}.Encode())
-	text = strings.Replace(text, "memory_mb: 200", fmt.Sprintf("memory_mb: %d, max_fds: %d", crowdMemoryMB, crowdFDs), 1)
+	text = strings.Replace(text, "memory_mb: 200", fmt.Sprintf("memory_mb: %d, max_fds: %d", memoryMB, crowdFDs), 1)
 	file := filepath.Join(GinkgoT().TempDir(), "settings.yaml")
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
 	h := &crowdHost{daemon: startProcess(binary, "--platform", "--settings", file), ready: addresses[1], peer: addresses[2]}
@@ -155,6 +157,15 @@
 	}
 }
 
+// zeros is a reader without an end.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(data []byte) (int, error) {
+	clear(data)
+	return len(data), nil
+}
+
 type nullWriter struct{}
 
 // Write implements io.Writer.
@@ -234,7 +245,7 @@
 			{"the peer address", "/", func(h *crowdHost) string { return h.peer }},
 		} {
 			It("stays within its limits: "+c.name+", at "+door.name, func() {
-				h := startCrowdHost(binary)
+				h := startCrowdHost(binary, crowdMemoryMB, crowdConfiguration)
 				h.play(c, door.address(h), door.path)
 				h.expectHeld()
 				for _, nc := range h.conns {
@@ -243,4 +254,26 @@
 			})
 		}
 	}
+
+	// The smallest host of the platform refused the largest body, also when it had nothing else to do.
+	for _, chunked := range []bool{false, true} {
+		It(fmt.Sprintf("serves a single body of the largest size (in chunks: %t)", chunked), func() {
+			const memoryMB, bodyBytes = 144, 64 << 20
+			h := startCrowdHost(binary, memoryMB, strings.Replace(crowdConfiguration, "16777216", strconv.Itoa(bodyBytes), 1))
+			for range 3 {
+				r, err := http.NewRequest(http.MethodPost, "http://"+h.callerAddress+"/list/x", io.LimitReader(zeros{}, bodyBytes))
+				Expect(err).NotTo(HaveOccurred())
+				r.Host = "crowd.example"
+				if !chunked {
+					r.ContentLength = bodyBytes
+				}
+				resp, err := http.DefaultClient.Do(r)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(resp.Body.Close()).To(Succeed())
+				Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			}
+			Expect(h.peakMemoryMB()).To(BeNumerically("<=", memoryMB))
+			fmt.Fprintf(os.Stderr, "peak of %q: %d MiB\n", CurrentSpecReport().LeafNodeText, h.peakMemoryMB())
+		})
+	}
 })
--- a/jetty/bodybudget.go
+++ b/jetty/bodybudget.go
@@ -10,6 +10,10 @@
 	// bodyMemoryFraction is the part of the host's memory that requests may take: their heads and
 	// bodies, and responses until their callers have read them.
 	bodyMemoryFraction = 0.4
+	// otherMemoryMB is what the rest of a small host takes, in MiB, and smallHostBudgetMB the room that it
+	// offers if it has as much besides: for a body of 64 MiB and the part for small ones.
+	otherMemoryMB     = 60
+	smallHostBudgetMB = 73.6
 	// smallBodyBytes is the size up to which a body may take the part of the budget that is
 	// kept free of larger ones, so that uploads do not keep out other requests.
 	smallBodyBytes = 64 << 10
@@ -57,7 +61,17 @@
 func (b *bodyBudget) setMemory(memoryMB int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limit = int64(bodyMemoryFraction * float64(memoryMB) * (1 << 20))
+	b.limit = int64(max(bodyMemoryFraction*float64(memoryMB), min(float64(memoryMB-otherMemoryMB), smallHostBudgetMB)) * (1 << 20))
+}
+
+// largest returns the room for bodies above smallBodyBytes, or 0 if there is no limit.
+func (b *bodyBudget) largest() int64 {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limit - int64(smallBodyFraction*float64(b.limit))
 }
 
 // isLimited reports whether there is a limit.
--- a/jetty/bodyreader.go
+++ b/jetty/bodyreader.go
@@ -36,7 +36,7 @@
 		body = body[:len(body)+n]
 		switch {
 		case errors.Is(err, io.EOF):
-			return body, nil
+			return b.fit(body), nil
 		case err != nil:
 			return nil, err
 		case int64(len(body)) == b.length:
@@ -50,15 +50,27 @@
 	}
 }
 
-// grow moves a body into a buffer of twice the size.
+// grow moves a body into a buffer of twice the size. If the budget could never hold the largest buffer
+// and half of it, the body moves into the largest one while the budget can hold that beside its own.
 func (b *bodyReader) grow(body []byte) ([]byte, error) {
 	size := 2 * int64(cap(body))
 	if b.limit > 0 {
 		// One byte more than the limit shows that it is exceeded.
 		size = min(size, b.limit+1)
+		if room := b.budget.largest(); room > 0 && room < b.limit+b.limit/2 && room < b.limit+1+size {
+			size = b.limit + 1
+		}
 	}
 	if !b.reservation.grow(size) {
 		return nil, errNoRoom
 	}
 	return append(make([]byte, 0, size), body...), nil
 }
+
+// fit moves a body into a buffer of its size if its own is far larger and there is room.
+func (b *bodyReader) fit(body []byte) []byte {
+	if cap(body) < 4*len(body) || cap(body) <= smallBodyBytes || !b.reservation.grow(int64(len(body))) {
+		return body
+	}
+	return append(make([]byte, 0, len(body)), body...)
+}
