Give back the room that a body of unknown length did not need

Cause: a body whose buffer has grown to the largest size keeps that room until it is answered, and the move into a smaller buffer found no room beside it, since both counted as larger bodies.

Change: the move may use the part for small bodies, as it gives back more. Tests of the memory of responses and of bodies of unknown length on a host of 144 MiB: five sizes, of which 1 MiB kept 64 MiB before.

--- /dev/null
+++ b/jetty/answerrooms_test.go
@@ -0,0 +1,66 @@
+package jetty
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Responses that callers did not read took a host over its memory.
+var _ = Describe("The memory of a response", func() {
+	const size = 300_000
+	var b *exchangeBench
+	var s *exchangeServer
+	var r *request
+	BeforeEach(func() {
+		b = newExchangeBench(0)
+		b.f.bodies = newBodyBudget(8)
+		s = b.serve("s", 20, func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, strings.Repeat("x", size)) })
+		r = b.request(1, time.Second)
+	})
+	send := func() *backendResponse {
+		GinkgoHelper()
+		endpoint, _ := b.f.clusterState.catalog().Get(s.id)
+		resp, err := b.f.roundTrip(context.Background(), r, endpoint)
+		Expect(err).NotTo(HaveOccurred())
+		return resp
+	}
+
+	It("is kept until the request ends", func() {
+		Expect(send().body).To(HaveLen(size))
+		Expect(b.f.bodies.bytesReserved()).To(BeEquivalentTo(size))
+		r.answers.end()
+		Expect(b.f.bodies.bytesReserved()).To(BeZero())
+	})
+
+	It("is not taken beyond the budget: the response is passed on as it comes", func() {
+		_, ok := b.f.bodies.reserve(b.f.bodies.largest())
+		Expect(ok).To(BeTrue())
+		resp := send()
+		Expect(resp.body).To(HaveLen(unreservedBytes + 1))
+		rest, err := io.ReadAll(resp.remaining)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rest).To(HaveLen(size - unreservedBytes - 1))
+		resp.finish(true)
+		b.expectNothingLeft()
+	})
+})
+
+var _ = Describe("A body of unknown length on a small host", func() {
+	const memoryMB, limit = 144, 64 << 20
+	// Doubling buffers never had room for the largest body.
+	for _, size := range []int64{1, 300_000, 1 << 20, 48 << 20, limit} {
+		It("is read whole, and then takes no more than four times its size", func() {
+			b := &bodyReader{reader: io.LimitReader(endlessReader{}, size), length: -1, limit: limit, budget: newBodyBudget(memoryMB)}
+			body, err := b.read()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(HaveLen(int(size)))
+			Expect(b.budget.bytesReserved()).To(BeNumerically("<=", max(4*size, smallBodyBytes)))
+		})
+	}
+})
--- a/jetty/bodybudget.go
+++ b/jetty/bodybudget.go
@@ -118,6 +118,24 @@
 	return true
 }
 
+// moveInto takes room for a smaller buffer, to which the body moves from the former one. It may use the
+// part for small bodies, since it gives back more.
+func (r *bodyReservation) moveInto(bytes int64) bool {
+	b := r.budget
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limit > 0 && bytes > b.limit-b.reserved {
+		return false
+	}
+	b.reserved += bytes - r.bytes
+	b.garbage += r.bytes
+	r.bytes = bytes
+	return true
+}
+
 // extend takes further room, to which nothing moves.
 func (r *bodyReservation) extend(bytes int64) bool {
 	if r == nil || r.budget == nil {
--- a/jetty/bodyreader.go
+++ b/jetty/bodyreader.go
@@ -69,7 +69,7 @@
 
 // fit moves a body into a buffer of its size if its own is far larger and there is room.
 func (b *bodyReader) fit(body []byte) []byte {
-	if cap(body) < 4*len(body) || cap(body) <= smallBodyBytes || !b.reservation.grow(int64(len(body))) {
+	if cap(body) < 4*len(body) || cap(body) <= smallBodyBytes || !b.reservation.moveInto(int64(len(body))) {
 		return body
 	}
 	return append(make([]byte, 0, len(body)), body...)
