--- a/jetty/bodybudget.go
+++ b/jetty/bodybudget.go
@@ -7,9 +7,13 @@
 )
 
 const (
-	// bodyMemoryFraction is the part of the host's memory that request bodies may take. A
-	// host of 184 MiB still takes a body of 64 MiB.
+	// bodyMemoryFraction is the part of the host's memory that requests may take: their heads and
+	// bodies, and responses until their callers have read them.
 	bodyMemoryFraction = 0.4
+	// otherMemoryMB is what the rest of a small host takes, in MiB, and smallHostBudgetMB the room that it
+	// offers if it has as much besides: for a body of 64 MiB and the part for small ones.
+	otherMemoryMB     = 60
+	smallHostBudgetMB = 73.6
 	// smallBodyBytes is the size up to which a body may take the part of the budget that is
 	// kept free of larger ones, so that uploads do not keep out other requests.
 	smallBodyBytes = 64 << 10
@@ -27,9 +31,9 @@
 	meanTimeWeight = 0.2
 )
 
-// bodyBudget bounds the memory of the request bodies in a host: those of its callers and of
-// other hosts' requests. Room is reserved before a body is read. A nil bodyBudget has no
-// limit.
+// bodyBudget bounds the memory of the requests in a host: the heads and bodies of its callers'
+// requests, the bodies of other hosts' requests, and the responses that callers read. Room is
+// reserved before it is used. A nil bodyBudget has no limit.
 type bodyBudget struct {
 	// collect frees the memory of released bodies.
 	collect func()
@@ -57,7 +61,17 @@
 func (b *bodyBudget) setMemory(memoryMB int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limit = int64(bodyMemoryFraction * float64(memoryMB) * (1 << 20))
+	b.limit = int64(max(bodyMemoryFraction*float64(memoryMB), min(float64(memoryMB-otherMemoryMB), smallHostBudgetMB)) * (1 << 20))
+}
+
+// largest returns the room for bodies above smallBodyBytes, or 0 if there is no limit.
+func (b *bodyBudget) largest() int64 {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limit - int64(smallBodyFraction*float64(b.limit))
 }
 
 // isLimited reports whether there is a limit.
@@ -104,6 +118,54 @@
 	return true
 }
 
+// moveInto takes room for a smaller buffer, to which the body moves from the former one. It may use the
+// part for small bodies, since it gives back more.
+func (r *bodyReservation) moveInto(bytes int64) bool {
+	b := r.budget
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limit > 0 && bytes > b.limit-b.reserved {
+		return false
+	}
+	b.reserved += bytes - r.bytes
+	b.garbage += r.bytes
+	r.bytes = bytes
+	return true
+}
+
+// extend takes further room, to which nothing moves.
+func (r *bodyReservation) extend(bytes int64) bool {
+	if r == nil || r.budget == nil {
+		return true
+	}
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.hasRoom(bytes) {
+		return false
+	}
+	b.reserved += bytes
+	r.bytes += bytes
+	return true
+}
+
+// shrink gives back all but some bytes, which have not been used.
+func (r *bodyReservation) shrink(bytes int64) {
+	b := r.budget
+	if b == nil || bytes >= r.bytes {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved -= r.bytes - bytes
+	r.bytes = bytes
+	// What is read grows by copies.
+	b.garbage += bytes
+}
+
 // hasRoom reports whether there is room for a body. The caller holds mu.
 func (b *bodyBudget) hasRoom(bytes int64) bool {
 	limit := b.limit
--- a/jetty/events.go
+++ b/jetty/events.go
@@ -23,6 +23,7 @@
 	eventEvacuationEnded      event = "evacuation_ended"
 	eventFeedFailed           event = "feed_failed"
 	eventHTTPServerMessage    event = "http_server_message"
+	eventConnectionClosed     event = "connection_closed"
 	eventHostStarted          event = "host_started"
 	eventHostStopped          event = "host_stopped"
 	eventHostStopping         event = "host_stopping"
@@ -67,7 +68,7 @@
 	eventEvacuationEmpty,
 	eventEvacuationEnded,
 	eventFeedFailed,
-	eventHTTPServerMessage,
+	eventHTTPServerMessage, eventConnectionClosed,
 	eventHostStarted,
 	eventHostStopped,
 	eventHostStopping,
--- a/jetty/metrics.go
+++ b/jetty/metrics.go
@@ -68,6 +68,7 @@
 	metricSecondSendsHeld   metricName = "second_sends_held_total"
 	metricSecondSendExtra   metricName = "second_send_extra_seconds"
 	metricSecondSendLimit   metricName = "second_send_limit_used"
+	metricConnectionsClosed metricName = "connections_closed_total"
 )
 
 // metricNames has every metric. A test compares it with the operations page.
@@ -76,7 +77,7 @@
 	metricRequestsWaiting, metricRetryBudgetLeft, metricKeyMoves, metricKeyRanges, metricTableRevision, metricOrders,
 	metricStoreCalls, metricStoreCallSeconds, metricStoreAge, metricConfigVersion, metricServersListed,
 	metricConnectionsOpen, metricConnectionsOpened, metricLinesLeftOut, metricPlacer, metricEntryHosts, metricServerEnds, metricSuspectedRequests,
-	metricServerNotices, metricHealthChecks, metricPanics, metricPermits, metricPermitFallbacks, metricPermitsExpired, metricPermitsInFlight, metricPermitsWaiting, metricCoordinating,
+	metricServerNotices, metricHealthChecks, metricPanics, metricConnectionsClosed, metricPermits, metricPermitFallbacks, metricPermitsExpired, metricPermitsInFlight, metricPermitsWaiting, metricCoordinating,
 	metricEvacuatedDomains, metricEvacuatedRequests,
 	metricSecondSends, metricSecondSendsHeld, metricSecondSendExtra, metricSecondSendLimit,
 }
@@ -181,6 +182,11 @@
 	m.withTags(metricTags{first: string(service)}, "service").Counter(string(metricHealthChecks)).Inc(1)
 }
 
+// connectionClosed counts a connection to the host that is closed early.
+func (m *metrics) connectionClosed(reason closeReason) {
+	m.withTags(metricTags{first: string(reason)}, "reason").Counter(string(metricConnectionsClosed)).Inc(1)
+}
+
 func (m *metrics) keysMoved(service fairway.ServiceName, moves []mooring.Move) {
 	for _, move := range moves {
 		m.withTags(metricTags{first: string(service), second: string(move.Reason)}, "service", "reason").
