Coordinate a service only while its requests have different priorities, or its servers tell their load

Cause: configurations have routes that nobody calls, with priorities of their own.

Change: PriorityMix follows the priorities of the requests. A service whose servers tell their load has coordinators as well.

--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -22,6 +22,8 @@
 	owners      *ownerTable
 	waiting     map[sluice.RequestID]chan sluice.Decision
 	nextID      sluice.RequestID
+	// mix has the priorities of the requests; nil means that those of the routes count.
+	mix *sluice.PriorityMix
 	// requestsByKey counts the requests of each key since the last report.
 	requestsByKey map[mooring.Key]int
 	// routeMeans has the means of each route's responses.
@@ -347,6 +349,41 @@
 	a.deliver(a.controller.Reevaluate(now))
 }
 
+// recordPriority counts a request with its priority.
+func (a *admission) recordPriority(priority int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.mix == nil {
+		return
+	}
+	a.mix.Record(monotonicNow(), priority)
+	a.controller.SetAlike(!a.mix.Mixed())
+}
+
+// mixed reports whether the requests have different priorities.
+func (a *admission) mixed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.mix != nil && a.mix.Mixed()
+}
+
+// mostUrgent returns the priority of the most urgent requests, or false if there are none.
+func (a *admission) mostUrgent() (priority int, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.mix == nil {
+		return 0, false
+	}
+	return a.mix.MostUrgent()
+}
+
+// tellsLoad reports whether servers of the service tell their load.
+func (a *admission) tellsLoad() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.TellsLoad()
+}
+
 // recordArrival counts a request and returns the expected size of its response.
 func (a *admission) recordArrival(route fairway.RouteName, key *mooring.Key) float64 {
 	a.mu.Lock()
@@ -470,6 +507,9 @@
 	OnWait func()
 	// OnQueued, if set, is called when a request begins to wait.
 	OnQueued func()
+	// MixPriorities has a service count as one with different priorities only while its
+	// requests have them. Otherwise, the priorities of its routes are enough.
+	MixPriorities bool
 	// OnCreate, if set, is called with a new admission before it is told of the servers.
 	OnCreate func(service fairway.ServiceName, adm *admission)
 	// Evacuations, if set, returns the evacuated failure domains.
@@ -557,6 +597,10 @@
 		a.coordinated, cfg.Coordinated, cfg.PreferredRate = true, true, s.cfg.Coordination.PreferredRate
 	}
 	a.controller = sluice.NewController(cfg)
+	if s.cfg.MixPriorities {
+		a.mix = sluice.NewPriorityMix()
+		a.controller.SetAlike(true)
+	}
 	if s.config != nil {
 		own := routesOf(s.config, service.Name)
 		a.controller.SetRoutes(own.names, own.mixed)
@@ -630,6 +674,13 @@
 	return found
 }
 
+// find returns the admission of a service, or nil if it has had no requests.
+func (s *admissionSet) find(service fairway.ServiceName) *admission {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.admissions[service]
+}
+
 // every returns the admissions of all services, of both kinds.
 func (s *admissionSet) every() []*admission {
 	found := slices.Collect(maps.Values(s.all()))
--- a/jetty/coordinated.go
+++ b/jetty/coordinated.go
@@ -39,7 +39,7 @@
 
 func newCoordinatedAdmission(cfg coordinatedConfig) *coordinatedAdmission {
 	c := &coordinatedAdmission{
-		coordination: &coordination{clusterState: cfg.ClusterState, carriers: cfg.Carriers},
+		coordination: &coordination{clusterState: cfg.ClusterState, carriers: cfg.Carriers, admissions: cfg.Admissions},
 		coordinators: newCoordinators(cfg.Host, cfg.Logs),
 	}
 	ofAll := cfg.Admissions.cfg
--- a/jetty/coordination.go
+++ b/jetty/coordination.go
@@ -10,6 +10,8 @@
 type coordination struct {
 	clusterState *clusterState
 	carriers     *carriers
+	// admissions has those of the host's own requests.
+	admissions *admissionSet
 
 	mu sync.Mutex
 	// config is the configuration whose priorities are known.
@@ -42,11 +44,15 @@
 	return c.priorities[service]
 }
 
-// wanted reports whether a service is to have coordinators: if its routes have different
-// priorities.
+// wanted reports whether a service is to have coordinators: if its routes and its requests
+// have different priorities, or its servers tell their load.
 func (c *coordination) wanted(service fairway.ServiceName) bool {
 	r := c.prioritiesOf(service)
-	return r.most != r.least
+	own := c.admissions.find(service)
+	if own != nil && own.tellsLoad() {
+		return true
+	}
+	return r.most != r.least && (!c.admissions.cfg.MixPriorities || own != nil && own.mixed())
 }
 
 // active reports whether this host asks coordinators for permits. A service that has carriers
@@ -57,5 +63,10 @@
 
 // mostUrgent returns the priority of the most urgent requests of a service.
 func (c *coordination) mostUrgent(service fairway.ServiceName) int {
+	if own := c.admissions.find(service); own != nil {
+		if priority, ok := own.mostUrgent(); ok {
+			return priority
+		}
+	}
 	return c.prioritiesOf(service).most
 }
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -158,6 +158,7 @@
 	ctx, unbind := f.drain.bind(ctx)
 	defer unbind()
 	adm := f.admissions.get(r.service, f.clusterState.catalog())
+	adm.recordPriority(r.route.Priority)
 	req := admissionRequest(r, adm.recordArrival(r.route.Name, r.key))
 	e := &exchange{
 		forwarder: f, r: r, adm: adm, req: req, caller: caller,
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -159,6 +159,7 @@
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		OnWait:            h.limits.startWaiting,
 		OnQueued:          func() { signalOnce(h.queued) },
+		MixPriorities:     true,
 		OnCreate:          func(service fairway.ServiceName, adm *admission) { h.cold.applyTo(service, adm) },
 		Evacuations:       h.clusterState.ownersUntil,
 		Carriers:          h.carriers,
--- a/jetty/permitserver.go
+++ b/jetty/permitserver.go
@@ -232,7 +232,8 @@
 // abandoned, and reports whether any request waits.
 func (s *permitServer) sweep() bool {
 	waits := false
-	for _, adm := range s.admissions.all() {
+	for service, adm := range s.admissions.all() {
+		adm.setMostUrgent(s.coordination.mostUrgent(service))
 		waits = adm.reevaluate() || waits
 	}
 	now, instant := time.Now(), monotonicNow()
--- a/sluice/expectation.go
+++ b/sluice/expectation.go
@@ -15,8 +15,10 @@
 // of the service and the mean latency of each server alone.
 type expectation struct {
 	routes *RouteEstimates
-	// mixed is set while the routes of the service have different priorities.
+	// mixed is set while the routes of the service have different priorities, and alike while
+	// its requests do not; see [PriorityMix].
 	mixed bool
+	alike bool
 	// told is set while a listed server tells its load.
 	told bool
 	// meanRatio is the mean of the speed factors, and occupancy that of the told requests
@@ -31,7 +33,7 @@
 
 // byRoute reports whether decisions use estimates by route.
 func (e *expectation) byRoute() bool {
-	return e.mixed || e.told
+	return e.mixed && !e.alike || e.told
 }
 
 // SetRoutes sets the routes of the service in the active configuration, and whether they
@@ -41,6 +43,17 @@
 	c.expected.mixed = mixed
 }
 
+// SetAlike sets whether the requests of the service have one priority, although its routes may
+// have several.
+func (c *Controller) SetAlike(alike bool) {
+	c.expected.alike = alike
+}
+
+// TellsLoad reports whether a listed server tells its load.
+func (c *Controller) TellsLoad() bool {
+	return c.expected.told
+}
+
 // FinishRoute is like [Controller.Finish], for a request of a known route.
 func (c *Controller) FinishRoute(
 	now mooring.Instant, instance ServerInstance, route fairway.RouteName, outcome Outcome, elapsed, objective time.Duration,
