--- a/cmd/hornbeamwinchd/main.go
+++ b/cmd/hornbeamwinchd/main.go
@@ -38,6 +38,8 @@
 	Platform bool   `long:"platform" description:"use the store, settings file and protocol of the platform that runs the hosts and backend servers"`
 	// SecondSendShare is passed on as [jetty.Settings.SecondSendShare].
 	SecondSendShare float64 `long:"second-send-share" description:"limit of second sends of slow requests to another server, as a part of the requests, from 0 (none) to 0.2; requires --platform" default:"0"`
+	// CoordinatePriorities is passed on as [jetty.Settings.CoordinatePriorities].
+	CoordinatePriorities bool `long:"coordinate-priorities" description:"have one host for each server admit the requests of all hosts if they have different priorities, also where servers do not tell their load; requires --platform"`
 }
 
 // check returns an error if a flag has a value that is not allowed.
@@ -47,6 +49,8 @@
 		return fmt.Errorf("--second-send-share is %v, and must be between 0 and %v", o.SecondSendShare, sluice.MaxSecondSendShare)
 	case o.SecondSendShare > 0 && !o.Platform:
 		return errors.New("--second-send-share requires --platform")
+	case o.CoordinatePriorities && !o.Platform:
+		return errors.New("--coordinate-priorities requires --platform")
 	default:
 		return nil
 	}
--- a/cmd/hornbeamwinchd/options_test.go
+++ b/cmd/hornbeamwinchd/options_test.go
@@ -17,3 +17,9 @@
 	}
 	Expect((&options{SecondSendShare: 0.1}).check()).To(MatchError("--second-send-share requires --platform"))
 })
+
+// Failure: the option is set for a deployment that has no coordinators, and nobody notices.
+var _ = It("Coordinating by priorities is refused where there are no coordinators", func() {
+	Expect((&options{CoordinatePriorities: true, Platform: true}).check()).To(Succeed())
+	Expect((&options{CoordinatePriorities: true}).check()).To(MatchError("--coordinate-priorities requires --platform"))
+})
--- a/cmd/hornbeamwinchd/platform.go
+++ b/cmd/hornbeamwinchd/platform.go
@@ -21,7 +21,7 @@
 	}
 	settings, err := platform.LoadSettings(path)
 	exitOnError(err)
-	settings.SecondSendShare = o.SecondSendShare
+	settings.SecondSendShare, settings.CoordinatePriorities = o.SecondSendShare, o.CoordinatePriorities
 	if o.Check {
 		fmt.Println("settings are valid")
 		return
--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -24,6 +24,8 @@
 	nextID      sluice.RequestID
 	// mix has the priorities of the requests; nil means that those of the routes count.
 	mix *sluice.PriorityMix
+	// byPriority is set if the service counts as one with different priorities while they do.
+	byPriority bool
 	// requestsByKey counts the requests of each key since the last report.
 	requestsByKey map[mooring.Key]int
 	// routeMeans has the means of each route's responses.
@@ -357,14 +359,14 @@
 		return
 	}
 	a.mix.Record(monotonicNow(), priority)
-	a.controller.SetAlike(!a.mix.Mixed())
+	a.controller.SetAlike(!a.byPriority || !a.mix.Mixed())
 }
 
 // mixed reports whether the requests have different priorities.
 func (a *admission) mixed() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.mix != nil && a.mix.Mixed()
+	return a.byPriority && a.mix.Mixed()
 }
 
 // mostUrgent returns the priority of the most urgent requests, or false if there are none.
@@ -507,9 +509,8 @@
 	OnWait func()
 	// OnQueued, if set, is called when a request begins to wait.
 	OnQueued func()
-	// MixPriorities has a service count as one with different priorities only while its
-	// requests have them. Otherwise, the priorities of its routes are enough.
-	MixPriorities bool
+	// Priorities says when a service counts as one with different priorities.
+	Priorities priorityRule
 	// OnCreate, if set, is called with a new admission before it is told of the servers.
 	OnCreate func(service fairway.ServiceName, adm *admission)
 	// Evacuations, if set, returns the evacuated failure domains.
@@ -597,8 +598,8 @@
 		a.coordinated, cfg.Coordinated, cfg.PreferredRate = true, true, s.cfg.Coordination.PreferredRate
 	}
 	a.controller = sluice.NewController(cfg)
-	if s.cfg.MixPriorities {
-		a.mix = sluice.NewPriorityMix()
+	if s.cfg.Priorities != prioritiesOfRoutes {
+		a.mix, a.byPriority = sluice.NewPriorityMix(), s.cfg.Priorities == prioritiesOfRequests
 		a.controller.SetAlike(true)
 	}
 	if s.config != nil {
--- a/jetty/coordination.go
+++ b/jetty/coordination.go
@@ -6,6 +6,18 @@
 	"hornbeamwinch.example/fairway"
 )
 
+// priorityRule says when a service counts as one with different priorities.
+type priorityRule int
+
+const (
+	// prioritiesOfRoutes is for services whose routes have different priorities.
+	prioritiesOfRoutes priorityRule = iota
+	// prioritiesOfRequests is for those whose recent requests have them as well.
+	prioritiesOfRequests
+	// prioritiesAlike has no service count as one.
+	prioritiesAlike
+)
+
 // coordination tells which services have their requests admitted by coordinators.
 type coordination struct {
 	clusterState *clusterState
@@ -44,15 +56,15 @@
 	return c.priorities[service]
 }
 
-// wanted reports whether a service is to have coordinators: if its routes and its requests
-// have different priorities, or its servers tell their load.
+// wanted reports whether a service is to have coordinators: if its servers tell their load, or
+// if it counts as one with different priorities.
 func (c *coordination) wanted(service fairway.ServiceName) bool {
 	r := c.prioritiesOf(service)
 	own := c.admissions.find(service)
 	if own != nil && own.tellsLoad() {
 		return true
 	}
-	return r.most != r.least && (!c.admissions.cfg.MixPriorities || own != nil && own.mixed())
+	return r.most != r.least && (c.admissions.cfg.Priorities == prioritiesOfRoutes || own != nil && own.mixed())
 }
 
 // active reports whether this host asks coordinators for permits. A service that has carriers
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -131,6 +131,14 @@
 	stopOnce     sync.Once
 }
 
+// prioritiesFor returns when services count as ones with different priorities.
+func prioritiesFor(s *Settings) priorityRule {
+	if s.CoordinatePriorities {
+		return prioritiesOfRequests
+	}
+	return prioritiesAlike
+}
+
 // New returns a host that is not running yet; see [Host.Start].
 func New(cfg Config) (*Host, error) {
 	s := cfg.Settings
@@ -159,7 +167,7 @@
 	h.admissions = newAdmissionSet(admissionSetConfig{
 		OnWait:            h.limits.startWaiting,
 		OnQueued:          func() { signalOnce(h.queued) },
-		MixPriorities:     true,
+		Priorities:        prioritiesFor(s),
 		OnCreate:          func(service fairway.ServiceName, adm *admission) { h.cold.applyTo(service, adm) },
 		Evacuations:       h.clusterState.ownersUntil,
 		Carriers:          h.carriers,
--- a/jetty/settings.go
+++ b/jetty/settings.go
@@ -39,6 +39,9 @@
 	// of each service within 10 s, from 0 (no second sends) to
 	// [sluice.MaxSecondSendShare].
 	SecondSendShare float64
+	// CoordinatePriorities has coordinators admit the requests of services whose recent requests
+	// have different priorities, although their servers do not tell their load.
+	CoordinatePriorities bool
 }
 
 // Bounds are the limits that the platform sets.
