Leave the slots of limited servers to coordinators, and connect to them ahead

Cause: the full run of ./platform had 'is asked now and then at a limit of 0' fail (3 requests for more than 20): each host took slots ahead for its own admission, which sends nothing to coordinated servers. And with one processor under -race, the first call to a coordinator took longer than 150 ms, as it had to connect, so that the host left it alone for 1 s.

Change: a host asks for slots for its own admission of a coordinated service only while requests wait there. Connections are opened once coordinators are known.

--- a/jetty/coordinated.go
+++ b/jetty/coordinated.go
@@ -31,6 +31,11 @@
 	MaxRate func(sluice.ServerInstance) (perSecond float64, ok bool)
 }
 
+// admits reports whether coordinators admit the requests of a service.
+func (c *coordinatedAdmission) admits(service fairway.ServiceName) bool {
+	return c.coordination.active(service) && len(c.coordinators.current().coordinators) > 0
+}
+
 func newCoordinatedAdmission(cfg coordinatedConfig) *coordinatedAdmission {
 	c := &coordinatedAdmission{
 		coordination: &coordination{clusterState: cfg.ClusterState, carriers: cfg.Carriers},
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -159,6 +159,7 @@
 		Host: s.Host, Domain: s.Domain, ClusterState: h.clusterState, Carriers: h.carriers, Admissions: h.admissions,
 		Conns: h.peerConns, Logs: h.logs, Metrics: h.metrics, Stopping: h.shuttingDown.Load,
 	})
+	h.limits.coordinated = h.coordinated.admits
 	h.notices = newNotices(&notices{
 		protocol: cfg.Protocol, admissions: h.admissions, clusterState: h.clusterState, logs: h.logs, metrics: h.metrics,
 	})
@@ -247,6 +248,7 @@
 	h.orderUpstream.update(catalog, nil, hosts)
 	h.admissions.refresh(catalog, h.clusterState.knownHostCount(), reaching)
 	h.notices.refresh(monotonicNow())
+	h.coordinated.permits.connect()
 	h.election.notify()
 }
 
--- a/jetty/limits.go
+++ b/jetty/limits.go
@@ -50,6 +50,9 @@
 	address      string
 	// mayGive reports whether this host is the placer and no other one can be.
 	mayGive func() bool
+	// coordinated reports whether coordinators admit the requests of a service; nil means that
+	// none does.
+	coordinated func(fairway.ServiceName) bool
 	// wake receives a signal when a request begins to wait for a slot.
 	wake chan struct{}
 	// conn is the connection to the placer at connAddress, or nil.
--- a/jetty/permits.go
+++ b/jetty/permits.go
@@ -177,6 +177,17 @@
 	return links
 }
 
+// connect opens the connections to coordinators that have become known, since the first request
+// for each would wait for it longer than for an answer.
+func (p *permits) connect() {
+	for host, address := range p.coordinators.current().addresses {
+		if host != string(p.host) {
+			// An address that cannot be used shows when it is asked.
+			_, _ = p.link(address)
+		}
+	}
+}
+
 // forgetLinks forgets the ways to hosts that do not coordinate any more. Permits whose end they
 // have not been told expire.
 func (p *permits) forgetLinks() {
@@ -200,6 +211,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn.Connect()
 	link := &permitLink{peer: peer, client: signal.NewPermitsClient(conn), session: p.session}
 	p.links[peer] = link
 	return link, nil
--- a/jetty/slots.go
+++ b/jetty/slots.go
@@ -62,7 +62,7 @@
 func (l *limits) askForSlots(ctx context.Context) {
 	l.refresh(monotonicNow())
 	var demands []slotDemand
-	for _, adm := range l.admissions.every() {
+	for _, adm := range l.demanding() {
 		for _, r := range adm.slotRequests() {
 			demands = append(demands, slotDemand{adm: adm, request: r})
 		}
@@ -81,6 +81,22 @@
 	}
 }
 
+// demanding returns the admissions that may need slots. The requests of a service that has
+// coordinators need slots of this host's own admission only if they wait there; slots that it
+// took ahead would be missing at the coordinator.
+func (l *limits) demanding() []*admission {
+	var found []*admission
+	for service, adm := range l.admissions.all() {
+		if l.coordinated == nil || !l.coordinated(service) || adm.usage().Waiting > 0 {
+			found = append(found, adm)
+		}
+	}
+	if l.admissions.coordinated != nil {
+		found = append(found, l.admissions.coordinated.every()...)
+	}
+	return found
+}
+
 // takeSlots takes slots from the placer.
 func (l *limits) takeSlots(ctx context.Context, demands []slotDemand) ([]sluice.Slots, error) {
 	request := &signal.TakeSlotsRequest{}
