--- a/jetty/host.go
+++ b/jetty/host.go
@@ -183,6 +183,7 @@
 		Conns: h.peerConns, Logs: h.logs, Metrics: h.metrics, Stopping: h.shuttingDown.Load,
 		Protocol: cfg.Protocol, PreferredRate: func(server sluice.ServerInstance) (float64, bool) { return h.cold.preferredRate(server) },
 	})
+	h.limits.coordinated = h.coordinated.admits
 	h.cold = newColdServers(&coldServers{
 		admissions: h.admissions, logs: h.logs, metrics: h.metrics, wake: h.limits.wakeUp, overage: s.Bounds.ColdOverage, slack: s.Bounds.ColdSlack,
 	})
@@ -278,6 +279,7 @@
 	h.cold.update(monotonicNow(), catalog, config)
 	h.admissions.refresh(catalog, h.clusterState.knownHostCount(), reaching)
 	h.notices.refresh(monotonicNow())
+	h.coordinated.permits.connect()
 	h.election.notify()
 }
 
--- a/sluice/coldlimit.go
+++ b/sluice/coldlimit.go
@@ -50,8 +50,7 @@
 }
 
 // SetCold limits a server instance to a rate until an instant, unless it is limited for longer
-// already. Requests to it need slots as if it named a limit. The end is noticed by
-// [Controller.SlotRequests].
+// already. Requests to it need slots as if it named a limit.
 func (c *Controller) SetCold(now mooring.Instant, server ServerInstance, rate Rate, until mooring.Instant) {
 	if until <= now || until <= c.cold[server].until {
 		return
@@ -65,6 +64,9 @@
 
 // endCold ends the limits of servers that are warm.
 func (c *Controller) endCold(now mooring.Instant) {
+	if len(c.cold) == 0 {
+		return
+	}
 	maps.DeleteFunc(c.cold, func(server ServerInstance, l coldLimit) bool {
 		if now < l.until {
 			return false
--- a/sluice/coldlimit_test.go
+++ b/sluice/coldlimit_test.go
@@ -89,6 +89,20 @@
 		Expect(given.Waits).To(BeEmpty())
 	})
 
+	// A host whose requests have coordinators asks for no slots, and would never use it again.
+	It("is used in full once it is warm by a host that asks for no slots", func() {
+		c := sluice.NewController(sluice.ControllerConfig{Service: "s", Host: "h"})
+		now := mooring.Instant(time.Minute)
+		c.SetServers(now, []fairway.Endpoint{limitedServer}, 1)
+		c.SetCold(now, sluice.ServerInstanceOf(limitedServer), 4, now.Add(coldTime))
+		r := func(id sluice.RequestID, at mooring.Instant) *sluice.Request {
+			return &sluice.Request{ID: id, Objective: time.Second, SoftDeadline: at.Add(time.Second), Deadline: at.Add(time.Second)}
+		}
+		Expect(c.Admit(now, r(1, now))).NotTo(BeAssignableToTypeOf(sluice.Dispatch{}))
+		warm := now.Add(coldTime)
+		Expect(c.Admit(warm, r(2, warm))).To(BeAssignableToTypeOf(sluice.Dispatch{}))
+	})
+
 	It("keeps a lower limit that it names", func() {
 		c := sluice.NewController(sluice.ControllerConfig{Service: "s", Host: "h", Owners: ownedBy{limitedServer}})
 		now := mooring.Instant(time.Minute)
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -288,6 +288,7 @@
 
 // Admit decides on a new request.
 func (c *Controller) Admit(now mooring.Instant, r *Request) Decision {
+	c.endCold(now)
 	if r.Route != "" {
 		r.estimate = c.expected.routes.of(r.Route)
 	}
@@ -409,6 +410,7 @@
 // Reevaluate decides again on the waiting requests. It must be called from time
 // to time, and after a change of servers or owners.
 func (c *Controller) Reevaluate(now mooring.Instant) []Resolution {
+	c.endCold(now)
 	resolved := append(c.expire(now), c.dispatchWaiting(now)...)
 	if len(c.waiting) == 0 {
 		return resolved
