--- a/sluice/coldlimit.go
+++ b/sluice/coldlimit.go
@@ -20,6 +20,9 @@
 	// coldOwnShare is the part of the rate of a cold server that all hosts together use while
 	// they have no placer to ask.
 	coldOwnShare = 0.1
+	// coldMargin is how much longer than told a server counts as cold. The requests that have
+	// waited are sent at once then, and must not reach it in its last cold moment.
+	coldMargin = 200 * time.Millisecond
 	// minColdBoundPart is the least part of the bound that is used as the rate.
 	minColdBoundPart = 0.2
 )
@@ -52,7 +55,10 @@
 // SetCold limits a server instance to a rate until an instant, unless it is limited for longer
 // already. Requests to it need slots as if it named a limit.
 func (c *Controller) SetCold(now mooring.Instant, server ServerInstance, rate Rate, until mooring.Instant) {
-	if until <= now || until <= c.cold[server].until {
+	if until <= now {
+		return
+	}
+	if until = until.Add(coldMargin); until <= c.cold[server].until {
 		return
 	}
 	c.cold[server] = coldLimit{rate: rate, until: until}
