Give back permits without a slot for servers that this host knows to be cold

Cause: a host learns from a health check that a server is cold. Its coordinator learns it from the registration, which does not come while the store is away, and granted permits without slots until then.

Change: a grant says whether it has used a slot. A host that knows the server as limited gives back a permit without one and takes a slot of its own from the placer.

Measured: 'gets no request for a permit that has used no slot', red without the check.

--- a/jetty/admission.go
+++ b/jetty/admission.go
@@ -284,10 +284,10 @@
 
 // claim counts a request that a coordinator has admitted to a server, or returns false if it
 // must not be sent there as far as this host knows.
-func (a *admission) claim(req *sluice.Request, instance sluice.ServerInstance) (fairway.Endpoint, bool) {
+func (a *admission) claim(req *sluice.Request, granted sluice.Dispatch) (fairway.Endpoint, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.controller.Claim(monotonicNow(), req, instance)
+	return a.controller.Claim(monotonicNow(), req, granted)
 }
 
 // ownerFails reports whether the owner of a key does not answer this host, or is not known.
--- a/jetty/permitcodec.go
+++ b/jetty/permitcodec.go
@@ -97,7 +97,7 @@
 func encodeDecision(decision sluice.Decision) *signal.PermitReply {
 	switch decision := decision.(type) {
 	case sluice.Dispatch:
-		return &signal.PermitReply{Granted: &signal.PermitGrant{Server: string(decision.Server.ID), Incarnation: int64(decision.Server.Incarnation)}}
+		return &signal.PermitReply{Granted: &signal.PermitGrant{Server: string(decision.Server.ID), Incarnation: int64(decision.Server.Incarnation), Slot: decision.Slot}}
 	case sluice.Refuse:
 		return &signal.PermitReply{Refused: &signal.PermitRefusal{
 			Reason: string(decision.Reason), RetryAfterMicros: uint64(max(decision.RetryAfter, 0).Microseconds()),
@@ -108,6 +108,13 @@
 	}
 }
 
+// decodeGrant returns the decision of a coordinator that grants a permit. Of the server it has
+// the instance only.
+func decodeGrant(m *signal.PermitGrant) sluice.Dispatch {
+	server := fairway.Endpoint{ID: fairway.ServerID(m.GetServer()), Incarnation: fairway.Incarnation(m.GetIncarnation())}
+	return sluice.Dispatch{Server: server, Slot: m.GetSlot()}
+}
+
 // decodeRefusal returns the refusal of a coordinator.
 func decodeRefusal(m *signal.PermitRefusal) sluice.Refuse {
 	return sluice.Refuse{
--- a/jetty/permits.go
+++ b/jetty/permits.go
@@ -369,9 +369,7 @@
 			return permitResult{fallback: fallbackOf(err)}
 		case reply.GetGranted() != nil:
 			granted := &permit{permits: c.permits, link: link, id: m.GetId()}
-			return c.claim(granted, sluice.ServerInstance{
-				Server: fairway.ServerID(reply.GetGranted().GetServer()), Incarnation: fairway.Incarnation(reply.GetGranted().GetIncarnation()),
-			})
+			return c.claim(granted, decodeGrant(reply.GetGranted()))
 		case reply.GetRefused() != nil:
 			return permitResult{decision: decodeRefusal(reply.GetRefused())}
 		}
@@ -441,14 +439,14 @@
 		}
 	}
 	if dispatch, ok := decision.(sluice.Dispatch); ok {
-		return c.claim(&permit{permits: c.permits, place: place}, sluice.ServerInstanceOf(dispatch.Server))
+		return c.claim(&permit{permits: c.permits, place: place}, dispatch)
 	}
 	return permitResult{decision: decision}
 }
 
 // claim counts the request at the server of a permit.
-func (c *permitCall) claim(granted *permit, instance sluice.ServerInstance) permitResult {
-	endpoint, ok := c.adm.claim(c.req, instance)
+func (c *permitCall) claim(granted *permit, decision sluice.Dispatch) permitResult {
+	endpoint, ok := c.adm.claim(c.req, decision)
 	if !ok {
 		granted.release(sluice.OutcomeCanceled, 0)
 		return permitResult{fallback: fallbackServer}
--- a/sluice/coldlimit_test.go
+++ b/sluice/coldlimit_test.go
@@ -103,6 +103,22 @@
 		Expect(c.Admit(warm, r(2, warm))).To(BeAssignableToTypeOf(sluice.Dispatch{}))
 	})
 
+	// The coordinator of the server may learn later that it is cold than a host that has asked it.
+	It("gets no request for a permit that has used no slot", func() {
+		c := sluice.NewController(sluice.ControllerConfig{Service: "s", Host: "h"})
+		now := mooring.Instant(time.Minute)
+		c.SetServers(now, []fairway.Endpoint{limitedServer}, 1)
+		r := &sluice.Request{ID: 1, Objective: time.Second, SoftDeadline: now.Add(time.Second), Deadline: now.Add(time.Second)}
+		claim := func(slot bool) bool {
+			_, ok := c.Claim(now, r, sluice.Dispatch{Server: limitedServer, Slot: slot})
+			return ok
+		}
+		Expect(claim(false)).To(BeTrue())
+		c.SetCold(now, sluice.ServerInstanceOf(limitedServer), 4, now.Add(coldTime))
+		Expect(claim(false)).To(BeFalse())
+		Expect(claim(true)).To(BeTrue())
+	})
+
 	It("keeps a lower limit that it names", func() {
 		c := sluice.NewController(sluice.ControllerConfig{Service: "s", Host: "h", Owners: ownedBy{limitedServer}})
 		now := mooring.Instant(time.Minute)
--- a/sluice/controller.go
+++ b/sluice/controller.go
@@ -76,6 +76,8 @@
 // [Controller.Finish] afterwards.
 type Dispatch struct {
 	Server fairway.Endpoint
+	// Slot is set if the request has used a slot of a server that is cold or names a limit.
+	Slot bool
 }
 
 // Wait keeps the request in the queue.
@@ -442,11 +444,16 @@
 // Claim counts a request in flight at a server that another host has admitted. It returns
 // false, and counts nothing, if the server must not get the request as far as this
 // controller knows. The caller must call [Controller.Finish] otherwise.
-func (c *Controller) Claim(now mooring.Instant, r *Request, instance ServerInstance) (fairway.Endpoint, bool) {
+func (c *Controller) Claim(now mooring.Instant, r *Request, granted Dispatch) (fairway.Endpoint, bool) {
+	instance := ServerInstanceOf(granted.Server)
 	server := c.servers[instance.Server]
 	if server == nil || server.endpoint.Incarnation != instance.Incarnation || server.notice.ClosedFor(now) > 0 {
 		return fairway.Endpoint{}, false
 	}
+	if server.limit != nil && !granted.Slot {
+		// The coordinator does not know yet that the server is cold or names a limit.
+		return fairway.Endpoint{}, false
+	}
 	if r.Key != nil && c.ownerServer(now, *r.Key) != server {
 		return fairway.Endpoint{}, false
 	}
@@ -518,7 +525,7 @@
 	if c.cfg.Coordinated {
 		c.grant(now, server, r)
 	}
-	return Dispatch{Server: server.endpoint}
+	return Dispatch{Server: server.endpoint, Slot: server.limit != nil}
 }
 
 // dispatchWaiting dispatches the waiting requests for which there is capacity
