--- a/cmd/hornbeamwinchd/main.go
+++ b/cmd/hornbeamwinchd/main.go
@@ -7,13 +7,16 @@
 //	hornbeamwinchd --settings /etc/hornbeamwinch.json --check
 //	hornbeamwinchd --platform
 //	hornbeamwinchd --platform --second-send-share 0.05
+//	hornbeamwinchd --platform --coordinate-priorities
 //	hornbeamwinchd --version
 //
 // With --platform, the host works with the store, the settings file and the
 // protocol of the platform that runs it and the backend servers (package
 // platform). The path of that settings file is the value of --settings or, without
 // that flag, of the environment variable HORNBEAMWINCH_NODE_FILE. There,
-// --second-send-share allows second sends of slow requests (docs/design/second-sends.md).
+// --second-send-share allows second sends of slow requests (docs/design/second-sends.md), and
+// --coordinate-priorities has coordinators admit requests of different priorities
+// (docs/design/coordinated-admission.md).
 package main
 
 import (
