--- a/sluice/routes_test.go
+++ b/sluice/routes_test.go
@@ -20,6 +20,18 @@
 	return h.Sum64()
 }
 
+// textOf returns a decision as it was printed at 7bf67f0: fields that were added since to what
+// it names do not change a decision.
+func textOf(d sluice.Decision) string {
+	dispatch, ok := d.(sluice.Dispatch)
+	if !ok {
+		return fmt.Sprint(d)
+	}
+	e := dispatch.Server
+	return fmt.Sprintf("{{%v %v %v %v %v %v %v %v %v %v %v}}",
+		e.ID, e.Service, e.Address, e.Domain, e.Incarnation, e.Version, e.Slots, e.Draining, e.Unconfirmed, e.WarmupRemaining, e.ReadAt)
+}
+
 // comparedShares returns the mean shares of requests answered on time by kind, over drawn
 // loads, of the given policy and of the one that knows the service alone.
 func comparedShares(cfg routeFleetConfig, p policy) (today, got []float64) {
