--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -22,6 +22,7 @@
 	storeAddr    string
 	dir          string
 	memoryMB     int
+	heartbeatS   float64
 	record       *record
 	cmd          *exec.Cmd
 	exited       chan struct{}
@@ -36,7 +37,7 @@
 	}
 	return &entryHost{
 		name: name, zone: zone, front: fmt.Sprintf("%s:%d", loopback, ports[0]), ready: fmt.Sprintf("%s:%d", loopback, ports[1]),
-		internal: [2]int{ports[2], ports[3]}, storeAddr: storeAddr, dir: dir, memoryMB: 284, record: rec,
+		internal: [2]int{ports[2], ports[3]}, storeAddr: storeAddr, dir: dir, memoryMB: 284, heartbeatS: 0.87, record: rec,
 	}, nil
 }
 
@@ -91,7 +92,7 @@
 data_dir: null
 discovery: "platform"
 entry: "virtual_ip"
-heartbeat_s: 0.87
+heartbeat_s: BEAT
 contracts: ["base", "drain", "config", "cost", "retry", "recover", "own", "platform"]
 fault_tolerance:
   machines: 1
@@ -114,7 +115,7 @@
 func (h *entryHost) start(bootstrap bool) error {
 	text := strings.NewReplacer(
 		"NAME", h.name, "IP", loopback, "ZONE", h.zone, "FRONT", h.front, "READY", h.ready, "PORT0", fmt.Sprint(h.internal[0]),
-		"PORT1", fmt.Sprint(h.internal[1]), "BOOTSTRAP", fmt.Sprint(bootstrap), "MEMORY", fmt.Sprint(h.memoryMB), "STORE", h.storeAddr,
+		"PORT1", fmt.Sprint(h.internal[1]), "BOOTSTRAP", fmt.Sprint(bootstrap), "MEMORY", fmt.Sprint(h.memoryMB), "STORE", h.storeAddr, "BEAT", fmt.Sprint(h.heartbeatS),
 	).Replace(settingsText)
 	path := filepath.Join(h.dir, h.name+".yaml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -46,6 +46,8 @@
 	switch os.Args[1] {
 	case "beats":
 		code = playBeats(rec, trouble)
+	case "departed":
+		code = playDeparted(rec, trouble)
 	case "restore":
 		code = playRestore(rec, trouble)
 	default:
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -55,6 +55,8 @@
 	awayUntil time.Time
 	// beats has when each worker last wrote its entry.
 	beats map[string]time.Time
+	// silence is the time without a heartbeat after which the entry of a worker is removed.
+	silence time.Duration
 }
 
 const firstRevision = 100
@@ -64,7 +66,7 @@
 	s := &store{
 		record: rec, era: 1, items: make(map[string]storedItem), leases: make(map[uint64]storedLease),
 		nextLease: 1, revision: firstRevision, oldest: firstRevision, changed: make(chan struct{}),
-		beats: make(map[string]time.Time),
+		beats: make(map[string]time.Time), silence: heartbeats,
 	}
 	l, err := net.Listen("tcp", loopback+":0")
 	if err != nil {
@@ -155,12 +157,12 @@
 	s.putKey(key, base64.StdEncoding.EncodeToString(value), 0)
 }
 
-// has reports whether a key exists.
-func (s *store) has(key string) bool {
+// remove removes the entry of a worker that leaves.
+func (s *store) remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.items[key]
-	return ok
+	delete(s.beats, key)
+	s.removeKey(key)
 }
 
 // value returns the value of a key, or nil.
@@ -186,6 +188,13 @@
 	s.items, s.leases, s.revision = maps.Clone(c.items), maps.Clone(c.leases), c.revision
 	s.history, s.oldest = nil, c.revision
 	s.awayUntil = time.Now().Add(away)
+	// The silence of the workers in the copy counts from now.
+	s.beats = make(map[string]time.Time)
+	for key := range s.items {
+		if strings.HasPrefix(key, "servers/") {
+			s.beats[key] = s.awayUntil
+		}
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 	s.record.write("store is away for %v and comes back from a copy, Store-Era %d", away, s.era)
@@ -363,7 +372,7 @@
 	s.answer(w, http.StatusOK, nil)
 }
 
-// heartbeats is the time without a heartbeat after which the entry of a worker is removed.
+// heartbeats are three heartbeats of most deployments.
 const heartbeats = 3 * 870 * time.Millisecond
 
 // beat writes the entry of a worker, and reports whether the store takes it. The item changes when
@@ -387,7 +396,7 @@
 	for range time.Tick(5 * time.Millisecond) {
 		s.mu.Lock()
 		for key, at := range s.beats {
-			if time.Since(at) > heartbeats {
+			if time.Since(at) > s.silence {
 				delete(s.beats, key)
 				s.removeKey(key)
 				s.record.write("store: %s is removed after three heartbeats of silence, revision %d", key, s.revision)
--- a/review/rig/traffic.go
+++ b/review/rig/traffic.go
@@ -23,15 +23,17 @@
 	record *record
 	hosts  []*entryHost
 	path   string
+	method string
 	stop   atomic.Bool
 
 	mu     sync.Mutex
 	misses map[*entryHost]int
 	sent   []*sentRequest
+	byID   map[string]*sentRequest
 }
 
 func newTraffic(rec *record, hosts []*entryHost, path string) *traffic {
-	t := &traffic{record: rec, hosts: hosts, path: path, misses: make(map[*entryHost]int)}
+	t := &traffic{record: rec, hosts: hosts, path: path, method: http.MethodGet, misses: make(map[*entryHost]int), byID: make(map[string]*sentRequest)}
 	go t.checkLoop()
 	return t
 }
@@ -78,7 +80,7 @@
 
 func (t *traffic) send(client *http.Client, n int) {
 	h, id, key := t.pick(), fmt.Sprintf("r%06d", n), rand.IntN(keys)
-	r, _ := http.NewRequest(http.MethodGet, "http://"+h.front+t.path+fmt.Sprint(key), nil)
+	r, _ := http.NewRequest(t.method, "http://"+h.front+t.path+fmt.Sprint(key), nil)
 	r.Host = frontHost
 	r.Header.Set("Hornbeamwinch-Request-Id", id)
 	r.Header.Set("Hornbeamwinch-Deadline-Ms", fmt.Sprint(deadlineMS))
@@ -86,6 +88,7 @@
 	sent := &sentRequest{at: time.Now()}
 	t.mu.Lock()
 	t.sent = append(t.sent, sent)
+	t.byID[id] = sent
 	t.mu.Unlock()
 	resp, err := client.Do(r)
 	reason := ""
@@ -123,3 +126,14 @@
 	}
 	return float64(served) / float64(all)
 }
+
+// sentAt returns when a request was sent.
+func (t *traffic) sentAt(id string) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.byID[id]
+	if !ok {
+		return time.Time{}, false
+	}
+	return r.at, true
+}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,8 @@
 	// free has an entry for each slot in use.
 	free    chan struct{}
 	waiting atomic.Int64
+	silent  atomic.Bool
+	server  *http.Server
 
 	mu sync.Mutex
 	// fences has the highest fence by key, and holds all that it has held.
@@ -72,7 +75,8 @@
 		rw.Header().Set("Hornbeamwinch-Instance-Id", w.id)
 	})
 	mux.HandleFunc("/", w.serveRequest)
-	go func() { _ = http.Serve(l, mux) }()
+	w.server = &http.Server{Handler: mux}
+	go func() { _ = w.server.Serve(l) }()
 	return w, nil
 }
 
@@ -80,6 +84,9 @@
 func (w *worker) beatLoop(s *store, every time.Duration) {
 	for at := time.Now(); ; at = at.Add(every) {
 		time.Sleep(time.Until(at))
+		if w.silent.Load() {
+			return
+		}
 		if s.beat("servers/"+w.id, w.entry()) {
 			w.mu.Lock()
 			w.beats++
@@ -88,6 +95,24 @@
 	}
 }
 
+// stopBeats ends the heartbeats of a worker that leaves.
+func (w *worker) stopBeats() {
+	w.silent.Store(true)
+}
+
+// exit ends the worker with all of its connections.
+func (w *worker) exit() {
+	w.record.write("%s exits", w.id)
+	_ = w.server.Close()
+}
+
+// allRuns returns what the worker has run.
+func (w *worker) allRuns() []run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.runs)
+}
+
 // awaitBeat waits for the next heartbeat.
 func (w *worker) awaitBeat() {
 	w.mu.Lock()
