--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -23,6 +23,8 @@
 	dir          string
 	memoryMB     int
 	heartbeatS   float64
+	maxFDs       int
+	cpuShare     float64
 	record       *record
 	cmd          *exec.Cmd
 	exited       chan struct{}
@@ -37,7 +39,7 @@
 	}
 	return &entryHost{
 		name: name, zone: zone, front: fmt.Sprintf("%s:%d", loopback, ports[0]), ready: fmt.Sprintf("%s:%d", loopback, ports[1]),
-		internal: [2]int{ports[2], ports[3]}, storeAddr: storeAddr, dir: dir, memoryMB: 284, heartbeatS: 0.87, record: rec,
+		internal: [2]int{ports[2], ports[3]}, storeAddr: storeAddr, dir: dir, memoryMB: 284, heartbeatS: 0.87, maxFDs: 4100, cpuShare: 0.32, record: rec,
 	}, nil
 }
 
@@ -83,10 +85,10 @@
 bootstrap: BOOTSTRAP
 in_tolerance: false
 limits:
-  cpu_share: 0.32
+  cpu_share: CPU
   cpu_cores: 1
   memory_mb: MEMORY
-  max_fds: 4100
+  max_fds: FDS
   link_mbps: 1000.0
   disk_mb: 0
 data_dir: null
@@ -115,7 +117,7 @@
 func (h *entryHost) start(bootstrap bool) error {
 	text := strings.NewReplacer(
 		"NAME", h.name, "IP", loopback, "ZONE", h.zone, "FRONT", h.front, "READY", h.ready, "PORT0", fmt.Sprint(h.internal[0]),
-		"PORT1", fmt.Sprint(h.internal[1]), "BOOTSTRAP", fmt.Sprint(bootstrap), "MEMORY", fmt.Sprint(h.memoryMB), "STORE", h.storeAddr, "BEAT", fmt.Sprint(h.heartbeatS),
+		"PORT1", fmt.Sprint(h.internal[1]), "BOOTSTRAP", fmt.Sprint(bootstrap), "MEMORY", fmt.Sprint(h.memoryMB), "STORE", h.storeAddr, "BEAT", fmt.Sprint(h.heartbeatS), "FDS", fmt.Sprint(h.maxFDs), "CPU", fmt.Sprint(h.cpuShare),
 	).Replace(settingsText)
 	path := filepath.Join(h.dir, h.name+".yaml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -48,6 +48,8 @@
 		code = playBeats(rec, trouble)
 	case "departed":
 		code = playDeparted(rec, trouble)
+	case "crowd":
+		code = playCrowd(rec, trouble)
 	case "restore":
 		code = playRestore(rec, trouble)
 	default:
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +42,8 @@
 	waiting atomic.Int64
 	silent  atomic.Bool
 	server  *http.Server
+	// quiet leaves what it runs out of the record.
+	quiet bool
 
 	mu sync.Mutex
 	// fences has the highest fence by key, and holds all that it has held.
@@ -75,7 +79,8 @@
 		rw.Header().Set("Hornbeamwinch-Instance-Id", w.id)
 	})
 	mux.HandleFunc("/", w.serveRequest)
-	w.server = &http.Server{Handler: mux}
+	// A response that remains unread for some seconds is cut off.
+	w.server = &http.Server{Handler: mux, WriteTimeout: 8 * time.Second}
 	go func() { _ = w.server.Serve(l) }()
 	return w, nil
 }
@@ -270,10 +275,10 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer w.leave()
 	w.mu.Lock()
 	if w.sharded && (err != nil || key < 0 || key >= keys || !w.holdsKey(key, time.Now())) {
 		w.mu.Unlock()
+		w.leave()
 		rw.Header().Set("Hornbeamwinch-Not-Executed", "1")
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -281,14 +286,22 @@
 	w.runs = append(w.runs, run{worker: w.id, id: id, key: key, at: time.Now()})
 	w.atWork[key]++
 	w.mu.Unlock()
-	w.record.write("%s runs %s, key %d", w.id, id, key)
+	if !w.quiet {
+		w.record.write("%s runs %s, key %d", w.id, id, key)
+	}
 	time.Sleep(w.work)
 	w.mu.Lock()
 	w.atWork[key]--
 	w.idle.Broadcast()
 	w.mu.Unlock()
+	w.leave()
 	rw.Header().Set("Hornbeamwinch-Server-Signature", w.id+"."+id)
-	_, _ = fmt.Fprintf(rw, "%s %s\n", w.id, id)
+	body := fmt.Sprintf("%s %s\n", w.id, id)
+	if size, _ := strconv.Atoi(r.URL.Query().Get("size")); size > len(body) {
+		body += strings.Repeat("x", size-len(body))
+	}
+	// A long body is sent in chunks.
+	_, _ = io.WriteString(rw, body)
 }
 
 // queueLength is the number of requests that wait for a slot at most.
