--- a/review/rig/crowd.go
+++ b/review/rig/crowd.go
@@ -119,7 +119,6 @@
 
 // crowdLoop is one misbehaving client.
 func crowdLoop(address string, until time.Time) {
-	request := fmt.Sprintf("GET /orders/1?size=%d HTTP/1.1\r\nHost: %s\r\nHornbeamwinch-Request-Id: crowd\r\nHornbeamwinch-Deadline-Ms: 12000\r\n\r\n", crowdBytes, frontHost)
 	for time.Now().Before(until) {
 		nc, err := net.DialTimeout("tcp", address, time.Second)
 		if err != nil {
@@ -129,12 +128,25 @@
 		// What the client does not read is then held by the machine.
 		_ = nc.(*net.TCPConn).SetReadBuffer(4 << 10)
 		_ = nc.SetWriteDeadline(time.Now().Add(crowdStay))
-		_, _ = nc.Write([]byte(strings.Repeat(request, crowdAhead)))
+		_, _ = nc.Write([]byte(requestsAhead()))
 		time.Sleep(crowdStay)
 		_ = nc.Close()
 	}
 }
 
+// crowdIDs numbers the requests of the crowd.
+var crowdIDs atomic.Int64
+
+// requestsAhead returns the requests that a client sends on one connection, each with its own id.
+func requestsAhead() string {
+	var b strings.Builder
+	for range crowdAhead {
+		fmt.Fprintf(&b, "GET /orders/1?size=%d HTTP/1.1\r\nHost: %s\r\nHornbeamwinch-Request-Id: crowd-%d\r\nHornbeamwinch-Deadline-Ms: 12000\r\n\r\n",
+			crowdBytes, frontHost, crowdIDs.Add(1))
+	}
+	return b.String()
+}
+
 // memoryGuard kills the process of a machine once it exceeds its memory, as the platform does,
 // and starts it again. What is read of files does not count, nor what the kernel holds.
 type memoryGuard struct {
