--- a/cmd/hornbeamwinchd/crowd_test.go
+++ b/cmd/hornbeamwinchd/crowd_test.go
@@ -87,26 +87,46 @@
 	peakFDs            int
 }
 
-// startCrowdHost starts a daemon with a memory limit, in MiB.
+// crowdHostConfig is how a daemon of these tests is started.
+type crowdHostConfig struct {
+	binary        string
+	configuration string
+	memoryMB      int
+	maxFDs        int
+	// servers is the number of servers.
+	servers int
+}
+
+// startCrowdHost starts a daemon with a memory limit, in MiB, and one server.
 func startCrowdHost(binary string, memoryMB int, configuration string) *crowdHost {
+	GinkgoHelper()
+	return crowdHostConfig{binary: binary, configuration: configuration, memoryMB: memoryMB, maxFDs: crowdFDs, servers: 1}.start()
+}
+
+// start starts a daemon.
+func (cfg crowdHostConfig) start() *crowdHost {
 	GinkgoHelper()
 	store := platformtest.NewStore()
 	server := httptest.NewServer(store)
 	DeferCleanup(server.Close)
-	store.Put("op/config", []byte(configuration))
-	backend, err := platformtest.StartBackendServer(platformtest.BackendServerConfig{Store: store, ID: "b0", Service: "billing", Domain: "zone-a", Slots: 20})
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(backend.Kill)
+	store.Put("op/config", []byte(cfg.configuration))
+	for n := range cfg.servers {
+		backend, err := platformtest.StartBackendServer(platformtest.BackendServerConfig{
+			Store: store, ID: fmt.Sprintf("b%d", n), Service: "billing", Domain: "zone-a", Slots: 20,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(backend.Kill)
+	}
 	const addressCount = 4
 	addresses := freeAddresses(addressCount)
 	text := string(platformtest.HostSettings{
 		Name: "host-0", IP: loopbackIP(), Domain: "zone-a", CallerAddress: addresses[0], ReadyAddress: addresses[1],
 		InternalPorts: [2]int{portOf(addresses[2]), portOf(addresses[2]) + 1}, StoreAddress: strings.TrimPrefix(server.URL, "http://"),
 	}.Encode())
-	text = strings.Replace(text, "memory_mb: 200", fmt.Sprintf("memory_mb: %d, max_fds: %d", memoryMB, crowdFDs), 1)
+	text = strings.Replace(text, "memory_mb: 200", fmt.Sprintf("memory_mb: %d, max_fds: %d", cfg.memoryMB, cfg.maxFDs), 1)
 	file := filepath.Join(GinkgoT().TempDir(), "settings.yaml")
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
-	h := &crowdHost{daemon: startProcess(binary, "--platform", "--settings", file), ready: addresses[1], peer: addresses[2]}
+	h := &crowdHost{daemon: startProcess(cfg.binary, "--platform", "--settings", file), ready: addresses[1], peer: addresses[2]}
 	h.callerAddress, h.admin = addresses[0], fmt.Sprintf("%s:%d", loopbackIP(), portOf(addresses[2])+1)
 	h.expectServed()
 	return h
@@ -224,7 +244,7 @@
 }
 
 // The crowds guard against a process that ends for want of memory or descriptors, or serves nobody else any more.
-var _ = Describe("A daemon among misbehaving clients", Ordered, ContinueOnFailure, func() {
+var _ = Describe("A daemon among misbehaving clients", Label("crowd"), Ordered, ContinueOnFailure, func() {
 	var binary string
 	BeforeAll(func() {
 		var err error
