Bound what the kernel receives ahead on connections, and count it

What callers saw: a process that the platform kills for its memory, while a crowd sends large bodies of legal size, most of which stop just short of their end.

Cause: the budget bounds what a host reads, and nothing bounded what waits before it. No socket had a receive buffer of its own, so the kernel grew each to megabytes, also on connections that waited to be accepted, of which there could be 4,096. Bytes received and not read count toward memory_mb (DEPLOY.md).

Change: listeners set a receive buffer of 8 KiB, which connections inherit before they are accepted, and a backlog from the memory. A body that has room in the budget gets 64 KiB, charged to the budget until its connection closes. Connections to servers have 32 KiB, those of other hosts 64 KiB. memoryPlan says in one place what each part of the memory may take.

--- a/jetty/bodybudget.go
+++ b/jetty/bodybudget.go
@@ -7,13 +7,6 @@
 )
 
 const (
-	// bodyMemoryFraction is the part of the host's memory that requests may take: their heads and
-	// bodies, and responses until their callers have read them.
-	bodyMemoryFraction = 0.4
-	// otherMemoryMB is what the rest of a small host takes, in MiB, and smallHostBudgetMB the room that it
-	// offers if it has as much besides: for a body of 64 MiB and the part for small ones.
-	otherMemoryMB     = 60
-	smallHostBudgetMB = 73.6
 	// smallBodyBytes is the size up to which a body may take the part of the budget that is
 	// kept free of larger ones, so that uploads do not keep out other requests.
 	smallBodyBytes = 64 << 10
@@ -61,7 +54,7 @@
 func (b *bodyBudget) setMemory(memoryMB int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limit = int64(max(bodyMemoryFraction*float64(memoryMB), min(float64(memoryMB-otherMemoryMB), smallHostBudgetMB)) * (1 << 20))
+	b.limit = newMemoryPlan(memoryMB).requests
 }
 
 // largest returns the room for bodies above smallBodyBytes, or 0 if there is no limit.
--- a/jetty/callers.go
+++ b/jetty/callers.go
@@ -36,6 +36,8 @@
 	writeProgress time.Duration
 	// budget has the memory for the heads of requests; nil means no limit.
 	budget *bodyBudget
+	// buffersBounded is set if connections are accepted with a small receive buffer.
+	buffersBounded bool
 	// onClosed, if set, is called with the reason for which a connection is closed early.
 	onClosed func(closeReason)
 
@@ -125,6 +127,7 @@
 		}
 		c := &callerConn{Conn: nc, callers: l.callers, idle: true, unused: true, idleSince: time.Now()}
 		c.head.room = &bodyReservation{budget: l.callers.budget}
+		c.receiveBuffer = &bodyReservation{budget: l.callers.budget}
 		if l.callers.add(c) {
 			return c, nil
 		}
@@ -226,6 +229,14 @@
 	}
 }
 
+// widenReceiveBufferFor has the body of a request, whose length is negative if it is not known, come in with
+// a larger window.
+func widenReceiveBufferFor(ctx context.Context, length int64) {
+	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok && (length < 0 || length > callerReceiveBytes) {
+		c.widenReceiveBuffer()
+	}
+}
+
 // callerConn is one connection of a caller. Closing it while idle never loses a
 // request: closeIdle interrupts the read in progress, and net/http closes the
 // connection if that has read nothing. Otherwise a request has begun to arrive, and
@@ -244,6 +255,9 @@
 	// head is the memory of the present request's head, which is complete once headRead is set.
 	head     callerHead
 	headRead bool
+	// receiveBuffer is the memory of a larger receive buffer, which the connection keeps once it has it: the
+	// caller may fill the window that it has been told.
+	receiveBuffer *bodyReservation
 	// slowSince is when the connection began to wait for the caller to send a head or a body or to read
 	// a response; zero if it does not wait for any of them.
 	slowSince time.Time
@@ -354,11 +368,24 @@
 	}
 }
 
-// setClosed gives back the memory of the head.
+// widenReceiveBuffer has the kernel receive more ahead, if there is memory for it.
+func (c *callerConn) widenReceiveBuffer() {
+	if !c.callers.buffersBounded {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.receiveBuffer.bytes == 0 && c.receiveBuffer.extend(int64(queuedBytes(bodyReceiveBytes))) {
+		widenReceiveBuffer(c.Conn, bodyReceiveBytes)
+	}
+}
+
+// setClosed gives back the memory of the connection.
 func (c *callerConn) setClosed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.end()
+	c.receiveBuffer.release()
 	c.headRead = true
 }
 
--- a/jetty/connlimits.go
+++ b/jetty/connlimits.go
@@ -8,15 +8,6 @@
 	serverDescriptorFraction = 0.45
 	// peerDescriptorFraction is the part of the rest for connections that other hosts have opened.
 	peerDescriptorFraction = 0.15
-	// sideConnections bounds the connections to the address for health checks, and to that for operators.
-	sideConnections = 64
-	// connectionBytes is what a connection of a caller takes besides its request: two goroutines, and
-	// the buffers of net/http.
-	connectionBytes = 24 << 10
-	// connectionMemoryFraction is the part of the host's memory for the connections of callers.
-	connectionMemoryFraction = 0.2
-	// minCallerConnections is the least bound, for hosts whose settings leave less.
-	minCallerConnections = 64
 )
 
 // connLimits bounds the connections that are opened to a host, by address; 0 means no bound.
@@ -28,10 +19,7 @@
 
 // newConnLimits returns the bounds of a host with some descriptors and memory, in MiB; 0 means unknown.
 func newConnLimits(maxFDs, memoryMB int) connLimits {
-	l := connLimits{side: sideConnections}
-	if memoryMB > 0 {
-		l.callers = max(int(connectionMemoryFraction*float64(memoryMB)*(1<<20))/connectionBytes, minCallerConnections)
-	}
+	l := connLimits{side: sideConnections, callers: newMemoryPlan(memoryMB).callerConnections}
 	if maxFDs == 0 {
 		return l
 	}
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -54,9 +54,6 @@
 	sideIdleTime      = 15 * time.Second
 	// peerHandshakeTimeout bounds the time in which another host begins a connection.
 	peerHandshakeTimeout = 5 * time.Second
-	// memoryLimitFraction is the fraction of the memory that is set as the soft
-	// limit of the Go runtime, above which it collects garbage more often.
-	memoryLimitFraction = 0.7
 )
 
 // Build says which program runs.
@@ -142,6 +139,9 @@
 // New returns a host that is not running yet; see [Host.Start].
 func New(cfg Config) (*Host, error) {
 	s := cfg.Settings
+	if cfg.Dial == nil && s.MemoryMB > 0 {
+		cfg.Dial = dialServer
+	}
 	h := &Host{
 		cfg:           cfg,
 		logs:          newLogs(cfg.LogTo, s),
@@ -333,7 +333,7 @@
 // newConns returns the connections of one address; a limit of 0 means no bound.
 func (h *Host) newConns(limit int) *callerConns {
 	conns := newCallerConns()
-	conns.limit, conns.budget = limit, h.bodies
+	conns.limit, conns.budget, conns.buffersBounded = limit, h.bodies, h.cfg.Settings.MemoryMB > 0
 	conns.onClosed = func(reason closeReason) {
 		h.metrics.connectionClosed(reason)
 		h.logs.connectionClosed(reason)
@@ -399,7 +399,14 @@
 
 // serveConns listens on address and serves it in a goroutine; see [serverLoop].
 func (h *Host) serveConns(server *http.Server, conns *callerConns, address string) error {
-	listener, err := net.Listen("tcp", address)
+	cfg := listenConfig{address: address}
+	if s := h.cfg.Settings; s.MemoryMB > 0 {
+		cfg.receiveBytes, cfg.backlog = callerReceiveBytes, sideConnections
+		if conns == h.callers {
+			cfg.backlog = newMemoryPlan(s.MemoryMB).backlog
+		}
+	}
+	listener, err := cfg.listen()
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
@@ -414,7 +421,11 @@
 }
 
 func (h *Host) servePeers(address string) error {
-	listener, err := net.Listen("tcp", address)
+	cfg := listenConfig{address: address}
+	if h.cfg.Settings.MemoryMB > 0 {
+		cfg.receiveBytes = peerReceiveBytes
+	}
+	listener, err := cfg.listen()
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -196,6 +196,7 @@
 		in.leaveBody(w, r)
 		return clientError{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
 	}
+	widenReceiveBufferFor(hr.Context(), hr.ContentLength)
 	setSlow(hr.Context(), true)
 	defer setSlow(hr.Context(), false)
 	b := &bodyReader{reader: hr.Body, length: hr.ContentLength, budget: in.forwarder.bodies}
