Bound what the kernel takes of responses and bodies before it can send them

What callers saw: a machine without memory while clients send requests ahead and read no answers.

Cause: the kernel grows the send buffer of a socket to 4 MB. A response of 1 MB was written at once, its room in the budget given back, and the next one read, so that the kernel held up to four for each connection that nobody read.

Change: sockets to callers and to servers take no more than 8 KiB that they cannot send (TCP_NOTSENT_LOWAT). What is on its way does not count, so that a caller that reads gets its response as fast as before.

--- a/jetty/callers.go
+++ b/jetty/callers.go
@@ -129,6 +129,9 @@
 		c.head.room = &bodyReservation{budget: l.callers.budget}
 		c.receiveBuffer = &bodyReservation{budget: l.callers.budget}
 		if l.callers.add(c) {
+			if l.callers.buffersBounded {
+				limitUnsent(nc)
+			}
 			return c, nil
 		}
 		l.callers.closed(closeRefused)
--- a/jetty/sockets.go
+++ b/jetty/sockets.go
@@ -19,6 +19,9 @@
 	peerReceiveBytes = 64 << 10
 	// serverReceiveBytes is the receive buffer of a connection to a backend server.
 	serverReceiveBytes = 32 << 10
+	// unsentBytes is how much of a response or a body the kernel takes before it can send it. What is on its
+	// way does not count, so the other side gets it no later.
+	unsentBytes = 8 << 10
 	// maxWindowBytes is the largest window of a connection that was accepted with a small buffer: the scale of
 	// its window is then 1.
 	maxWindowBytes = 1<<16 - 1
@@ -66,6 +69,21 @@
 	return unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
 }
 
+// limitUnsent bounds what the kernel takes from writes before it can send it.
+func limitUnsent(nc net.Conn) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = setUnsentLimit(fd) })
+	}
+}
+
+func setUnsentLimit(fd uintptr) error {
+	return unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
+}
+
 // widenReceiveBuffer sets the receive buffer of an accepted connection, and lets its window grow with it.
 func widenReceiveBuffer(nc net.Conn, bytes int) {
 	sc, ok := nc.(syscall.Conn)
@@ -86,7 +104,10 @@
 // dialServer is the [DialFunc] of a host whose memory is known.
 func dialServer(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { _ = setReceiveBuffer(fd, serverReceiveBytes) })
+		return raw.Control(func(fd uintptr) {
+			_ = setReceiveBuffer(fd, serverReceiveBytes)
+			_ = setUnsentLimit(fd)
+		})
 	}}
 	return dialer.DialContext(ctx, "tcp", address)
 }
