Reserve memory to pass on a response before a request is sent

Cause: a response that finds no room in the budget is passed on in pieces, and counted for nothing from then on: its first piece, the copy buffer, and what both sockets hold. There could be as many of these as connections, beside a full budget.

Change: a request takes 200 KiB of the budget before it is sent, for these buffers; it may use the part that is kept free of large bodies. Without that room it is refused with 503 no_memory, and has not run. Requests of other hosts take it as well.

--- a/jetty/answerrooms.go
+++ b/jetty/answerrooms.go
@@ -2,8 +2,15 @@
 
 import "sync"
 
-// unreservedBytes is how much of a response is read before it is passed on if there is no room for it.
-const unreservedBytes = 16 << 10
+const (
+	// unreservedBytes is how much of a response is read before it is passed on if there is no room for it.
+	unreservedBytes = 16 << 10
+	// copyBytes is the buffer with which net/http passes on the rest.
+	copyBytes = 32 << 10
+	// forwardBytes is what a request takes while it is forwarded, besides its head and body and a response
+	// that has room of its own: goroutines, and a response that is passed on as it comes, in both sockets too.
+	forwardBytes = 16<<10 + unreservedBytes + copyBytes + 2*serverReceiveBytes + unsentBytes + maxSegmentBytes
+)
 
 // answerRooms has the memory of the responses to a request, until the caller has read the one that counts.
 type answerRooms struct {
@@ -31,6 +38,19 @@
 	return room
 }
 
+// reserveForward takes the room without which a request must not be sent, since it could not be
+// answered. It reports false if there is none.
+func (a *answerRooms) reserveForward(budget *bodyBudget) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	room := &bodyReservation{budget: budget}
+	if !room.extendAny(forwardBytes) {
+		return false
+	}
+	a.rooms = append(a.rooms, room)
+	return true
+}
+
 // end gives the memory back.
 func (a *answerRooms) end() {
 	a.mu.Lock()
--- a/jetty/answerrooms_test.go
+++ b/jetty/answerrooms_test.go
@@ -51,6 +51,42 @@
 	})
 })
 
+// Requests went on to servers without limit, and what their responses took in buffers counted for nothing.
+var _ = Describe("The memory to forward a request", func() {
+	var b *exchangeBench
+	BeforeEach(func() {
+		b = newExchangeBench(0)
+		b.f.bodies = newBodyBudget(8)
+		b.serve("s", 20, func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "x") })
+	})
+	// fill takes room up to some bytes.
+	fill := func(left int64) {
+		GinkgoHelper()
+		room := &bodyReservation{budget: b.f.bodies}
+		Expect(room.extendWithin(b.f.bodies.limit-left, 0)).To(BeTrue())
+	}
+
+	It("is reserved before it is sent, also beside bodies that take all their part", func() {
+		fill(forwardBytes)
+		r := b.request(1, time.Second)
+		res := b.f.forward(context.Background(), r)
+		Expect(res).To(BeAssignableToTypeOf(backendResponse{}))
+		Expect(b.f.bodies.bytesReserved()).To(Equal(b.f.bodies.limit))
+		r.answers.end()
+		Expect(b.f.bodies.bytesReserved()).To(Equal(b.f.bodies.limit - forwardBytes))
+	})
+
+	It("has the request refused, which does not run, if there is none", func() {
+		fill(forwardBytes - 1)
+		r := b.request(1, time.Second)
+		res := b.f.forward(context.Background(), r)
+		Expect(res).To(BeAssignableToTypeOf(refusal{}))
+		Expect(res.(refusal).reason).To(Equal(reasonNoMemory))
+		Expect(res.(refusal).retryAfter).To(BeNumerically(">", 0))
+		Expect(r.sends).To(BeZero())
+	})
+})
+
 var _ = Describe("A body of unknown length on a small host", func() {
 	const memoryMB, limit = 144, 64 << 20
 	// Doubling buffers never had room for the largest body.
--- a/jetty/bodybudget.go
+++ b/jetty/bodybudget.go
@@ -131,13 +131,23 @@
 
 // extend takes further room, to which nothing moves.
 func (r *bodyReservation) extend(bytes int64) bool {
+	return r.extendWithin(bytes, bytes)
+}
+
+// extendAny takes further room like extend, from the part for small bodies as well.
+func (r *bodyReservation) extendAny(bytes int64) bool {
+	return r.extendWithin(bytes, min(bytes, smallBodyBytes))
+}
+
+// extendWithin takes further room, from the part that bodies of a size may use.
+func (r *bodyReservation) extendWithin(bytes, size int64) bool {
 	if r == nil || r.budget == nil {
 		return true
 	}
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.hasRoom(bytes) {
+	if !b.hasRoomWithin(bytes, size) {
 		return false
 	}
 	b.reserved += bytes
@@ -161,11 +171,17 @@
 
 // hasRoom reports whether there is room for a body. The caller holds mu.
 func (b *bodyBudget) hasRoom(bytes int64) bool {
+	return b.hasRoomWithin(bytes, bytes)
+}
+
+// hasRoomWithin reports whether there is room for some bytes in the part that bodies of a size may use.
+// The caller holds mu.
+func (b *bodyBudget) hasRoomWithin(bytes, size int64) bool {
 	limit := b.limit
 	if limit == 0 {
 		return true
 	}
-	if bytes > smallBodyBytes {
+	if size > smallBodyBytes {
 		limit -= int64(smallBodyFraction * float64(limit))
 	}
 	if bytes > limit-b.reserved {
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -152,6 +152,9 @@
 // forward waits for admission, sends r to a backend server and retries it as
 // far as its route allows. The context ends when the caller leaves.
 func (f *forwarder) forward(ctx context.Context, r *request) result {
+	if !r.answers.reserveForward(f.bodies) {
+		return f.refuseForMemory()
+	}
 	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
@@ -188,6 +191,11 @@
 	return adm.acquire(ctx, req), nil
 }
 
+// refuseForMemory returns the result of a request for which the host has no memory.
+func (f *forwarder) refuseForMemory() refusal {
+	return refusal{reason: reasonNoMemory, retryAfter: f.bodies.retryAfter(time.Now())}
+}
+
 // admissionRequest describes r, whose response is expected to have a size, to the admission
 // controller.
 func admissionRequest(r *request, responseBytes float64) *sluice.Request {
--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -97,6 +97,9 @@
 		return refuseRelay(stream, sluice.Refuse{Reason: sluice.Reason(reasonNoMemory), RetryAfter: s.forwarder.bodies.retryAfter(time.Now())})
 	}
 	defer r.body.release()
+	if !r.answers.reserveForward(s.forwarder.bodies) {
+		return refuseRelay(stream, sluice.Refuse{Reason: sluice.Reason(reasonNoMemory), RetryAfter: s.forwarder.bodies.retryAfter(time.Now())})
+	}
 	defer r.answers.end()
 	adm := s.forwarder.admissions.get(r.service, s.forwarder.clusterState.catalog())
 	req := &sluice.Request{
--- a/jetty/sockets.go
+++ b/jetty/sockets.go
@@ -22,6 +22,8 @@
 	// unsentBytes is how much of a response or a body the kernel takes before it can send it. What is on its
 	// way does not count, so the other side gets it no later.
 	unsentBytes = 8 << 10
+	// maxSegmentBytes is the largest segment, which the kernel takes beyond that.
+	maxSegmentBytes = 64 << 10
 	// maxWindowBytes is the largest window of a connection that was accepted with a small buffer: the scale of
 	// its window is then 1.
 	maxWindowBytes = 1<<16 - 1
--- a/jetty/sockets_test.go
+++ b/jetty/sockets_test.go
@@ -104,8 +104,6 @@
 
 // Responses that nobody read were taken by the kernel, by the megabyte.
 var _ = Describe("What a host has written and cannot send", func() {
-	// maxSegmentBytes is the largest piece that the kernel takes at once.
-	const maxSegmentBytes = 64 << 10
 	It("is bounded, also if the other side has read fast before", func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
