Close stalled connections for the memory that other requests lack

What callers saw: 503 no_memory to nearly all ordinary requests for as long as a crowd holds its connections, up to the deadline of the crowd's requests.

Cause: the memory of a request whose caller has stopped sending or reading was kept until its deadline, or until 30 s without progress, however many other requests lacked it.

Change: a request that finds no room has the connection reset whose caller has neither sent nor read anything for longest, for 1 s at least, if that holds memory, and waits up to 50 ms for the room. Connections that are closed early are reset, so that the kernel does not keep what their callers have not read. A connection at whose request a server is at work is spared.

--- a/jetty/callers.go
+++ b/jetty/callers.go
@@ -25,6 +25,9 @@
 	// closingSlack is how many connections above the limit are accepted while those that were chosen to
 	// be closed end.
 	closingSlack = 16
+	// stalledTime is how long a caller may neither send nor read while other requests lack the memory that its
+	// connection holds.
+	stalledTime = time.Second
 )
 
 // callerConns tracks the connections of callers, so that idle ones can be
@@ -57,6 +60,8 @@
 	closeNoMemory closeReason = "no_memory"
 	// closeSlowHead means that the head of a request did not come in time.
 	closeSlowHead closeReason = "slow_head"
+	// closeStalled means that the host needed the memory of a connection whose caller neither sent nor read.
+	closeStalled closeReason = "stalled"
 	// closeUnread means that the caller did not read its response.
 	closeUnread closeReason = "unread"
 )
@@ -112,6 +117,28 @@
 	}
 }
 
+// closeStalled closes the connection that holds memory and whose caller has neither sent nor read anything
+// for longest, if for stalledTime at least. It reports whether there is one.
+func (cs *callerConns) closeStalled(now time.Time) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	var oldest *callerConn
+	since := now.Add(-stalledTime)
+	for c := range cs.conns {
+		if t, ok := c.stalledSince(); ok && t.Before(since) {
+			oldest, since = c, t
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	cs.closed(closeStalled)
+	if oldest.abort() {
+		delete(cs.conns, oldest)
+	}
+	return true
+}
+
 // callerListener accepts connections and tracks them.
 type callerListener struct {
 	net.Listener
@@ -264,6 +291,8 @@
 	// slowSince is when the connection began to wait for the caller to send a head or a body or to read
 	// a response; zero if it does not wait for any of them.
 	slowSince time.Time
+	// progressAt is when the caller last sent or read something.
+	progressAt time.Time
 	// writeDeadline is that which net/http has set.
 	writeDeadline time.Time
 	// idle means that no request is being read or answered, and unused that
@@ -290,6 +319,7 @@
 	switch {
 	case n > 0:
 		c.idle, c.unused, c.answered = false, false, false
+		c.progressAt = time.Now()
 		if c.closing {
 			c.closing = false
 			err = errors.Join(err, c.Conn.SetReadDeadline(c.readDeadline))
@@ -338,9 +368,13 @@
 	n, err := c.Conn.Write(piece)
 	c.mu.Lock()
 	c.slowSince = wasSlow
+	if n > 0 {
+		c.progressAt = time.Now()
+	}
 	c.mu.Unlock()
 	if unread && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.callers.closed(closeUnread)
+		c.reset()
 	}
 	return n, err
 }
@@ -407,6 +441,21 @@
 	}
 }
 
+// stalledSince returns since when the connection has waited for its caller, which has neither sent nor read
+// anything. It reports false if the connection does not wait, or holds no memory.
+func (c *callerConn) stalledSince() (time.Time, bool) {
+	since, waiting := c.waitingSince()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !waiting || c.idle && c.receiveBuffer.bytes == 0 {
+		return time.Time{}, false
+	}
+	if c.progressAt.After(since) {
+		since = c.progressAt
+	}
+	return since, true
+}
+
 // abort closes a connection that is idle or waits for its caller. It returns false if the host is at work
 // on a request by now, or if the connection ends later, unless a request has begun to arrive.
 func (c *callerConn) abort() bool {
@@ -420,10 +469,18 @@
 	if c.slowSince.IsZero() {
 		return false
 	}
-	_ = c.Conn.Close()
+	c.reset()
 	return true
 }
 
+// reset closes the connection, and has the kernel drop what its caller has not read.
+func (c *callerConn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Conn.Close()
+}
+
 // closeSlowHead closes the connection if a head has been on its way for longer than limit. It reports
 // whether it does.
 func (c *callerConn) closeSlowHead(now time.Time, limit time.Duration) bool {
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -30,6 +30,9 @@
 	nonRepeatableIdleFraction = 0.35
 	// minServerTimeout is the shortest timeout that is sent to a server.
 	minServerTimeout = time.Millisecond
+	// stalledPoll and stalledPolls bound the wait for the memory of a connection that is being closed.
+	stalledPoll  = 5 * time.Millisecond
+	stalledPolls = 10
 )
 
 // request is a caller's request while this host handles it.
@@ -141,7 +144,9 @@
 	// loads passes on the loads that servers tell; nil means that they do not count.
 	loads *serverLoads
 	// bodies bounds the memory of request bodies; nil means no limit.
-	bodies  *bodyBudget
+	bodies *bodyBudget
+	// callers are the connections of callers; nil means that none is closed for its memory.
+	callers *callerConns
 	drain   *drain
 	logs    *logs
 	metrics *metrics
@@ -152,7 +157,7 @@
 // forward waits for admission, sends r to a backend server and retries it as
 // far as its route allows. The context ends when the caller leaves.
 func (f *forwarder) forward(ctx context.Context, r *request) result {
-	if !r.answers.reserveForward(f.bodies) {
+	if !f.reserveForward(ctx, r) {
 		return f.refuseForMemory()
 	}
 	caller := ctx
@@ -191,6 +196,29 @@
 	return adm.acquire(ctx, req), nil
 }
 
+// reserveForward takes the memory to forward r. If there is none, it has a stalled connection closed, and
+// waits a moment for the memory of that one.
+func (f *forwarder) reserveForward(ctx context.Context, r *request) bool {
+	if r.answers.reserveForward(f.bodies) {
+		return true
+	}
+	if !f.closeStalled() {
+		return false
+	}
+	for range stalledPolls {
+		pause(ctx, stalledPoll)
+		if r.answers.reserveForward(f.bodies) {
+			return true
+		}
+	}
+	return false
+}
+
+// closeStalled closes the connection of a caller that has stalled for longest. It reports whether there is one.
+func (f *forwarder) closeStalled() bool {
+	return f.callers != nil && f.callers.closeStalled(time.Now())
+}
+
 // refuseForMemory returns the result of a request for which the host has no memory.
 func (f *forwarder) refuseForMemory() refusal {
 	return refusal{reason: reasonNoMemory, retryAfter: f.bodies.retryAfter(time.Now())}
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -239,7 +239,7 @@
 	loads := &serverLoads{protocol: cfg.Protocol, admissions: h.admissions, clusterState: h.clusterState}
 	requests := &forwarder{
 		headers: cfg.Protocol.Headers(), admissions: h.admissions, upstream: h.upstream, endChecks: newEndChecks(h.upstream), clusterState: h.clusterState,
-		reach: h.reach, limits: h.limits, notices: h.notices, loads: loads, crashes: h.crashes, bodies: h.bodies, drain: h.drain, logs: h.logs, metrics: h.metrics,
+		reach: h.reach, limits: h.limits, notices: h.notices, loads: loads, crashes: h.crashes, bodies: h.bodies, callers: h.callers, drain: h.drain, logs: h.logs, metrics: h.metrics,
 		warmChecks: &warmChecks{protocol: cfg.Protocol, headers: cfg.Protocol.Headers(), cold: h.cold, upstream: h.upstream, metrics: h.metrics},
 		carriers:   h.carriers, permits: h.coordinated.permits, recoverer: h.recoverer,
 		relay: &relayClient{
