Bound how fast the bodies of refused requests are read

What callers saw: refusals of ordinary requests, and late answers, while a crowd sends bodies that are refused.

Cause: the body of a refused request was read to its end, as fast as it came, so that a caller that reads a response only once it has sent all gets it. A crowd could keep a host at nothing else.

--- a/jetty/bodybudget_test.go
+++ b/jetty/bodybudget_test.go
@@ -153,7 +153,7 @@
 		active := b.f.clusterState.activeConfig
 		active.SetIfNewer(config)
 		b.f.bodies = newBodyBudget(184)
-		in := &ingress{headers: b.f.headers, activeConfig: active, random: noDelay, forwarder: b.f, logs: b.f.logs, metrics: b.f.metrics}
+		in := &ingress{headers: b.f.headers, activeConfig: active, random: noDelay, forwarder: b.f, discards: newDiscards(), logs: b.f.logs, metrics: b.f.metrics}
 		server := httptest.NewServer(in)
 		DeferCleanup(server.Close)
 		DeferCleanup(server.CloseClientConnections)
--- a/jetty/callers.go
+++ b/jetty/callers.go
@@ -215,8 +215,11 @@
 // callerConnKey is the key of the connection in the context of a request.
 type callerConnKey struct{}
 
-// withCallerConn is the http.Server.ConnContext hook.
+// withCallerConn is the http.Server.ConnContext hook. The context ends once the connection is reset.
 func withCallerConn(ctx context.Context, nc net.Conn) context.Context {
+	if c, ok := nc.(*callerConn); ok {
+		ctx, c.cancel = context.WithCancel(ctx)
+	}
 	return context.WithValue(ctx, callerConnKey{}, nc)
 }
 
@@ -280,6 +283,8 @@
 type callerConn struct {
 	net.Conn
 	callers *callerConns
+	// cancel ends the context of the requests. It is set before the first one.
+	cancel context.CancelFunc
 
 	mu sync.Mutex
 	// head is the memory of the present request's head, which is complete once headRead is set.
@@ -473,8 +478,11 @@
 	return true
 }
 
-// reset closes the connection, and has the kernel drop what its caller has not read.
+// reset closes the connection and ends its request. The kernel drops what the caller has not read.
 func (c *callerConn) reset() {
+	if c.cancel != nil {
+		c.cancel()
+	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -254,6 +254,7 @@
 		logs:         h.logs,
 		metrics:      h.metrics,
 		forwarder:    requests,
+		discards:     newDiscards(),
 	}
 	return h, nil
 }
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -33,6 +33,7 @@
 	activeConfig *fairway.ActiveConfig
 	random       func() float64
 	forwarder    *forwarder
+	discards     *discards
 	logs         *logs
 	metrics      *metrics
 	// closeConns makes the host close kept connections after their next
@@ -76,8 +77,7 @@
 		return
 	}
 	setSlow(hr.Context(), true)
-	// It fails if the caller leaves, or at its deadline.
-	_, _ = io.Copy(io.Discard, hr.Body)
+	in.discards.discard(hr, r.deadline)
 }
 
 // handle returns a request and its result.
