Take no room back from a request that ends at the same time

What callers saw: nothing yet. Each time, a host keeps less room for requests, and refuses more of them with no_memory, until it restarts.

Cause: bodyReservation.shrink looked at the bytes before it had the lock.

Evidence: the new test holds the lock for the end of the request while shrink waits: 1,024 bytes stayed reserved before.

Change: shrink looks at them under the lock. The test passes.

--- a/jetty/bodybudget.go
+++ b/jetty/bodybudget.go
@@ -158,11 +158,15 @@
 // shrink gives back all but some bytes, which have not been used.
 func (r *bodyReservation) shrink(bytes int64) {
 	b := r.budget
-	if b == nil || bytes >= r.bytes {
+	if b == nil {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if bytes >= r.bytes {
+		// Nothing to give back, or the request has ended meanwhile.
+		return
+	}
 	b.reserved -= r.bytes - bytes
 	r.bytes = bytes
 	// What is read grows by copies.
--- a/jetty/bodybudget_test.go
+++ b/jetty/bodybudget_test.go
@@ -75,6 +75,23 @@
 		Expect(b.bytesReserved()).To(BeEquivalentTo(40 << 20))
 	})
 
+	// The slower of two attempts gave its room back twice in part, which was then held for ever.
+	It("takes no room back from a request that ends at the same time", func() {
+		r := expectReserved(1 << 20)
+		b.mu.Lock()
+		shrunk := make(chan struct{})
+		go func() {
+			defer close(shrunk)
+			r.shrink(1 << 10)
+		}()
+		// The other goroutine waits for the lock, which the end of the request has.
+		Consistently(shrunk).WithTimeout(50 * time.Millisecond).ShouldNot(BeClosed())
+		b.reserved, r.bytes = b.reserved-r.bytes, 0
+		b.mu.Unlock()
+		Eventually(shrunk).Should(BeClosed())
+		Expect(b.bytesReserved()).To(BeZero())
+	})
+
 	It("counts both buffers of a body that grows", func() {
 		r := expectReserved(24 << 20)
 		Expect(r.grow(48 << 20)).To(BeFalse())
