Count responses that come through other hosts

What callers saw: nothing yet, where hosts reach their servers. A host without a path to them kept up to 1 MB of each response, for as many callers as there are connections, beside a full budget.

Cause: relayCall read a response whole without room in the budget; only those of its own connections were counted.

Evidence: by reading, and the new tests in relay_test.go, which fail without the reservation: nothing is reserved for a response of 300 KB, and it is read whole on a host without room. Not shown with real processes.

Change: such a response takes its length, or 1 MB if it states none, and is passed on as it comes if there is no room.

--- a/jetty/host.go
+++ b/jetty/host.go
@@ -243,7 +243,7 @@
 		warmChecks: &warmChecks{protocol: cfg.Protocol, headers: cfg.Protocol.Headers(), cold: h.cold, upstream: h.upstream, metrics: h.metrics},
 		carriers:   h.carriers, permits: h.coordinated.permits, recoverer: h.recoverer,
 		relay: &relayClient{
-			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices, loads: loads,
+			host: s.Host, headers: cfg.Protocol.Headers(), conns: h.peerConns, reach: h.reach, notices: h.notices, loads: loads, bodies: h.bodies,
 		},
 	}
 	h.relayServer = &relayServer{forwarder: requests, stopping: h.shuttingDown.Load}
--- a/jetty/relay_test.go
+++ b/jetty/relay_test.go
@@ -359,6 +359,37 @@
 		expectNothingLeft(p)
 	})
 
+	// Responses through other hosts were in no part of the memory.
+	Describe("with a response of 300 KB on a host of which other requests take the memory", func() {
+		const size = 300_000
+		send := func(left int64) (*exchangeBench, backendResponse) {
+			GinkgoHelper()
+			p := newRelayPeer()
+			p.serve("s", 20, func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, large[:size]) })
+			b, _ := newCutHost(0, p.address)
+			b.f.bodies = newBodyBudget(8)
+			b.f.relay.bodies = b.f.bodies
+			_, ok := b.f.bodies.reserve(b.f.bodies.largest() - left)
+			Expect(ok).To(BeTrue())
+			return b, (<-b.send(context.Background(), once(b.request(1, 5*time.Second)))).result.(backendResponse)
+		}
+
+		It("counts it", func() {
+			b, resp := send(2 << 20)
+			Expect(resp.body).To(HaveLen(size))
+			Expect(b.f.bodies.bytesReserved()).To(BeNumerically(">=", b.f.bodies.largest()-2<<20+size))
+		})
+
+		It("passes it on as it comes if there is no room", func() {
+			_, resp := send(0)
+			Expect(resp.body).To(HaveLen(unreservedBytes + 1))
+			rest, err := io.ReadAll(resp.remaining)
+			Expect(err).NotTo(HaveOccurred())
+			resp.finish(true)
+			Expect(string(resp.body) + string(rest)).To(Equal(large[:size]))
+		})
+	})
+
 	// callerOf returns the body that a caller gets, and the error after it.
 	callerOf := func(b *exchangeBench) (string, error) {
 		GinkgoHelper()
--- a/jetty/relayclient.go
+++ b/jetty/relayclient.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"google.golang.org/grpc"
@@ -47,6 +48,8 @@
 	reach   reachability
 	notices *notices
 	loads   *serverLoads
+	// bodies bounds the memory of responses; nil means no limit.
+	bodies *bodyBudget
 }
 
 // relayCall passes one request on. Its results are set by run.
@@ -373,7 +376,8 @@
 	return &Error{Op: "relay", Kind: kind, Err: errors.New(f.GetError())}
 }
 
-// readResponse reads a response: whole, or up to maxBufferedBytes if it is longer.
+// readResponse reads a response: whole, or up to maxBufferedBytes if it is longer, and up to unreservedBytes if
+// there is no room for it.
 func (c *relayCall) readResponse(ctx context.Context, hop *relayHop, head *signal.RelayHead) (*backendResponse, error) {
 	c.server = fairway.ServerID(head.GetServer())
 	// Hosts of earlier releases pass on invalid statuses.
@@ -393,15 +397,25 @@
 	c.loads.observeRelayed(c.r, from, resp.status, resp.header, monotonicNow())
 	if head.GetWhole() {
 		resp.body = head.GetBody()
+		// It is in memory already, so it is used whether there is room or not.
+		_ = c.r.answers.reserve(c.bodies, int64(len(resp.body)))
 		return resp, nil
 	}
 	body := &relayBody{stream: hop.stream}
-	data, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
+	limit := int64(maxBufferedBytes)
+	room := c.r.answers.reserve(c.bodies, contentLength(resp.header))
+	if room == nil {
+		limit = unreservedBytes
+	}
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if room != nil {
+		room.shrink(int64(len(data)))
+	}
 	if err != nil {
 		return nil, c.classifyError(ctx, err)
 	}
 	resp.body = data
-	if len(data) > maxBufferedBytes {
+	if int64(len(data)) > limit {
 		if !hop.unbind() {
 			return nil, c.classifyError(ctx, errRelayCut)
 		}
@@ -411,6 +425,14 @@
 	return resp, nil
 }
 
+// contentLength returns the length that a header states, or -1 if it states none.
+func contentLength(h http.Header) int64 {
+	if n, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64); err == nil && n >= 0 {
+		return n
+	}
+	return -1
+}
+
 // relayBody reads the body of a response from a stream. It reports io.EOF only once
 // the peer has stated the end.
 type relayBody struct {
