--- a/jetty/callers.go
+++ b/jetty/callers.go
@@ -117,9 +117,9 @@
 	}
 }
 
-// closeStalled closes the connection that holds memory and whose caller has neither sent nor read anything
+// resetStalled resets the connection that holds memory and whose caller has neither sent nor read anything
 // for longest, if for stalledTime at least. It reports whether there is one.
-func (cs *callerConns) closeStalled(now time.Time) bool {
+func (cs *callerConns) resetStalled(now time.Time) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	var oldest *callerConn
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -202,7 +202,7 @@
 	if r.answers.reserveForward(f.bodies) {
 		return true
 	}
-	if !f.closeStalled() {
+	if !f.resetStalled() {
 		return false
 	}
 	for range stalledPolls {
@@ -214,9 +214,9 @@
 	return false
 }
 
-// closeStalled closes the connection of a caller that has stalled for longest. It reports whether there is one.
-func (f *forwarder) closeStalled() bool {
-	return f.callers != nil && f.callers.closeStalled(time.Now())
+// resetStalled resets the connection of a caller that has stalled for longest. It reports whether there is one.
+func (f *forwarder) resetStalled() bool {
+	return f.callers != nil && f.callers.resetStalled(time.Now())
 }
 
 // refuseForMemory returns the result of a request for which the host has no memory.
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -85,7 +85,7 @@
 	r = &request{id: hr.Header.Get(in.headers.RequestID), arrived: arrived, config: in.activeConfig.Current()}
 	defer in.forwarder.recoverer.at(placeRequest, func() { res = gatewayError{status: http.StatusBadGateway, reason: reasonInternal} })
 	if !beginRequest(hr) {
-		in.forwarder.closeStalled()
+		in.forwarder.resetStalled()
 		res = in.forwarder.refuseForMemory()
 	} else if res = in.parseRequest(w, hr, r); res == nil {
 		return r, in.forwarder.forward(hr.Context(), r)
@@ -222,7 +222,7 @@
 	case errors.As(err, &tooLarge):
 		return clientError{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
 	case errors.Is(err, errNoRoom):
-		in.forwarder.closeStalled()
+		in.forwarder.resetStalled()
 		in.leaveBody(w, r)
 		return in.forwarder.refuseForMemory()
 	case errors.Is(err, os.ErrDeadlineExceeded) && in.forwarder.drain.excludes(r.deadline):
