--- a/cmd/hornbeamwinchd/bodycrowd_test.go
+++ b/cmd/hornbeamwinchd/bodycrowd_test.go
@@ -26,6 +26,8 @@
 	// pieceBytes is how much a client sends before the next one goes on; 0 means all of it.
 	pieceBytes int
 	suspension suspension
+	// rounds is how often a client whose connection is closed connects again and sends anew.
+	rounds int
 	// whole has the clients send the last byte too, and query is that of their requests.
 	whole bool
 	query string
@@ -53,6 +55,7 @@
 		{name: "bodies in one piece, to a process that is suspended meanwhile", clients: 200, memoryMB: 96, bodyBytes: 16 * mib, suspension: suspendedLate},
 		{name: "bodies in chunks, to a process that is suspended meanwhile", clients: 200, memoryMB: 96, bodyBytes: 16 * mib, chunked: true, suspension: suspendedLate},
 		{name: "bodies of clients that connect to a process that is suspended", clients: 1500, memoryMB: 96, bodyBytes: 16 * mib, suspension: suspendedEarly},
+		{name: "bodies of clients that come back when they are refused", clients: 100, memoryMB: 96, bodyBytes: 16 * mib, rounds: 10},
 		{name: "whole bodies, which servers read late", clients: 200, memoryMB: 96, bodyBytes: mib, whole: true, query: "?late=1&work=3s"},
 		{name: "bodies of requests without a route", clients: 200, memoryMB: 96, bodyBytes: 16 * mib, door: func(h *crowdHost) (string, string) { return h.callerAddress, "/none" }},
 		{name: "bodies at the ready address", clients: 200, memoryMB: 96, bodyBytes: 16 * mib, door: func(h *crowdHost) (string, string) { return h.ready, "/-/readyz" }},
@@ -82,7 +85,7 @@
 
 // play has the crowd send, and returns once no client makes progress any more. The connections stay open.
 func (c bodyCrowd) play(h *crowdHost) {
-	const sendTimeout, suspendAfter = 3 * time.Second, 100 * time.Millisecond
+	const suspendAfter = 100 * time.Millisecond
 	address, path := h.callerAddress, "/list/x"
 	if c.door != nil {
 		address, path = c.door(h)
@@ -100,18 +103,15 @@
 		h.conns = append(h.conns, nc)
 	}
 	var senders sync.WaitGroup
-	for _, nc := range h.conns {
+	for i, nc := range h.conns {
 		senders.Go(func() {
-			for rest := text; len(rest) > 0; time.Sleep(time.Millisecond) {
-				piece := rest
-				if c.pieceBytes > 0 {
-					piece = rest[:min(len(rest), c.pieceBytes)]
-				}
-				_ = nc.SetWriteDeadline(time.Now().Add(sendTimeout))
-				if _, err := nc.Write(piece); err != nil {
+			for round := 0; !c.send(nc, text) && round < c.rounds; round++ {
+				_ = nc.Close()
+				next, err := net.DialTimeout("tcp", address, time.Second)
+				if err != nil {
 					return
 				}
-				rest = rest[len(piece):]
+				nc, h.conns[i] = next, next
 			}
 		})
 	}
@@ -123,6 +123,23 @@
 	h.countFDs()
 }
 
+// send sends a text, and reports whether all of it was sent.
+func (c bodyCrowd) send(nc net.Conn, text []byte) bool {
+	const sendTimeout = 3 * time.Second
+	for rest := text; len(rest) > 0; time.Sleep(time.Millisecond) {
+		piece := rest
+		if c.pieceBytes > 0 {
+			piece = rest[:min(len(rest), c.pieceBytes)]
+		}
+		_ = nc.SetWriteDeadline(time.Now().Add(sendTimeout))
+		if _, err := nc.Write(piece); err != nil {
+			return false
+		}
+		rest = rest[len(piece):]
+	}
+	return true
+}
+
 // suspend stops the process for a while.
 func (h *crowdHost) suspend() {
 	const duration = 2 * time.Second
@@ -147,4 +164,14 @@
 			h.expectHeldWithin(w, c.memoryMB, crowdFDs)
 		})
 	}
+
+	It("ends in order when it is told to", func() {
+		h := startCrowdHost(binary, crowdMemoryMB, crowdConfiguration)
+		bodyCrowd{clients: 200, bodyBytes: 16 << 20}.play(h)
+		h.Terminate().Wait(endTimeout)
+		Expect(h.ExitCode()).To(BeZero(), "its output:\n%.4000s", h.output())
+		for _, nc := range h.conns {
+			_ = nc.Close()
+		}
+	})
 })
