Reserve the memory to forward a request as it is sent, and count no garbage for it

What callers saw: on a host with more callers than its servers can serve, requests sent on to servers seconds after their callers had left (GONE), and refusals with no_memory, which name 100 ms, in place of those of admission, which name a true time.

Change: a request takes the room when it is dispatched to a server, a peer or a carrier, one that another host sends when it is admitted; the room counts as no garbage when it is given back, nor does that of a receive buffer.

The new test of requests that wait does not hold before: by reading, eight such requests held 1,600 KiB, where 800 are allowed.

--- a/jetty/answerrooms.go
+++ b/jetty/answerrooms.go
@@ -16,7 +16,9 @@
 type answerRooms struct {
 	mu    sync.Mutex
 	rooms []*bodyReservation
-	ended bool
+	// forward is set once there is room to forward the request.
+	forward bool
+	ended   bool
 }
 
 // reserve takes room for a response of a length, which is negative if it is not known. It returns nil if
@@ -39,15 +41,18 @@
 }
 
 // reserveForward takes the room without which a request must not be sent, since it could not be
-// answered. It reports false if there is none.
+// answered, unless the request has it. It reports false if there is none.
 func (a *answerRooms) reserveForward(budget *bodyBudget) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	room := &bodyReservation{budget: budget}
-	if !room.extendAny(forwardBytes) {
+	if a.forward {
+		return true
+	}
+	room := &bodyReservation{budget: budget, reused: true}
+	if a.ended || !room.extendAny(forwardBytes) {
 		return false
 	}
-	a.rooms = append(a.rooms, room)
+	a.rooms, a.forward = append(a.rooms, room), true
 	return true
 }
 
--- a/jetty/answerrooms_test.go
+++ b/jetty/answerrooms_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -57,8 +58,11 @@
 	BeforeEach(func() {
 		b = newExchangeBench(0)
 		b.f.bodies = newBodyBudget(8)
-		b.serve("s", 20, func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "x") })
 	})
+	serve := func() {
+		GinkgoHelper()
+		b.serve("s", 20, func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "x") })
+	}
 	// fill takes room up to some bytes.
 	fill := func(left int64) {
 		GinkgoHelper()
@@ -67,6 +71,7 @@
 	}
 
 	It("is reserved before it is sent, also beside bodies that take all their part", func() {
+		serve()
 		fill(forwardBytes)
 		r := b.request(1, time.Second)
 		res := b.f.forward(context.Background(), r)
@@ -76,7 +81,36 @@
 		Expect(b.f.bodies.bytesReserved()).To(Equal(b.f.bodies.limit - forwardBytes))
 	})
 
+	// A host with more callers than its servers could serve refused requests for want of memory that none of them used,
+	// and collected garbage that there was not.
+	It("is not held by requests that wait for a server, and leaves no garbage", func() {
+		const requests = 8
+		var arrived atomic.Int64
+		release := make(chan struct{})
+		DeferCleanup(func() { close(release) })
+		b.serve("s", 1, func(w http.ResponseWriter, hr *http.Request) {
+			arrived.Add(1)
+			select {
+			case <-release:
+			case <-hr.Context().Done():
+			}
+			answer(w, http.StatusOK, "x")
+		})
+		for range requests {
+			r := b.request(1, 400*time.Millisecond)
+			go func() {
+				b.f.forward(context.Background(), r)
+				r.answers.end()
+			}()
+		}
+		Eventually(arrived.Load).Should(BeNumerically(">", 0))
+		Consistently(func() bool { return b.f.bodies.bytesReserved() <= requests/2*forwardBytes }).WithTimeout(200 * time.Millisecond).Should(BeTrue())
+		Eventually(b.f.bodies.bytesReserved).WithTimeout(5 * time.Second).Should(BeZero())
+		Expect(b.f.bodies.garbage).To(BeZero())
+	})
+
 	It("has the request refused, which does not run, if there is none", func() {
+		serve()
 		fill(forwardBytes - 1)
 		r := b.request(1, time.Second)
 		res := b.f.forward(context.Background(), r)
--- a/jetty/bodybudget.go
+++ b/jetty/bodybudget.go
@@ -82,6 +82,8 @@
 	budget *bodyBudget
 	bytes  int64
 	since  time.Time
+	// reused means that the memory is used again, or is the kernel's, so that none of it becomes garbage.
+	reused bool
 }
 
 // reserve takes room for a body. It returns false if there is none.
@@ -207,7 +209,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reserved -= r.bytes
-	b.garbage += r.bytes
+	if !r.reused {
+		b.garbage += r.bytes
+	}
 	if b.larger[r] {
 		delete(b.larger, r)
 		b.meanTime += time.Duration(meanTimeWeight * float64(time.Since(r.since)-b.meanTime))
--- a/jetty/callers.go
+++ b/jetty/callers.go
@@ -154,7 +154,7 @@
 		}
 		c := &callerConn{Conn: nc, callers: l.callers, idle: true, unused: true, idleSince: time.Now()}
 		c.head.room = &bodyReservation{budget: l.callers.budget}
-		c.receiveBuffer = &bodyReservation{budget: l.callers.budget}
+		c.receiveBuffer = &bodyReservation{budget: l.callers.budget, reused: true}
 		if l.callers.add(c) {
 			if l.callers.buffersBounded {
 				limitUnsent(nc)
--- a/jetty/exchange.go
+++ b/jetty/exchange.go
@@ -321,6 +321,9 @@
 		notSent()
 		e.nextAt = time.Now().Add(exhaustedRetryAfter)
 		return e.lastResult(e.retriesExhausted(e.r, reasonRetryBudget))
+	case !e.reserveForward(ctx, e.r):
+		notSent()
+		return e.lastResult(e.refuseForMemory(e.r))
 	}
 	e.metrics.requestSent(e.r.service.Name, e.r.sends > 0)
 	e.req.Tried = append(e.req.Tried, s.ID)
@@ -372,7 +375,7 @@
 			peers = append(peers, peer)
 		}
 	}
-	if len(peers) == 0 || e.r.sends > 0 && !e.takeRetry() {
+	if len(peers) == 0 || e.r.sends > 0 && !e.takeRetry() || !e.reserveForward(ctx, e.r) {
 		return false
 	}
 	e.peers = append(e.peers, peers...)
@@ -396,7 +399,7 @@
 		return false
 	}
 	peers := slices.DeleteFunc(e.carriers.peersFor(e.r.service.Name, server), func(p peerAddress) bool { return !e.reach.usablePeer(p) })
-	if len(peers) == 0 || e.r.sends > 0 && !e.takeRetry() {
+	if len(peers) == 0 || e.r.sends > 0 && !e.takeRetry() || !e.reserveForward(ctx, e.r) {
 		return false
 	}
 	e.carried = true
--- a/jetty/forwarder.go
+++ b/jetty/forwarder.go
@@ -157,9 +157,6 @@
 // forward waits for admission, sends r to a backend server and retries it as
 // far as its route allows. The context ends when the caller leaves.
 func (f *forwarder) forward(ctx context.Context, r *request) result {
-	if !f.reserveForward(ctx, r) {
-		return f.refuseForMemory()
-	}
 	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
@@ -219,8 +216,11 @@
 	return f.callers != nil && f.callers.resetStalled(time.Now())
 }
 
-// refuseForMemory returns the result of a request for which the host has no memory.
-func (f *forwarder) refuseForMemory() refusal {
+// refuseForMemory returns the result of a request for which the host has no memory. An earlier attempt may have run it.
+func (f *forwarder) refuseForMemory(r *request) result {
+	if r.mayHaveRun {
+		return gatewayError{status: http.StatusBadGateway, reason: reasonNoMemory}
+	}
 	return refusal{reason: reasonNoMemory, retryAfter: f.bodies.retryAfter(time.Now())}
 }
 
--- a/jetty/ingress.go
+++ b/jetty/ingress.go
@@ -86,7 +86,7 @@
 	defer in.forwarder.recoverer.at(placeRequest, func() { res = gatewayError{status: http.StatusBadGateway, reason: reasonInternal} })
 	if !beginRequest(hr) {
 		in.forwarder.resetStalled()
-		res = in.forwarder.refuseForMemory()
+		res = in.forwarder.refuseForMemory(r)
 	} else if res = in.parseRequest(w, hr, r); res == nil {
 		return r, in.forwarder.forward(hr.Context(), r)
 	}
@@ -224,7 +224,7 @@
 	case errors.Is(err, errNoRoom):
 		in.forwarder.resetStalled()
 		in.leaveBody(w, r)
-		return in.forwarder.refuseForMemory()
+		return in.forwarder.refuseForMemory(r)
 	case errors.Is(err, os.ErrDeadlineExceeded) && in.forwarder.drain.excludes(r.deadline):
 		in.leaveBody(w, r)
 		return in.forwarder.stopped(r)
--- a/jetty/relayserver.go
+++ b/jetty/relayserver.go
@@ -97,9 +97,6 @@
 		return refuseRelay(stream, sluice.Refuse{Reason: sluice.Reason(reasonNoMemory), RetryAfter: s.forwarder.bodies.retryAfter(time.Now())})
 	}
 	defer r.body.release()
-	if !r.answers.reserveForward(s.forwarder.bodies) {
-		return refuseRelay(stream, sluice.Refuse{Reason: sluice.Reason(reasonNoMemory), RetryAfter: s.forwarder.bodies.retryAfter(time.Now())})
-	}
 	defer r.answers.end()
 	adm := s.forwarder.admissions.get(r.service, s.forwarder.clusterState.catalog())
 	req := &sluice.Request{
@@ -174,6 +171,9 @@
 		return refuseRelay(q.stream, *refusal)
 	case server == nil:
 		return status.Error(codes.Canceled, "the request was given up")
+	case !q.r.answers.reserveForward(q.bodies):
+		q.finish(*server, sluice.OutcomeCanceled, 0)
+		return refuseRelay(q.stream, sluice.Refuse{Reason: sluice.Reason(reasonNoMemory), RetryAfter: q.bodies.retryAfter(time.Now())})
 	}
 	if !q.carried {
 		if err := q.confirm(ctx, *server, bodyBytes); err != nil {
