--- a/cmd/hornbeamwinchd/answercrowd_test.go
+++ b/cmd/hornbeamwinchd/answercrowd_test.go
@@ -8,8 +8,6 @@
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
-	"github.com/onsi/gomega/gexec"
 )
 
 // answerCrowd is a number of clients that send requests ahead on a connection and read no answer.
@@ -75,12 +73,7 @@
 var _ = Describe("A daemon among clients that do not read their answers", Label("crowd"), Ordered, ContinueOnFailure, func() {
 	const maxFDs = 3075
 	var binary string
-	BeforeAll(func() {
-		var err error
-		binary, err = gexec.Build("hornbeamwinch.example/cmd/hornbeamwinchd")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(gexec.CleanupBuildArtifacts)
-	})
+	BeforeAll(func() { binary = buildDaemon() })
 
 	for _, c := range answerCrowds() {
 		It("holds no more memory than its host has, in the kernel too: "+c.name, func() {
--- a/cmd/hornbeamwinchd/bodycrowd_test.go
+++ b/cmd/hornbeamwinchd/bodycrowd_test.go
@@ -12,7 +12,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/onsi/gomega/gexec"
 )
 
 // bodyCrowd is a number of clients whose bodies have a legal size and stop one byte short of their end.
@@ -149,12 +148,7 @@
 
 var _ = Describe("A daemon among clients whose large bodies stop short", Label("crowd"), Ordered, ContinueOnFailure, func() {
 	var binary string
-	BeforeAll(func() {
-		var err error
-		binary, err = gexec.Build("hornbeamwinch.example/cmd/hornbeamwinchd")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(gexec.CleanupBuildArtifacts)
-	})
+	BeforeAll(func() { binary = buildDaemon() })
 
 	for _, c := range bodyCrowds() {
 		It("holds no more memory than its host has, in the kernel too: "+c.name, func() {
--- a/cmd/hornbeamwinchd/crowd_test.go
+++ b/cmd/hornbeamwinchd/crowd_test.go
@@ -16,7 +16,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/onsi/gomega/gexec"
 
 	"hornbeamwinch.example/platform/platformtest"
 )
@@ -246,12 +245,7 @@
 // The crowds guard against a process that ends for want of memory or descriptors, or serves nobody else any more.
 var _ = Describe("A daemon among misbehaving clients", Label("crowd"), Ordered, ContinueOnFailure, func() {
 	var binary string
-	BeforeAll(func() {
-		var err error
-		binary, err = gexec.Build("hornbeamwinch.example/cmd/hornbeamwinchd")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(gexec.CleanupBuildArtifacts)
-	})
+	BeforeAll(func() { binary = buildDaemon() })
 
 	for _, c := range crowds() {
 		for _, door := range []struct {
--- a/cmd/hornbeamwinchd/signal_test.go
+++ b/cmd/hornbeamwinchd/signal_test.go
@@ -147,8 +147,7 @@
 
 var _ = Describe("A daemon that cannot start", func() {
 	It("says which of its addresses is in use, and ends with exitFailed", func() {
-		binary, err := gexec.Build("hornbeamwinch.example/cmd/hornbeamwinchd")
-		Expect(err).NotTo(HaveOccurred())
+		binary := buildDaemon()
 		address, text := platformSettings("127.0.0.1:1")
 		l, err := net.Listen("tcp", address)
 		Expect(err).NotTo(HaveOccurred())
@@ -166,10 +165,7 @@
 	const daemons = 8
 	var binary, store string
 	BeforeAll(func() {
-		var err error
-		binary, err = gexec.Build("hornbeamwinch.example/cmd/hornbeamwinchd")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(gexec.CleanupBuildArtifacts)
+		binary = buildDaemon()
 		server := httptest.NewServer(platformtest.NewStore())
 		DeferCleanup(server.Close)
 		store = strings.TrimPrefix(server.URL, "http://")
--- a/cmd/hornbeamwinchd/version_test.go
+++ b/cmd/hornbeamwinchd/version_test.go
@@ -7,17 +7,13 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gbytes"
-	"github.com/onsi/gomega/gexec"
 )
 
 // Failures were reported without the build that had run.
 var _ = Describe("The build of the daemon", Ordered, func() {
 	var binary, id string
 	BeforeAll(func() {
-		var err error
-		binary, err = gexec.Build("hornbeamwinch.example/cmd/hornbeamwinchd")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(gexec.CleanupBuildArtifacts)
+		binary = buildDaemon()
 		text, err := exec.Command("go", "tool", "buildid", binary).Output()
 		Expect(err).NotTo(HaveOccurred())
 		id = strings.TrimSpace(string(text))
