--- a/jetty/answerrooms.go
+++ b/jetty/answerrooms.go
@@ -7,9 +7,11 @@
 	unreservedBytes = 16 << 10
 	// copyBytes is the buffer with which net/http passes on the rest.
 	copyBytes = 32 << 10
+	// exchangeBytes is what the goroutines of a request take.
+	exchangeBytes = 16 << 10
 	// forwardBytes is what a request takes while it is forwarded, besides its head and body and a response
 	// that has room of its own: goroutines, and a response that is passed on as it comes, in both sockets too.
-	forwardBytes = 16<<10 + unreservedBytes + copyBytes + 2*serverReceiveBytes + unsentBytes + maxSegmentBytes
+	forwardBytes = exchangeBytes + unreservedBytes + copyBytes + 2*serverReceiveBytes + unsentBytes + maxSegmentBytes
 )
 
 // answerRooms has the memory of the responses to a request, until the caller has read the one that counts.
