Count closed connections until their callers have the whole response

What callers saw: nothing yet. On a host whose callers ask for their connections to be closed and read nothing, the kernel held more with each response; 3,000 such clients took a host of 96 MiB to 99 with what it held for it.

Cause: net/http closes such a connection once the response is written. The kernel keeps what has not been acknowledged, up to 60 KB each, and probes the caller's closed window for minutes. The connection did not count any more, so nothing bounded the number. A slow head closed connections with such a rest as well.

Change: Close sends the end and has the connection linger until the kernel reports everything acknowledged (SIOCOUTQ). One that broke off is reset at once, as before. A slow head resets a connection whose caller has not read an earlier response.

--- a/jetty/callerconn.go
+++ b/jetty/callerconn.go
@@ -53,6 +53,27 @@
 	// closed, in spite of readDeadline, which net/http has set.
 	closing      bool
 	readDeadline time.Time
+	// resetOnClose means that the connection is reset when it is closed, and closed that it has been.
+	resetOnClose bool
+	closed       bool
+}
+
+// Close implements net.Conn. A connection whose caller has not got the whole response lingers.
+func (c *callerConn) Close() error {
+	c.mu.Lock()
+	closed, reset := c.closed, c.resetOnClose
+	c.closed = true
+	c.mu.Unlock()
+	if closed || !reset && c.callers.linger(c.Conn) {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+func (c *callerConn) setResetOnClose(reset bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resetOnClose = reset
 }
 
 // Read implements net.Conn.
@@ -237,6 +258,12 @@
 	if c.idle || c.headRead || c.slowSince.IsZero() || now.Sub(c.slowSince) < limit {
 		return false
 	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.callers.buffersBounded {
+		if n, err := unackedBytes(tcp); err == nil && n > 0 {
+			// The kernel would keep what the caller has not read of an earlier response.
+			_ = tcp.SetLinger(0)
+		}
+	}
 	_ = c.Conn.Close()
 	c.headRead = true
 	return true
--- a/jetty/callers.go
+++ b/jetty/callers.go
@@ -43,6 +43,8 @@
 
 	mu    sync.Mutex
 	conns map[*callerConn]bool
+	// lingering has those that are closed and whose callers have not got the whole response yet.
+	lingering map[*lingeringConn]bool
 }
 
 // closeReason says why a connection is closed early.
@@ -64,7 +66,7 @@
 )
 
 func newCallerConns() *callerConns {
-	return &callerConns{writeProgress: writeProgress, conns: make(map[*callerConn]bool)}
+	return &callerConns{writeProgress: writeProgress, conns: make(map[*callerConn]bool), lingering: make(map[*lingeringConn]bool)}
 }
 
 // closed reports a connection that is closed early.
@@ -86,9 +88,9 @@
 func (cs *callerConns) add(c *callerConn) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if cs.limit > 0 && len(cs.conns) >= cs.limit {
+	if cs.limit > 0 && cs.count() >= cs.limit {
 		cs.closeOldest()
-		if len(cs.conns) >= cs.limit+closingSlack {
+		if cs.count() >= cs.limit+closingSlack {
 			return false
 		}
 	}
@@ -96,7 +98,10 @@
 	return true
 }
 
-// closeOldest closes the connection that has been idle or slow for longest. The caller holds mu.
+// count returns the number of connections, the lingering ones included. The caller holds mu.
+func (cs *callerConns) count() int { return len(cs.conns) + len(cs.lingering) }
+
+// closeOldest closes the connection that has been idle, slow or lingering for longest. The caller holds mu.
 func (cs *callerConns) closeOldest() {
 	var oldest *callerConn
 	var since time.Time
@@ -105,6 +110,18 @@
 			oldest, since = c, t
 		}
 	}
+	var lingering *lingeringConn
+	for l := range cs.lingering {
+		if lingering == nil && oldest == nil || l.since.Before(since) {
+			lingering, since = l, l.since
+		}
+	}
+	if lingering != nil {
+		cs.closed(closeFull)
+		lingering.reset()
+		delete(cs.lingering, lingering)
+		return
+	}
 	if oldest == nil {
 		return
 	}
@@ -227,6 +244,7 @@
 	if !ok {
 		return
 	}
+	c.setResetOnClose(reset)
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		linger := -1
 		if reset {
