Take a store without records for new only on a host that saw the system start

Cause: the first claim of an era looked for a record of an earlier era, and took a store without one for new. A copy from before the first start has none. A host that runs on has seen the store come back, but one that has just started has not, whether it led before or not. Its term began with no earlier placers, and granted all keys anew after a second, while servers held them.

Two related paths had the same cause. A host that ran on recorded the era without a mark that it follows another one, so the next first claim was trusted again if that placer was lost before it had written a table. And a host whose watch lagged behind its claim could record an era that it had not read yet.

Fix: the setting `bootstrap`, which was not read, says that the whole system starts for the first time. A host knows the first era if it starts so and reads the store before any other host can have granted keys. In any other era a store without records may follow a forgotten one, and the first claim records that for later ones. The placer then does what it does after any other restore: it waits until all servers have registered, has all of them release, and counts earlier placers as unknown. A first start is as quick as before, and so is a restart, since the record of the era exists by then.

placer_term tells whether the term recorded the era and whether it may follow another one.

--- a/cmd/hornbeamwinchd/crowd_test.go
+++ b/cmd/hornbeamwinchd/crowd_test.go
@@ -120,7 +120,7 @@
 	addresses := freeAddresses(addressCount)
 	text := string(platformtest.HostSettings{
 		Name: "host-0", IP: loopbackIP(), Domain: "zone-a", CallerAddress: addresses[0], ReadyAddress: addresses[1],
-		InternalPorts: [2]int{portOf(addresses[2]), portOf(addresses[2]) + 1}, StoreAddress: strings.TrimPrefix(server.URL, "http://"),
+		InternalPorts: [2]int{portOf(addresses[2]), portOf(addresses[2]) + 1}, StoreAddress: strings.TrimPrefix(server.URL, "http://"), FirstStart: true,
 	}.Encode())
 	text = strings.Replace(text, "memory_mb: 200", fmt.Sprintf("memory_mb: %d, max_fds: %d", cfg.memoryMB, cfg.maxFDs), 1)
 	file := filepath.Join(GinkgoT().TempDir(), "settings.yaml")
--- a/cmd/hornbeamwinchd/signal_test.go
+++ b/cmd/hornbeamwinchd/signal_test.go
@@ -68,7 +68,7 @@
 	addresses := freeAddresses(addressCount)
 	settings := platformtest.HostSettings{
 		Name: "host-0", IP: loopbackIP(), Domain: "zone-a", CallerAddress: addresses[0], ReadyAddress: addresses[1],
-		InternalPorts: [2]int{portOf(addresses[2]), portOf(addresses[3])}, StoreAddress: storeAddress,
+		InternalPorts: [2]int{portOf(addresses[2]), portOf(addresses[3])}, StoreAddress: storeAddress, FirstStart: true,
 	}
 	return addresses[0], []byte(strings.Replace(string(settings.Encode()), "grace_s=6", "grace_s=2", 1))
 }
--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -24,8 +24,9 @@
 	n      int
 	daemon string
 	dir    string
-	// settings is the path of the settings file.
+	// settings is the path of the settings file, and content what it has.
 	settings      string
+	content       platformtest.HostSettings
 	callerAddress string
 	readyAddress  string
 	storeProxy    *faultProxy
@@ -84,11 +85,11 @@
 		callerAddress: fmt.Sprintf("%s:%d", loopbackIP(), ports[0]), readyAddress: fmt.Sprintf("%s:%d", loopbackIP(), ports[1]),
 		settings: filepath.Join(cfg.Dir, fmt.Sprintf("seed-%d-host-%d.yaml", cfg.Seed, n)),
 	}
-	settings := platformtest.HostSettings{
+	h.content = platformtest.HostSettings{
 		Name: fmt.Sprintf("host-%d", n), IP: loopbackIP(), Domain: fmt.Sprintf("domain-%d", n%domains),
-		CallerAddress: h.callerAddress, ReadyAddress: h.readyAddress, InternalPorts: [2]int{ports[2], ports[3]}, StoreAddress: storeProxy.address(),
+		CallerAddress: h.callerAddress, ReadyAddress: h.readyAddress, InternalPorts: [2]int{ports[2], ports[3]}, StoreAddress: storeProxy.address(), FirstStart: true,
 	}
-	return h, os.WriteFile(h.settings, settings.Encode(), 0o600)
+	return h, nil
 }
 
 var nextPort = firstPort
@@ -126,6 +127,10 @@
 			return nil
 		}
 	}
+	if err := os.WriteFile(h.settings, h.content.Encode(), 0o600); err != nil {
+		return err
+	}
+	h.content.FirstStart = false
 	log, err := os.OpenFile(h.settings[:len(h.settings)-len("yaml")]+"log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
--- a/jetty/clusterstate.go
+++ b/jetty/clusterstate.go
@@ -29,6 +29,9 @@
 	restoredAt mooring.Instant
 	// lastPlacer is the address of the placer that this host knew before that.
 	lastPlacer string
+	// firstEra is the store's era in which the system first started, or 0 if this host does
+	// not know it.
+	firstEra ledger.Era
 	// feed is where this host gets the store's changes.
 	feed feedPlan
 	// evacuations has the evacuated failure domains. It is replaced, not changed.
@@ -132,6 +135,21 @@
 	s.restoredAt, s.lastPlacer = at, s.placer.address
 }
 
+// setFirstEra records the store's era in which the system first started.
+func (s *clusterState) setFirstEra(era ledger.Era) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.firstEra = era
+}
+
+// knownFirstEra returns the store's era in which the system first started, or 0 if this host
+// does not know it.
+func (s *clusterState) knownFirstEra() ledger.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.firstEra
+}
+
 // placerBeforeRestore returns the placer that this host knew when the store last came back
 // from an older copy, and when that was.
 func (s *clusterState) placerBeforeRestore() (address string, at mooring.Instant, ok bool) {
--- a/jetty/election.go
+++ b/jetty/election.go
@@ -228,6 +228,7 @@
 		cfg.Replaces, cfg.ReplacesOther = placer.revision, placer.address != e.address
 	}
 	_, cfg.Restored = e.clusterState.restored()
+	cfg.FirstEra = e.clusterState.knownFirstEra()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	cfg.Former = e.former
--- a/jetty/erafence.go
+++ b/jetty/erafence.go
@@ -19,18 +19,20 @@
 	// record is the zero value if the store states no era.
 	record ledger.Expectation
 	// created reports whether this claim has recorded the era, and restored whether
-	// there was a record of an earlier one, before this claim or when the era was
-	// recorded.
+	// the era may follow another one in which the system ran.
 	created  bool
 	restored bool
 }
 
-// followsEra is the value of the record of an era before which there was another one.
+// followsEra is the value of the record of an era that may follow another one in which the
+// system ran. Later claims cannot tell: the first one removes the records of earlier eras, and
+// a copy from before the system's first claim has none.
 const followsEra = "follows_another"
 
 // raiseEraFence returns the fence of the present era, which it records if needed, and
-// removes those of earlier ones.
-func raiseEraFence(ctx context.Context, store ledger.TxnStore) (eraFence, error) {
+// removes those of earlier ones. Any era but first, in which the system first started, may
+// follow one of which the store has no record.
+func raiseEraFence(ctx context.Context, store ledger.TxnStore, first ledger.Era) (eraFence, error) {
 	entries, revision, err := store.Scan(ctx, eraPrefix)
 	if err != nil {
 		return eraFence{}, err
@@ -52,8 +54,9 @@
 		}
 	}
 	if fence.record.Revision == 0 {
+		fence.restored = fence.restored || revision.Era() != first
 		var value []byte
-		if former {
+		if fence.restored {
 			value = []byte(followsEra)
 		}
 		fence.record.Revision, err = store.Commit(ctx, ledger.Txn{
@@ -75,7 +78,7 @@
 }
 
 // mayPrecede reports whether a record may be from the copy from which the store has come
-// back. The first claim of a host that knows of eras does not count as a restore.
+// back.
 func (f eraFence) mayPrecede(revision ledger.Revision, restored bool) bool {
 	return revision < f.record.Revision && (restored || f.restored || !f.created)
 }
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -194,7 +194,7 @@
 	h.watcher = &watcher{
 		store: cfg.Store, protocol: cfg.Protocol, clusterState: h.clusterState, admissions: h.admissions, logs: h.logs,
 		recoverer: h.recoverer, changeLog: newChangeLog(), memory: &memory{}, crashes: h.crashes, address: s.PeerAddress, onChange: h.refresh,
-		sources: newFeedSources(s.PeerAddress, rand.Float64), evacuationBound: s.Bounds.Evacuation,
+		sources: newFeedSources(s.PeerAddress, rand.Float64), evacuationBound: s.Bounds.Evacuation, firstStart: s.FirstStart,
 	}
 	h.orderSender = newOrderSender(orderSenderConfig{Protocol: cfg.Protocol, Upstream: h.orderUpstream, Logs: h.logs, Metrics: h.metrics})
 	h.election = &election{
--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -344,6 +344,8 @@
 func (l *logs) placerTermBegan(t *term) {
 	withRevision(l.newLine(&l.system, false).Str("event", "began"), t.revision).
 		Bool("continued", t.continued != nil).
+		Bool("era_recorded", t.fence.created).
+		Bool("restored", t.fence.restored).
 		Strs("earlier", t.predecessors.Addresses).
 		Bool("earlier_incomplete", t.predecessors.Incomplete).
 		Msg(string(eventPlacerTerm))
--- a/jetty/restore_test.go
+++ b/jetty/restore_test.go
@@ -93,11 +93,11 @@
 
 	It("tells each host that raises it that the store has come back", func() {
 		s := newEraStore()
-		_, err := raiseEraFence(ctx, s)
+		_, err := raiseEraFence(ctx, s, 1)
 		Expect(err).NotTo(HaveOccurred())
 		s.restore(s.number)
 		for range 2 {
-			fence, err := raiseEraFence(ctx, s)
+			fence, err := raiseEraFence(ctx, s, 1)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(fence.restored).To(BeTrue())
 		}
@@ -105,7 +105,7 @@
 
 	It("stops a write of an earlier era whose revision has been given out again", func() {
 		s := newEraStore()
-		fence, err := raiseEraFence(ctx, s)
+		fence, err := raiseEraFence(ctx, s, 1)
 		Expect(err).NotTo(HaveOccurred())
 		copied := s.number
 		earlier, err := s.Commit(ctx, fence.guard(ledger.Txn{Put: []ledger.Write{{Key: "table", Value: []byte("1")}}}))
@@ -116,7 +116,7 @@
 		})
 
 		s.restore(copied)
-		next, err := raiseEraFence(ctx, s)
+		next, err := raiseEraFence(ctx, s, 1)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(next.restored).To(BeTrue())
 		s.number = earlier.Number() - 1
@@ -128,12 +128,28 @@
 		Expect(string(s.items["table"].Value)).To(Equal("2"))
 	})
 
+	// A claim by a host that has not followed the store since the system first started takes
+	// an era without records for the first, and grants keys that servers hold.
+	It("tells each host that an era without earlier records may follow another one, unless the system first started in it", func() {
+		for first, restored := range map[ledger.Era]bool{0: true, 1: true, 2: false} {
+			s := newEraStore()
+			s.restore(0)
+			for range 2 {
+				fence, err := raiseEraFence(ctx, s, first)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(fence.restored).To(Equal(restored), "first era %d", first)
+				// A later claim goes by what the first one has recorded.
+				first = 0
+			}
+		}
+	})
+
 	It("is recorded once", func() {
 		s := newEraStore()
-		first, err := raiseEraFence(ctx, s)
+		first, err := raiseEraFence(ctx, s, 1)
 		Expect(err).NotTo(HaveOccurred())
 		writes := s.number
-		second, err := raiseEraFence(ctx, s)
+		second, err := raiseEraFence(ctx, s, 1)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(second.record).To(Equal(first.record))
 		Expect(s.number).To(Equal(writes))
@@ -244,7 +260,7 @@
 		ctx := context.Background()
 		s := newEraStore()
 		claimed := func() ledger.Revision {
-			_, err := raiseEraFence(ctx, s)
+			_, err := raiseEraFence(ctx, s, 1)
 			Expect(err).NotTo(HaveOccurred())
 			r, err := s.Commit(ctx, ledger.Txn{Put: []ledger.Write{
 				{Key: placerListKey, Value: []byte(`{"addresses":["10.0.0.9:1"]}`)}, {Key: placerKey, Value: []byte("10.0.0.9:1")},
@@ -399,6 +415,28 @@
 	})
 })
 
+var _ = Describe("The era in which the system first started", func() {
+	firstEra := func(firstStart bool, startedBefore time.Duration) ledger.Era {
+		GinkgoHelper()
+		w := &watcher{
+			store: newEraStore(), protocol: fakeProtocol{}, clusterState: newClusterState(fairway.NewActiveConfig()), admissions: newAdmissionSet(admissionSetConfig{}),
+			logs: quietLogs(), changeLog: newChangeLog(), memory: &memory{}, onChange: func() {}, missing: make(map[fairway.ServerID]bool),
+			sources: newFeedSources("own", noDelay), firstStart: firstStart, startedAt: bootTimeNow().Add(-startedBefore),
+		}
+		Expect(w.scan(context.Background())).To(Succeed())
+		return w.clusterState.knownFirstEra()
+	}
+
+	It("is known to a host that starts with the system and reads the store before any keys can be granted", func() {
+		Expect(firstEra(true, 0)).To(Equal(ledger.Era(1)))
+	})
+
+	It("is not known to a host that starts later, or reads the store later", func() {
+		Expect(firstEra(false, 0)).To(BeZero())
+		Expect(firstEra(true, firstReadTimeout)).To(BeZero())
+	})
+})
+
 var _ = Describe("A host of this build beside one of the build before, which knows no era", func() {
 	numberOf := func(r ledger.Revision, err error) ledger.Revision {
 		GinkgoHelper()
--- a/jetty/settings.go
+++ b/jetty/settings.go
@@ -22,6 +22,9 @@
 	PeerAddress  string
 	AdminAddress string
 	StoreAddress string
+	// FirstStart reports whether the whole system starts for the first time, so that the
+	// store has forgotten nothing of it if it has no records of it.
+	FirstStart bool
 	// MemoryMB limits the memory of the process, in MiB; 0 means no limit.
 	MemoryMB int
 	// MaxFDs limits the descriptors of the process; 0 means unknown.
--- a/jetty/term.go
+++ b/jetty/term.go
@@ -81,6 +81,9 @@
 	ReplacesOther bool
 	// Restored reports whether this host has seen the store come back.
 	Restored bool
+	// FirstEra is the era in which the system first started, or 0 if this host does not
+	// know it.
+	FirstEra ledger.Era
 	// Former is the host's own former term, or nil.
 	Former *formerTerm
 }
@@ -90,7 +93,7 @@
 	var fence eraFence
 	if cfg.Era != 0 {
 		var err error
-		if fence, err = raiseEraFence(ctx, cfg.Store); err != nil {
+		if fence, err = raiseEraFence(ctx, cfg.Store, cfg.FirstEra); err != nil {
 			return nil, err
 		}
 	}
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -38,6 +38,11 @@
 	// removed that has stopped writing: three intervals of 0.87 s, and the delay of a
 	// feed.
 	registrationExpiry = 4 * time.Second
+	// startSpread is the time within which all hosts start when the system first does.
+	startSpread = 300 * time.Millisecond
+	// firstReadTimeout is the time after the system's first start within which a host has to
+	// read the store to know the first era: no other host can have granted keys yet.
+	firstReadTimeout = minStartupWait - startSpread
 )
 
 var errNoSource = errors.New("neither a feeder nor the store may be asked yet")
@@ -62,6 +67,11 @@
 	// feeder, since the placer can name one.
 	onFirstPlacer func()
 
+	// firstStart reports whether this host started when the whole system first did, and
+	// startedAt when it began to read the store.
+	firstStart bool
+	startedAt  mooring.Instant
+
 	// revision is the one up to which changes have been applied.
 	revision ledger.Revision
 	// restoredAt is the revision at which the store was first read after it had come
@@ -109,6 +119,7 @@
 func (w *watcher) run(ctx context.Context) {
 	w.missing = make(map[fairway.ServerID]bool)
 	w.lastContact = time.Now()
+	w.startedAt = bootTimeNow()
 	for ctx.Err() == nil {
 		err := w.step(ctx)
 		switch {
@@ -289,6 +300,9 @@
 		return err
 	}
 	if !w.initialized.Load() {
+		if w.firstStart && bootTimeNow() < w.startedAt.Add(firstReadTimeout) {
+			w.clusterState.setFirstEra(revision.Era())
+		}
 		w.recall(ctx, entries, revision)
 	}
 	w.applySnapshot(entries, revision, true)
