Have the first placer of an era ask the hosts that ran on whom keys were granted to

What callers saw: two servers held the same keys after a restore, where the copy does not list one of them and it cannot register again, as when it is cut off from the store.

Cause: a placer that has started since the store came back counts as possible holders the servers that are registered and those that its table names. It asks only hosts that the copy names, and it may be the only one itself, or the copy may name none. The hosts that ran on know the tables of the era before. A placer that has seen the restore keeps missing servers for just as long as it waits, and hosts do not read a grant of the last milliseconds in any table.

Fix: until all servers are known, which the first placer waits for anyway, it asks the hosts that report to it for the tables that they know and for the servers that were registered when the store came back (Recall, new field servers). All of these are released or waited for, and the newest table says who keeps the keys. Up to six hosts that know something are asked, twelve at a time.

"The first placer of an era that does not know the one before" (jetty) and "An assigner of a new era that knows nothing of the one before" (mooring) test the parts.

--- a/jetty/election.go
+++ b/jetty/election.go
@@ -41,6 +41,7 @@
 	logs          *logs
 	metrics       *metrics
 	recoverer     *recoverer
+	memory        *memory
 	reach         *reach
 	limits        *limits
 	crashes       *crashes
--- a/jetty/host.go
+++ b/jetty/host.go
@@ -206,6 +206,7 @@
 		logs:          h.logs,
 		metrics:       h.metrics,
 		recoverer:     h.recoverer,
+		memory:        h.watcher.memory,
 		reach:         h.reach,
 		limits:        h.limits,
 		crashes:       h.crashes,
--- a/jetty/load.go
+++ b/jetty/load.go
@@ -287,6 +287,19 @@
 	return summary
 }
 
+// addressesExcept returns the peer addresses of hosts that report, up to a number, except some.
+func (l *loadCollector) addressesExcept(except map[string]bool, limit int) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var addresses []string
+	for _, h := range l.reportingHosts {
+		if len(addresses) < limit && h.address != "" && !except[h.address] {
+			addresses = append(addresses, h.address)
+		}
+	}
+	return addresses
+}
+
 // maxRelayPeers bounds the peers that a reply names, and maxOwnDomainPeers those of
 // the reporting host's failure domain if there are others.
 const (
--- a/jetty/memory.go
+++ b/jetty/memory.go
@@ -7,6 +7,7 @@
 
 	"hornbeamwinch.example/fairway"
 	"hornbeamwinch.example/ledger"
+	"hornbeamwinch.example/mooring"
 	"hornbeamwinch.example/signal"
 )
 
@@ -21,6 +22,10 @@
 	departures departures
 	// tables has the newest record of each table of owners.
 	tables map[string]ledger.Entry
+	// servers are those that were registered at the end of an era, endedEra, when the store
+	// last came back from an older copy.
+	servers  []fairway.Endpoint
+	endedEra ledger.Era
 }
 
 // setConfig records the entry of the configuration that has come into force.
@@ -40,6 +45,33 @@
 	m.tables[e.Key] = e
 }
 
+// eraEnded records the servers that were registered at the end of an era.
+func (m *memory) eraEnded(era ledger.Era, servers map[fairway.ServerID]fairway.Endpoint) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.servers, m.endedEra = nil, era
+	for _, e := range servers {
+		m.servers = append(m.servers, e)
+	}
+}
+
+// serversBefore returns the servers of a service that were registered at the end of the last era
+// that this host has seen end, if that was before the given one.
+func (m *memory) serversBefore(era ledger.Era, service fairway.ServiceName) []mooring.ServerInstance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.endedEra >= era {
+		return nil
+	}
+	var known []mooring.ServerInstance
+	for _, e := range m.servers {
+		if e.Service == service {
+			known = append(known, mooring.ServerInstance{Server: e.ID, Incarnation: e.Incarnation, Address: e.Address})
+		}
+	}
+	return known
+}
+
 // registered records a registration that is applied.
 func (m *memory) registered(now time.Time, e fairway.Endpoint, era ledger.Era) {
 	m.mu.Lock()
@@ -93,6 +125,11 @@
 			Era:    uint32(e.Revision.Era()),
 		})
 	}
+	for _, e := range m.servers {
+		reply.Servers = append(reply.Servers, &signal.KnownServer{
+			Server: string(e.ID), Incarnation: int64(e.Incarnation), Address: e.Address, Service: string(e.Service), Era: uint32(m.endedEra),
+		})
+	}
 	now := time.Now()
 	for id, d := range m.departures.byServer {
 		if d.forgotten(now) {
--- a/jetty/recall.go
+++ b/jetty/recall.go
@@ -55,18 +55,8 @@
 // recallFrom asks hosts, puts the newest configuration in force that they tell, and
 // returns the number of departures and tables of earlier eras that it has recorded.
 func (w *watcher) recallFrom(ctx context.Context, peers []string) int {
-	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
-	defer cancel()
-	calls := make([]*recallCall, 0, len(peers))
-	var asked sync.WaitGroup
-	for _, peer := range peers {
-		call := &recallCall{peer: peer}
-		calls = append(calls, call)
-		asked.Go(func() { call.run(ctx) })
-	}
-	asked.Wait()
 	recorded := 0
-	for _, call := range calls {
+	for _, call := range askPeers(ctx, peers) {
 		err := call.err
 		if err == nil {
 			w.recalled.Store(true)
@@ -85,29 +75,47 @@
 // newest one that this host knows. The first placer of an era lists the owners that it
 // names.
 func (w *watcher) applyRecalledTable(told *signal.KnownTable) int {
+	t, ok, err := decodeKnownTable(told, ledger.Era(w.recallBefore.Load()))
+	if err != nil {
+		w.logs.recordUnreadable(UnreadableRecord{Key: told.GetRecord().GetKey(), Err: err})
+	}
+	if !ok || !w.admissions.ownersOf(t.service).update(monotonicNow(), t.table, mooring.StoreRevision(t.entry.Revision)) {
+		return 0
+	}
+	w.memory.setTable(t.entry)
+	return 1
+}
+
+// recalledTable is a table of owners that another host has told.
+type recalledTable struct {
+	service fairway.ServiceName
+	table   *mooring.Table
+	// entry is the record that the table was decoded from.
+	entry ledger.Entry
+}
+
+// decodeKnownTable decodes what another host has told. It returns false for anything but a
+// table of an era before the given one.
+func decodeKnownTable(told *signal.KnownTable, before ledger.Era) (t recalledTable, ok bool, err error) {
 	name, isTable := strings.CutPrefix(told.GetRecord().GetKey(), tablePrefix)
 	era := ledger.Era(told.GetEra())
-	if !isTable || uint32(era) >= w.recallBefore.Load() {
-		return 0
+	if !isTable || era >= before {
+		return recalledTable{}, false, nil
 	}
 	revision, err := ledger.NewRevision(era, told.GetRecord().GetRevision())
-	var value []byte
-	if err == nil {
-		value, err = decompress(told.GetRecord())
-	}
-	var table *mooring.Table
-	if err == nil {
-		table, err = mooring.Decode(value)
+	if err != nil {
+		return recalledTable{}, false, err
 	}
+	value, err := decompress(told.GetRecord())
 	if err != nil {
-		w.logs.recordUnreadable(UnreadableRecord{Key: told.GetRecord().GetKey(), Err: err})
-		return 0
+		return recalledTable{}, false, err
 	}
-	if !w.admissions.ownersOf(fairway.ServiceName(name)).update(monotonicNow(), table, mooring.StoreRevision(revision)) {
-		return 0
+	table, err := mooring.Decode(value)
+	if err != nil {
+		return recalledTable{}, false, err
 	}
-	w.memory.setTable(ledger.Entry{Key: told.GetRecord().GetKey(), Value: value, Revision: revision})
-	return 1
+	entry := ledger.Entry{Key: told.GetRecord().GetKey(), Value: value, Revision: revision}
+	return recalledTable{service: fairway.ServiceName(name), table: table, entry: entry}, true, nil
 }
 
 // applyRecalled puts the configuration of another host in force, if it is newer.
@@ -151,6 +159,21 @@
 	return asked
 }
 
+// askPeers asks hosts at the same time what they know, for up to recallTimeout.
+func askPeers(ctx context.Context, peers []string) []*recallCall {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	calls := make([]*recallCall, 0, len(peers))
+	var asked sync.WaitGroup
+	for _, peer := range peers {
+		call := &recallCall{peer: peer}
+		calls = append(calls, call)
+		asked.Go(func() { call.run(ctx) })
+	}
+	asked.Wait()
+	return calls
+}
+
 // recallCall is the question to one host.
 type recallCall struct {
 	peer  string
--- a/jetty/termrunner.go
+++ b/jetty/termrunner.go
@@ -67,6 +67,10 @@
 	// received.
 	writesAllowed bool
 	assigners     map[fairway.ServiceName]*mooring.Assigner
+	// recalled receives what other hosts know of earlier eras, and recalledEvents has what was
+	// received so far.
+	recalled       chan assignerEvent
+	recalledEvents []assignerEvent
 	// slowness is the smoothed response time of each server, relative to the mean
 	// on the same routes.
 	slowness map[fairway.ServerID]float64
@@ -101,6 +105,7 @@
 		actions:           newActionQueue(),
 		predecessorsEnded: make(chan mooring.Instant, 1),
 		predecessorUntil:  t.predecessorUntil(),
+		recalled:          make(chan assignerEvent, maxTellingHosts),
 		writesAllowed:     true,
 		assigners:         make(map[fairway.ServiceName]*mooring.Assigner),
 		slowness:          make(map[fairway.ServerID]float64),
@@ -134,6 +139,13 @@
 	r.goRecovered(ctx, r.term.run)
 	takeover := &takeover{term: r.term, ended: r.predecessorsEnded, logs: r.election.logs}
 	r.goRecovered(ctx, takeover.run)
+	if restored, knownAt := r.restored(); restored && r.term.continued == nil {
+		recall := &termRecall{
+			loadCollector: r.election.loadCollector, logs: r.election.logs, address: r.election.address,
+			era: r.term.revision.Era(), until: knownAt, events: r.recalled,
+		}
+		r.goRecovered(ctx, recall.run)
+	}
 	if r.election.crashes != nil {
 		store := &crashStore{crashes: r.election.crashes, term: r.term, logs: r.election.logs}
 		r.goRecovered(ctx, store.run)
@@ -153,6 +165,9 @@
 			r.handle(event)
 		case <-r.wake:
 			r.updateServers()
+		case e := <-r.recalled:
+			r.recalledEvents = append(r.recalledEvents, e)
+			r.step(e.service, e.event)
 		case at := <-r.predecessorsEnded:
 			r.predecessorUntil = at
 			r.stepAll(mooring.PredecessorEnded{At: at})
@@ -345,6 +360,11 @@
 			if r.pathLost {
 				r.step(service, mooring.PathLost{Lost: true})
 			}
+			for _, e := range r.recalledEvents {
+				if e.service == service {
+					r.step(service, e.event)
+				}
+			}
 		}
 		r.step(service, mooring.CatalogUpdated{Catalog: catalog})
 	}
@@ -353,24 +373,30 @@
 // recovery returns what this host knows of a service's assignments that the store may
 // have forgotten.
 func (r *termRunner) recovery(service fairway.ServiceName) mooring.Recovery {
-	restoredAt, restored := r.election.clusterState.restored()
-	recovery := mooring.Recovery{
-		Restored: restored || r.term.fence.restored,
-		// A host that has started since the restore does not know when it was.
-		ServersKnownAt: r.term.began.Add(reregisterTimeout),
-	}
+	var recovery mooring.Recovery
+	recovery.Restored, recovery.ServersKnownAt = r.restored()
 	if known := r.election.admissions.ownersOf(service).current.Load(); known != nil {
 		recovery.KnownTable = known.table
 	}
+	if r.election.memory != nil {
+		recovery.KnownServers = r.election.memory.serversBefore(r.term.revision.Era(), service)
+	}
 	if r.term.continued != nil {
 		recovery.EarlierTable = r.term.continued.tables[service]
 	}
-	if restored {
-		recovery.ServersKnownAt = restoredAt.Add(reregisterTimeout)
-	}
 	return recovery
 }
 
+// restored reports whether the store may have come back from an older copy before the term,
+// and when all running servers have registered again.
+func (r *termRunner) restored() (restored bool, serversKnownAt mooring.Instant) {
+	if at, seen := r.election.clusterState.restored(); seen {
+		return true, at.Add(reregisterTimeout)
+	}
+	// A host that has started since the restore does not know when it was.
+	return r.term.fence.restored, r.term.began.Add(reregisterTimeout)
+}
+
 // updateLoad passes the reported load to the assigners once each loadInterval.
 func (r *termRunner) updateLoad() {
 	interval := time.Since(r.observedAt)
--- a/jetty/watcher.go
+++ b/jetty/watcher.go
@@ -321,6 +321,7 @@
 		w.unconfirmedUntil = time.Now().Add(reregisterTimeout)
 		w.restoredAt = revision
 		w.copied, w.copiedUntil = make(map[fairway.ServerID]fairway.Endpoint), time.Now().Add(registrationExpiry)
+		w.memory.eraEnded(w.revision.Era(), w.clusterState.catalog().All())
 		w.clusterState.setRestored(bootTimeNow())
 	}
 	w.retainEvacuations(entries)
--- a/mooring/assigner.go
+++ b/mooring/assigner.go
@@ -64,6 +64,10 @@
 	// restoredToken is its next token as the store has it.
 	restored      *Table
 	restoredToken Token
+	// known are the tables of earlier eras that hosts have read, this one's first, and
+	// knownServers the servers that were registered then.
+	known        []*Table
+	knownServers []ServerInstance
 	// reserve has the tokens that this placer may use without a write.
 	reserve tokenReserve
 	// pending is the table of the write in flight, or nil.
@@ -78,18 +82,24 @@
 	// wroteAt is when the last write was sent.
 	wroteAt Instant
 	// assignAfter is when keys without any owner are first assigned. It is
-	// postponed when the number of servers exceeds knownServers, the highest
+	// postponed when the number of servers exceeds mostServers, the highest
 	// number seen so far.
-	assignAfter  Instant
-	knownServers int
+	assignAfter Instant
+	mostServers int
 
 	actions []Action
 }
 
 // NewAssigner returns an assigner without a table. Its first step loads one.
 func NewAssigner(cfg AssignerConfig) *Assigner {
+	var known []*Table
+	if t := cfg.Recovery.KnownTable; t != nil {
+		known = append(known, t)
+	}
 	return &Assigner{
 		cfg:              cfg,
+		known:            known,
+		knownServers:     cfg.Recovery.KnownServers,
 		predecessorUntil: max(cfg.PredecessorUntil, cfg.Now),
 		catalog:          fairway.NewCatalog(nil),
 		servers:          make(map[ServerInstance]*server),
@@ -138,6 +148,10 @@
 	switch e := e.(type) {
 	case TableLoaded:
 		a.tableLoaded(e)
+	case TableRecalled:
+		a.known = append(a.known, e.Table)
+	case ServersRecalled:
+		a.knownServers = slices.Concat(a.knownServers, e.Servers)
 	case WriteSucceeded:
 		a.reserve.set(a.pending)
 		if a.restored != nil {
@@ -149,8 +163,8 @@
 		a.reload()
 	case CatalogUpdated:
 		a.catalog = e.Catalog
-		if n := len(e.Catalog.ByService(a.cfg.Service)); n > a.knownServers {
-			a.knownServers = n
+		if n := len(e.Catalog.ByService(a.cfg.Service)); n > a.mostServers {
+			a.mostServers = n
 			a.assignAfter = min(a.now.Add(a.cfg.Timing.InitialDelay), a.cfg.Now.Add(a.cfg.Timing.MaxInitialDelay))
 		}
 	case OrderCompleted:
--- a/mooring/event.go
+++ b/mooring/event.go
@@ -36,6 +36,18 @@
 	Revision StoreRevision
 }
 
+// TableRecalled carries a table of an earlier era that another host knows. It counts like
+// [Recovery].KnownTable if it arrives before the table of the era is written.
+type TableRecalled struct {
+	Table *Table
+}
+
+// ServersRecalled carries the servers that another host knew at the end of an earlier era. They
+// count like [Recovery].KnownServers.
+type ServersRecalled struct {
+	Servers []ServerInstance
+}
+
 // WriteSucceeded reports that the last [WriteTable] took effect.
 type WriteSucceeded struct {
 	Revision StoreRevision
@@ -98,6 +110,8 @@
 
 func (Tick) event()             {}
 func (TableLoaded) event()      {}
+func (TableRecalled) event()    {}
+func (ServersRecalled) event()  {}
 func (WriteSucceeded) event()   {}
 func (WriteFailed) event()      {}
 func (CatalogUpdated) event()   {}
--- a/mooring/recovery.go
+++ b/mooring/recovery.go
@@ -34,6 +34,9 @@
 	EarlierTable *Table
 	// KnownTable is the newest table that this host has read, or nil.
 	KnownTable *Table
+	// KnownServers are the servers that this host knew when the store came back, if it has
+	// seen that.
+	KnownServers []ServerInstance
 	// ServersKnownAt is when all running servers have registered again.
 	ServersKnownAt Instant
 }
@@ -74,11 +77,14 @@
 		next.NextToken = max(next.NextToken, a.restored.NextToken)
 		return next
 	}
-	next := a.restored.clone()
-	if known := a.cfg.Recovery.KnownTable; known != nil && known.NextToken > a.restoredToken {
-		next = known.clone()
-		next.NextToken = max(next.NextToken, a.restored.NextToken)
+	newest, newestToken := a.restored, a.restoredToken
+	for _, t := range a.known {
+		if t.NextToken > newestToken {
+			newest, newestToken = t, t.NextToken
+		}
 	}
+	next := newest.clone()
+	next.NextToken = max(next.NextToken, a.restored.NextToken)
 	holders := a.possibleHolders()
 	for i := range next.Assignments {
 		r := &next.Assignments[i]
@@ -88,8 +94,9 @@
 	return next
 }
 
-// possibleHolders returns the registered servers and those that the restored and the
-// known table name.
+// possibleHolders returns the registered servers, those that were registered when the store
+// came back, and those that the restored and the known tables name. The tables miss grants that
+// no host has read of before the store came back.
 func (a *Assigner) possibleHolders() []ServerInstance {
 	var holders []ServerInstance
 	add := func(instance ServerInstance) {
@@ -100,10 +107,10 @@
 	for _, e := range a.catalog.ByService(a.cfg.Service) {
 		add(instanceOf(e))
 	}
-	for _, t := range []*Table{a.restored, a.cfg.Recovery.KnownTable} {
-		if t == nil {
-			continue
-		}
+	for _, instance := range a.knownServers {
+		add(instance)
+	}
+	for _, t := range append([]*Table{a.restored}, a.known...) {
 		for i := range t.Assignments {
 			add(t.Assignments[i].Owner)
 			for _, instance := range t.Assignments[i].FormerOwners {
