--- a/jetty/logs.go
+++ b/jetty/logs.go
@@ -215,6 +215,7 @@
 		Bool("configuration", reply.GetConfig() != nil).
 		Int("departures", len(reply.GetDepartures())).
 		Int("tables", len(reply.GetTables())).
+		Int("servers", len(reply.GetServers())).
 		Err(err).
 		Msg(string(eventRecalled))
 }
