Take a response without a length as broken off if the write of its request was reset

What callers saw: a server answers a long upload at once with a 200 that has no length, sends part of its body and resets the connection while the upload is still being written.

Cause: the kernel reports a reset once. bodyWriter writes a body of 32 KiB and more while the response is read; if its write gets ECONNRESET, the next read returns an end in order, which ends such a response.

Fix: the read of a response that only the end of its connection delimits asks the write of the body first, and fails with ECONNRESET if that was reset. A reset after the server's own end fails the write with EPIPE, so such a response stays whole.

Test: "A response while the body of its request is still sent" (jetty), 8 MiB up, parts of 1 byte to 3 MB, reset 0, 20 and 200 ms later: all 12 cases failed before, 14 neighbours passed; no failure in six runs of the 26 since.

--- a/jetty/connection.go
+++ b/jetty/connection.go
@@ -263,6 +263,9 @@
 		c.endSending()
 		return nil, c.classifyError(ctx, "receive", err)
 	}
+	if c.sending != nil && isUnframed(resp) {
+		resp.Body = &unframedBody{ReadCloser: resp.Body, writer: c.sending}
+	}
 	c.updateIdleTimeout(resp.Header)
 	return resp, nil
 }
