--- a/cmd/soak/restore.go
+++ b/cmd/soak/restore.go
@@ -18,11 +18,15 @@
 	// rewriteDelay is how long after the restore the operator and the servers write
 	// again what the store has lost.
 	rewriteDelay = 1500 * time.Millisecond
+	// firstCopyEvery is how many restores there are for one from before the first start.
+	firstCopyEvery = 4
 )
 
 // storeCopies keeps copies of the store.
 type storeCopies struct {
 	store *platformtest.Store
+	// first is from before the hosts first started.
+	first platformtest.Snapshot
 
 	mu     sync.Mutex
 	copies []platformtest.Snapshot
@@ -48,6 +52,9 @@
 func (c *storeCopies) pick(target int) (platformtest.Snapshot, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if target%firstCopyEvery == 0 {
+		return c.first, true
+	}
 	if len(c.copies) == 0 {
 		return platformtest.Snapshot{}, false
 	}
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -116,6 +116,7 @@
 			return nil, errors.Join(err, tb.cleanUp())
 		}
 	}
+	tb.copies.first = tb.store.Snapshot()
 	for i := range cfg.Hosts {
 		h, err := newHost(i, cfg, strings.TrimPrefix(tb.storeServer.URL, "http://"))
 		if err == nil {
