Bound the head of a server's response in the project's own deployment

Fix: quay reads at most 64 KiB of the head of a response and the informational responses before it, as jetty does; a probe's head is bounded likewise, where the transport allowed 10 MB for each of 16 at a time. Bodies were streamed, or bounded, before.

Test: "The head of a response that does not end" (quay), four kinds: none closed its connection within 8 MiB before, all do now. The limit of the probe has no test of its own.

--- a/harbor/prober.go
+++ b/harbor/prober.go
@@ -25,6 +25,8 @@
 	probeTimeout = 250 * time.Millisecond
 	// maxProbeResponseBytes is the maximum size of the response to a probe.
 	maxProbeResponseBytes = 1 << 20
+	// maxProbeHeadBytes is the maximum size of the head of that response.
+	maxProbeHeadBytes = 64 << 10
 )
 
 // probeState is the result of the probes of one backend server that is assigned
@@ -69,7 +71,7 @@
 		d: d,
 		client: &http.Client{
 			Timeout:   probeTimeout,
-			Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableKeepAlives: false},
+			Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableKeepAlives: false, MaxResponseHeaderBytes: maxProbeHeadBytes},
 		},
 		queue:  make(chan berth.Server, probeWorkers),
 		states: make(map[berth.ServerID]*probeState),
--- a/quay/conn.go
+++ b/quay/conn.go
@@ -23,6 +23,9 @@
 	reader  *bufio.Reader
 	written int64
 	used    bool
+	// While readingHead is set, headLeft is how many bytes may still be read.
+	readingHead bool
+	headLeft    int
 }
 
 // Write implements io.Writer and counts the bytes.
@@ -32,13 +35,33 @@
 	return n, err
 }
 
+// maxHeadBytes bounds the head of a response, with the informational responses before it.
+const maxHeadBytes = 64 << 10
+
+var errHeadTooLong = errors.New("head of the response is too long")
+
+// Read implements io.Reader. It fails once the head of a response is too long.
+func (c *conn) Read(data []byte) (int, error) {
+	if !c.readingHead {
+		return c.Conn.Read(data)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(data[:min(len(data), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
 func dial(ctx context.Context, address string) (*conn, error) {
 	var dialer net.Dialer
 	netConn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, newError("connect", KindNotRun, err)
 	}
-	return &conn{Conn: netConn, reader: bufio.NewReader(netConn)}, nil
+	c := &conn{Conn: netConn}
+	c.reader = bufio.NewReader(c)
+	return c, nil
 }
 
 // roundTrip writes r and reads the header of its response. It calls check
@@ -81,6 +104,8 @@
 // readHead reads the head of a final response and skips informational ones. It fails with
 // [ErrInvalidStatus] at any other response, also at a switch of protocols, which no request asks for.
 func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	c.readingHead, c.headLeft = true, maxHeadBytes
+	defer func() { c.readingHead = false }()
 	for range maxInterim {
 		resp, err := http.ReadResponse(c.reader, r)
 		switch {
