Test that servers that send without end leave a process within its memory

No fault was found on the platform's path; the test keeps it so, in the crowds apart from other load.

--- a/cmd/hornbeamwinchd/crowd_test.go
+++ b/cmd/hornbeamwinchd/crowd_test.go
@@ -92,8 +92,9 @@
 	configuration string
 	memoryMB      int
 	maxFDs        int
-	// servers is the number of servers.
-	servers int
+	// servers is the number of servers, and register, if set, registers others.
+	servers  int
+	register func(store *platformtest.Store)
 }
 
 // startCrowdHost starts a daemon with a memory limit, in MiB, and one server.
@@ -116,6 +117,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(backend.Kill)
 	}
+	if cfg.register != nil {
+		cfg.register(store)
+	}
 	const addressCount = 4
 	addresses := freeAddresses(addressCount)
 	text := string(platformtest.HostSettings{
